--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,96 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"portflow/rules"
+)
+
+// provision is the part of the settings' JSON that is read.
+type provision struct {
+	Classes []struct {
+		AimNs, HardLimitNs, DedupWindowNs int64
+		Effect, Group                     string
+		Worth, LateWorth                  float64
+	}
+	Contract struct {
+		ColdFrom float64
+		ColdNs   int64
+	}
+	Discovery  string
+	FamilyInfo struct {
+		BackVotes, ToAdvance, ToPause int
+		CapScope, GateMode            string
+		ComplaintShare, SpareTries    float64
+		ExposureCaps                  []float64
+		KeysStay, WarmKeys            bool
+		Shielded                      int
+		VoteTtlNs, VoteWaitNs         int64
+	}
+	Limits struct {
+		Cancel, ParallelTries, PeerMessages, Probing, RetryAfter bool
+		MaxAttempts                                              int
+		MaxRetryAfterNs                                          int64
+	}
+	OverShareWorth float64
+	Projects       []struct{ AllowancePerS float64 }
+	Rank           int
+	ReplicasOfMe   int
+	Report         struct{ Fields []string }
+	TickNs         int64
+}
+
+var (
+	repeats = map[string]rules.Repeat{"repeatable": rules.Replayable, "by_key": rules.Referenced, "once": rules.SingleUse}
+	groups  = map[string]rules.Group{"": rules.AllHosts, "all": rules.AllHosts, "zone": rules.SameZone, "cell": rules.SameCell}
+	gates   = map[string]rules.Gate{"single": rules.AnyOne, "majority": rules.Share, "clocked": rules.Clock}
+	reports = map[string]rules.Report{"concurrent": rules.Holding, "depth": rules.Waiting, "load_share": rules.Busy,
+		"mean_ms": rules.MeanTime}
+)
+
+// Settings reads the settings' JSON; keys that it does not know are skipped.
+func Settings(text []byte) (rules.Settings, error) {
+	var p provision
+	if err := json.Unmarshal(text, &p); err != nil {
+		return rules.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	fam, lim := p.FamilyInfo, p.Limits
+	s := rules.Settings{
+		Rank: p.Rank, Routers: p.ReplicasOfMe, OverShare: p.OverShareWorth, Tick: p.TickNs,
+		Subscribe: p.Discovery == "subscribe", MaxHandOffs: lim.MaxAttempts, Copies: lim.ParallelTries,
+		Recalls: lim.Cancel, Probes: lim.Probing, Peers: lim.PeerMessages, Advice: lim.RetryAfter,
+		MaxAdvice: lim.MaxRetryAfterNs, WarmKeys: fam.WarmKeys, OnVotes: fam.ToAdvance, BackVotes: fam.BackVotes,
+		HoldVotes: fam.ToPause, VoteLife: fam.VoteTtlNs, VoteWait: fam.VoteWaitNs, Free: fam.SpareTries,
+		CapByBand: fam.CapScope == "per_lane", Guarded: fam.Shielded, KeysStay: fam.KeysStay,
+		FlagShare: fam.ComplaintShare, ColdFrom: p.Contract.ColdFrom, ColdFor: p.Contract.ColdNs,
+	}
+	if len(fam.ExposureCaps) > 0 {
+		s.FirstCap = fam.ExposureCaps[0]
+	}
+	var ok bool
+	if s.Gate, ok = gates[fam.GateMode]; !ok {
+		return s, fmt.Errorf("settings: gateMode %q is unknown", fam.GateMode)
+	}
+	if s.Routers < 1 || s.Rank < 0 || s.Rank >= s.Routers || s.Tick < 1 || s.MaxHandOffs < 1 || len(p.Classes) == 0 {
+		return s, fmt.Errorf("settings: rank %d of %d, tick %d, %d attempts, %d classes", s.Rank, s.Routers, s.Tick,
+			s.MaxHandOffs, len(p.Classes))
+	}
+	for i, c := range p.Classes {
+		b := rules.Band{Contract: c.AimNs, CutOff: c.HardLimitNs, Memory: c.DedupWindowNs, Importance: c.Worth,
+			LateOf: c.LateWorth}
+		var known bool
+		b.Repeat, ok = repeats[c.Effect]
+		if b.Group, known = groups[c.Group]; !ok || !known || b.Contract < 1 {
+			return s, fmt.Errorf("settings: class %d: effect %q, group %q, aim %d", i, c.Effect, c.Group, c.AimNs)
+		}
+		s.Bands = append(s.Bands, b)
+	}
+	for _, t := range p.Projects {
+		s.Carriers = append(s.Carriers, rules.Carrier{PerSecond: t.AllowancePerS})
+	}
+	for _, name := range p.Report.Fields {
+		s.Reports = append(s.Reports, reports[name])
+	}
+	return s, nil
+}
--- /dev/null
+++ b/rules/door.go
@@ -0,0 +1,434 @@
+// Package rules decides what a router does with its commands and how it votes on builds.
+// This file is its interface: what comes in, what goes out, and the tables from ids to objects.
+package rules
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"portflow/internal/due"
+)
+
+// Repeat tells whether a band's commands may run again.
+type Repeat uint8
+
+const (
+	Replayable Repeat = iota // may run again
+	Referenced               // carries a mark by which its group of hosts knows a repeat
+	SingleUse                // must never run twice
+)
+
+// Group is the set of hosts that drops a referenced command's repeats.
+type Group uint8
+
+const (
+	AllHosts Group = iota
+	SameZone
+	SameCell
+)
+
+// Gate is how votes move a build.
+type Gate uint8
+
+const (
+	AnyOne Gate = iota // one vote is enough
+	Share              // a share of the routers must stand for it
+	Clock              // stages move on by themselves unless held
+)
+
+// Verdict is what a vote says.
+type Verdict uint8
+
+const (
+	NoVote Verdict = iota
+	On
+	Hold
+	Back
+)
+
+// Standing is where a build is.
+type Standing uint8
+
+const (
+	OnTrial Standing = iota
+	GoingBack
+	Released
+	Withdrawn
+)
+
+// Ending is how a hand-off or a call ended.
+type Ending uint8
+
+const (
+	Fulfilled  Ending = iota
+	Failed            // the host answered with an error: it may have run
+	TurnedAway        // the host's queue was full: it never ran
+	TimedOut          // no answer in time: it may have run
+	NoConnect         // no connection: it never ran
+	Reset             // the connection broke: it may have run
+	Recalled          // called off: it may have run
+	Unsent            // never left: it never ran
+)
+
+// Health is a host's state on the list.
+type Health uint8
+
+const (
+	Ready Health = iota
+	Draining
+	Gone
+)
+
+// Form is how a list of hosts is to be read.
+type Form uint8
+
+const (
+	Changes Form = iota
+	Whole
+	Cached
+	CallFailed
+)
+
+// Band is one band of commands.
+type Band struct {
+	Contract, CutOff   int64 // times from the client's first try
+	Repeat             Repeat
+	Group              Group
+	Memory             int64 // how long repeats are dropped, from the first sending
+	Importance, LateOf float64
+}
+
+// Carrier is one customer and the rate that it may ask for.
+type Carrier struct{ PerSecond float64 }
+
+// Settings are what a router is told when it starts.
+type Settings struct {
+	Rank, Routers int
+	Bands         []Band
+	Carriers      []Carrier
+	OverShare     float64 // what a command beyond its carrier's share is worth
+	Tick          int64   // the shortest time between two calls
+	Subscribe     bool    // the list must be asked for
+	MaxHandOffs   int
+	Copies        bool // two hand-offs at once are allowed
+	Recalls       bool
+	Probes        bool
+	Peers         bool
+	Advice        bool // dismissed clients can be told when to come back
+	MaxAdvice     int64
+	WarmKeys      bool
+	Gate          Gate
+	OnVotes       int
+	BackVotes     int
+	HoldVotes     int
+	VoteLife      int64
+	VoteWait      int64
+	Free          float64 // exposure: hand-offs beyond the cap
+	FirstCap      float64
+	CapByBand     bool
+	Guarded       int // so many first stages take replayable commands only
+	KeysStay      bool
+	FlagShare     float64 // part of the wrong answers that is reported
+	ColdFrom      float64
+	ColdFor       int64
+	Reports       []Report // what the values of a load report are
+}
+
+// Report is one value of a host's load report.
+type Report uint8
+
+const (
+	Unknown  Report = iota
+	Holding         // commands in work
+	Waiting         // commands that wait
+	Busy            // part of the cores in use
+	MeanTime        // recent time of service, milliseconds
+)
+
+// Command is a client's command as it comes in.
+type Command struct {
+	ID      uint32
+	Band    int
+	Carrier int
+	Key     uint64
+	Left    int64 // until the client gives up this try
+	Hint    int64 // expected work, 0 for none
+	Again   bool  // the client says that it tries again
+}
+
+// Listed is a host as the list shows it.
+type Listed struct {
+	ID      uint32
+	Zone    int
+	Kind    int
+	Cell    int
+	Health  Health
+	Build   int
+	Size    float64
+	Started int64
+}
+
+// News is what the platform says about the newest build.
+type News struct {
+	Build    int
+	Stage    int
+	Standing Standing
+	Reply    bool // it answers a vote
+	Ending   CallEnding
+	Cap      float64
+	Age      int64
+}
+
+// CallEnding is how a vote's call ended.
+type CallEnding uint8
+
+const (
+	Counts CallEnding = iota
+	Moot
+	CallsFull
+	CallError
+	CallSilent // no answer: it may count
+)
+
+// Effects is what a router can do.
+type Effects interface {
+	HandOff(command, host uint32, until int64)
+	Dismiss(command uint32, wait int64)
+	Scrap(command uint32)
+	Recall(command uint32, number int)
+	Vote(v Verdict, build, stage int)
+	Tell(peer int, message []byte)
+	Wake(after int64)
+	Probe(host uint32)
+	Close(host uint32)
+	Watch(on bool)
+}
+
+type host struct {
+	id       uint32
+	zone     int
+	kind     int
+	cell     int
+	health   Health
+	build    int
+	size     float64
+	started  int64
+	listed   int64 // when this router was told of this start
+	out      int   // hand-offs of this router that are out
+	waiting  int64 // since when it owes a sign of life
+	slow     float64
+	slowAt   int64
+	strikes  int
+	aside    int64 // set aside until then
+	probed   bool  // a probe is out
+	budget   bucket
+	queue    float64
+	queuedAt int64
+}
+
+type handOff struct {
+	host   *host
+	build  int
+	at     int64
+	until  int64
+	number int
+	ended  bool
+	unrun  bool // known not to have run
+}
+
+type command struct {
+	id       uint32
+	band     *band
+	carrier  int
+	key      uint64
+	at       int64
+	cutOff   int64
+	contract int64
+	handOffs []*handOff
+	out      int
+	next     *host // wanted hand-off
+	until    int64
+	answer   answer // wanted final answer
+	recalled bool
+	over     bool // nothing more is owed
+	streams  bool
+	again    bool
+	due      *due.Item[*command]
+}
+
+type answer uint8
+
+const (
+	none answer = iota
+	dismiss
+	scrap
+)
+
+// Router is one instance. It is not safe for use by two goroutines.
+type Router struct {
+	*decider
+	commands map[uint32]*command
+	hosts    map[uint32]*host
+}
+
+// New makes a router; nothing is decided before the first call.
+func New(s Settings, seed uint64, now int64, out Effects) *Router {
+	r := &Router{decider: newDecider(s, seed, out), commands: map[uint32]*command{}, hosts: map[uint32]*host{}}
+	r.now = now
+	r.begin()
+	return r
+}
+
+// Take hands in a command.
+func (r *Router) Take(now int64, in Command) {
+	if _, held := r.commands[in.ID]; held || in.Band < 0 || in.Band >= len(r.bands) {
+		return
+	}
+	b := r.bands[in.Band]
+	c := &command{id: in.ID, band: b, carrier: in.Carrier, key: in.Key, at: now, cutOff: now + in.Left,
+		contract: now + b.Contract, again: in.Again}
+	r.commands[in.ID] = c
+	r.now = now
+	r.take(c)
+	r.forget(c)
+}
+
+// Ended tells how a hand-off ended; over says that the command needs no answer any more.
+func (r *Router) Ended(now int64, id uint32, number int, e Ending, over bool, took int64, report []float64) {
+	c := r.commands[id]
+	if c == nil || number < 0 || number >= len(c.handOffs) || c.handOffs[number].ended {
+		return
+	}
+	r.now = now
+	c.handOffs[number].ended = true
+	c.out--
+	r.ended(c, c.handOffs[number], e, over, took, report)
+	r.forget(c)
+}
+
+// Begun tells that a streamed answer has begun.
+func (r *Router) Begun(now int64, id uint32, number int) {
+	if c := r.commands[id]; c != nil && number >= 0 && number < len(c.handOffs) {
+		r.now = now
+		r.begun(c, c.handOffs[number])
+	}
+}
+
+// Left tells that the client has gone.
+func (r *Router) Left(now int64, id uint32) {
+	if c := r.commands[id]; c != nil {
+		r.now = now
+		r.close(c)
+		r.forget(c)
+	}
+}
+
+// forget drops a command once nothing is owed or out.
+func (r *Router) forget(c *command) {
+	if c.over && c.out == 0 {
+		delete(r.commands, c.id)
+	}
+}
+
+// List brings the list of hosts, or its changes.
+func (r *Router) List(now int64, form Form, entries []Listed) {
+	r.now = now
+	if form == CallFailed {
+		r.listFailed()
+		return
+	}
+	named := map[uint32]bool{}
+	for _, e := range entries {
+		named[e.ID] = true
+		h := r.hosts[e.ID]
+		if h == nil {
+			h = &host{id: e.ID, health: Gone}
+			r.hosts[e.ID] = h
+		}
+		r.show(h, e)
+	}
+	if form != Changes {
+		for _, h := range slices.Clone(r.fleet) {
+			if !named[h.id] {
+				r.show(h, Listed{ID: h.id, Health: Gone, Build: h.build, Size: h.size, Started: h.started})
+			}
+		}
+	}
+	r.listShown(form)
+}
+
+// Hear brings news of the newest build.
+func (r *Router) Hear(now int64, n News) {
+	r.now = now
+	r.hear(n)
+}
+
+// Flagged tells that a client found an answer of this host wrong, and how long ago it was handed off.
+func (r *Router) Flagged(now int64, id uint32, band int, age int64) {
+	if h := r.hosts[id]; h != nil && band >= 0 && band < len(r.bands) {
+		r.now = now
+		r.flagged(h, age)
+	}
+}
+
+// Probed tells what a probe found.
+func (r *Router) Probed(now int64, id uint32, e Ending, took int64, report []float64) {
+	if h := r.hosts[id]; h != nil {
+		r.now = now
+		r.probed(h, e, report)
+	}
+}
+
+// Counted brings what the platform counted for a build and band: hand-offs, those that failed, mean time.
+func (r *Router) Counted(now int64, build, band, many, failed int, mean, age int64) {
+	if band >= 0 && band < len(r.bands) && many > 0 {
+		r.now = now
+		r.counted(build, r.bands[band], many, failed, mean, age)
+	}
+}
+
+// Woken tells that a wake-up has come due.
+func (r *Router) Woken(now int64) {
+	r.now = now
+	r.woken()
+	for _, c := range r.gone {
+		r.forget(c)
+	}
+	r.gone = r.gone[:0]
+}
+
+// gossip is what one router tells another.
+type gossip struct {
+	build                           int
+	state, seen, count, spread, own float64
+}
+
+const gossipLen = 2 + 5*4
+
+func (g gossip) encode() []byte {
+	raw := binary.BigEndian.AppendUint16(nil, uint16(g.build))
+	for _, f := range []float64{g.state, g.seen, g.count, g.spread, g.own} {
+		raw = binary.BigEndian.AppendUint32(raw, math.Float32bits(float32(f)))
+	}
+	return raw
+}
+
+// Heard brings a peer's message; one that is not of the right length or holds impossible numbers is ignored.
+func (r *Router) Heard(now int64, peer int, raw []byte) {
+	if len(raw) != gossipLen || peer < 0 || peer >= r.set.Routers || peer == r.set.Rank {
+		return
+	}
+	var f [5]float64
+	for i := range f {
+		f[i] = float64(math.Float32frombits(binary.BigEndian.Uint32(raw[2+4*i:])))
+		if math.IsNaN(f[i]) || math.Abs(f[i]) > 1e6 || i > 0 && f[i] < 0 {
+			return
+		}
+	}
+	if f[1] > 1 {
+		return
+	}
+	r.now = now
+	r.heard(peer, gossip{int(binary.BigEndian.Uint16(raw)), f[0], f[1], f[2], f[3], f[4]})
+}
