Votes: doubt must outlast the gossip's mixing, on after 4 s; shed by Little's law

Cause: single reports of wrong answers passed for many at one router and sent good builds back; lateness made the module turn away too much.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -319,6 +319,7 @@
 	codePoll      = 21
 	codeRelease   = 22
 	codeSay       = 23
+	codeDebug     = 24
 	codeListen    = 26
 	codeVote      = 28
 )
@@ -410,3 +411,9 @@
 		o.Reply.u8(0)
 	}
 }
+func (o Out) Note(text string) {
+	text = text[:min(len(text), 200)]
+	o.Reply.record(codeDebug, o.Instance, 2+len(text))
+	o.Reply.u16(uint16(len(text)))
+	o.Reply.raw = append(o.Reply.raw, text...)
+}
--- a/rules/door.go
+++ b/rules/door.go
@@ -203,6 +203,7 @@
 	Probe(host uint32)
 	Close(host uint32)
 	Watch(on bool)
+	Note(text string)
 }
 
 type host struct {
@@ -319,7 +320,7 @@
 func (r *Router) Left(now int64, id uint32) {
 	if c := r.commands[id]; c != nil {
 		r.now = now
-		r.close(c)
+		r.left(c)
 		r.forget(c)
 	}
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -42,8 +43,8 @@
 	build, stage int
 }
 
-// sample is what one tick saw of a build: outcomes, their badness, and its square.
-type sample struct{ n, bad, square float64 }
+// sample is what one tick saw of a build: outcomes and their badness.
+type sample struct{ n, bad float64 }
 
 type decider struct {
 	set    Settings
@@ -73,6 +74,7 @@
 	trial, earlier             sample  // this tick's
 	usual                      float64 // the earlier build's failure share
 	usualN                     float64
+	doubtful                   int // ticks in a row in which the build looked bad
 	want, cast                 vote
 	castAt, callAt             int64
 	calling                    bool
@@ -82,7 +84,9 @@
 	rate     float64 // commands taken a second
 	rates    []float64
 	carriers []float64 // rate of each carrier
-	late     float64   // part of recent answers that came after the contract time
+	open     float64   // commands that are held or out
+	done     float64   // this tick's answers
+	pace     float64   // answers a second
 	pressure float64   // part of the commands to turn away
 }
 
@@ -130,8 +134,7 @@
 			} else {
 				d.out.Scrap(c.id)
 			}
-			c.over, c.next = true, nil
-			d.queue.Remove(c.due)
+			d.close(c)
 			d.gone = append(d.gone, c)
 		}
 		switch {
@@ -186,6 +189,9 @@
 	d.calling, d.callAt = true, d.now
 	d.cast, d.castAt = d.want, d.now
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
+	mean, err := d.excess()
+	d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: excess %.3f, its error %.3f, pooled count %.0f, usual %.3f",
+		d.want.verdict, d.want.build, d.want.stage, mean, err, d.count*float64(d.set.Routers), d.usual))
 }
 
 // retryVote keeps the voters' calls far below what platforms take, and is short beside a stage.
@@ -210,6 +216,7 @@
 
 func (d *decider) take(c *command) {
 	d.taken++
+	d.open++
 	c.band.exposure.add(d.cap)
 	d.again.add(0.1) // one further hand-off for ten commands bounds what failures add to an overload
 	c.due = d.queue.Add(d.nextLook(c), c)
@@ -279,9 +286,18 @@
 
 // close marks that nothing more is owed.
 func (d *decider) close(c *command) {
+	if !c.over {
+		d.open--
+	}
 	c.over, c.next = true, nil
 	d.queue.Remove(c.due)
+}
+
+// left ends a command whose client has gone.
+func (d *decider) left(c *command) {
+	d.close(c)
 	d.differ = append(d.differ, c)
+	d.settle()
 }
 
 // onTrial tells whether this router must count a build as on trial, and at which stage.
@@ -425,26 +441,21 @@
 		ratio := float64(took) / c.band.typical
 		h.slow = d.slowness(h) + 0.2*(min(ratio, 8)-d.slowness(h)) // about the last five answers
 		h.slowAt = d.now
-		lateBy := 0.0
-		if d.now > c.contract {
-			lateBy = 1
-		}
-		d.late += 0.02 * (lateBy - d.late) // about the last fifty
+		d.done++
 		if !d.judged(o.build) {
-			c.band.typical += 0.02 * (float64(took) - c.band.typical)
+			c.band.typical += 0.01 * (float64(took) - c.band.typical)
 		}
 		d.warmed()
 		if o.build >= d.news.Build && o.build > d.base && d.set.KeysStay && c.key != 0 { // also once released
 			d.stuck[c.key] = max(d.stuck[c.key], o.build)
 		}
-	} else if e == TimedOut && !c.over {
-		d.late += 0.02 * (1 - d.late)
 	}
 	d.weigh(c, o, e, took)
 	switch {
 	case c.over:
 	case over:
 		d.close(c)
+		d.differ = append(d.differ, c)
 	case c.out > 0:
 	default:
 		d.afresh(c)
@@ -536,7 +547,7 @@
 		return
 	}
 	if d.judged(o.build) {
-		if o.at-o.host.listed >= 3*second { // the page: trial machines listed a short while ago are skipped
+		if o.at-o.host.listed >= second { // the page: trial machines listed a short while ago are skipped
 			d.trial.put(1, bad)
 		}
 	} else {
@@ -547,7 +558,6 @@
 func (s *sample) put(n, bad float64) {
 	s.n += n
 	s.bad += bad
-	s.square += bad * bad
 }
 
 // flagged counts a wrong answer for as many as the reports stand for.
@@ -583,7 +593,7 @@
 	}
 	x, seen, square := 0.0, 0.0, 0.0
 	if n := max(d.trial.n, 1); d.trial.n > 0 || d.trial.bad > 0 {
-		x, seen, square = d.trial.bad/n-d.usual, 1, d.trial.square/n
+		x, seen, square = d.trial.bad/n-d.usual, 1, d.trial.bad/n*d.trial.bad/n
 	}
 	d.state = forgetting*d.state + (1-forgetting)*x
 	d.seen = forgetting*d.seen + (1-forgetting)*seen
@@ -602,7 +612,8 @@
 		}
 		d.out.Tell(peer, gossip{d.news.Build, d.state, d.seen, d.count, d.spread, d.rate}.encode())
 	}
-	d.pressure = min(0.8, max(0, d.pressure+0.02*math.Copysign(1, d.late-0.1)))
+	d.pace += 0.1 * (d.done*float64(second/tickLen) - d.pace)
+	d.done = 0
 	d.judge()
 }
 
@@ -622,8 +633,9 @@
 
 // threshold is the common one for the state over the measured share; enough is the pooled count it needs.
 const (
-	threshold = 0.05
+	threshold = 0.03
 	enough    = 20
+	sure      = 1.5 // so many standard errors must the state clear it by
 )
 
 // excess is the state without its missing measurements, and its standard error.
@@ -631,16 +643,19 @@
 	if d.seen < 1e-6 {
 		return 0, 1
 	}
-	pooled := max(1, d.count*float64(d.set.Routers))
-	return d.state / d.seen, math.Sqrt(d.spread / d.seen / pooled)
+	ticks := d.seen / (1 - forgetting) * float64(d.set.Routers)
+	return d.state / d.seen, math.Sqrt(d.spread / d.seen / max(ticks, 1))
 }
 
 // doubt is when the build on trial looks bad enough to keep commands from it.
 func (d *decider) doubt() bool {
 	mean, err := d.excess()
-	return d.judged(d.news.Build) && mean-err > threshold
+	return d.judged(d.news.Build) && mean-sure*err > threshold
 }
 
+// mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for many.
+const mixing = 8
+
 // judge sets the wanted vote.
 func (d *decider) judge() {
 	d.want = vote{}
@@ -648,7 +663,10 @@
 	if d.set.Rank >= voters || !d.judged(d.news.Build) {
 		return
 	}
-	mean, err := d.excess()
+	mean, _ := d.excess()
+	if d.doubtful++; !d.doubt() {
+		d.doubtful = 0
+	}
 	pooled := d.count * float64(d.set.Routers)
 	newest := d.stageAt
 	for _, h := range d.fleet {
@@ -658,14 +676,14 @@
 	}
 	age := d.now - newest
 	switch {
-	case d.usualN > 0 && pooled >= enough && mean-err > threshold:
+	case d.usualN > 0 && pooled >= enough && d.doubtful > mixing:
 		d.want = vote{Back, d.news.Build, d.news.Stage}
 	case d.news.Standing != OnTrial:
 	case d.set.Gate == Clock:
 		if mean > threshold/2 {
 			d.want = vote{Hold, d.news.Build, d.news.Stage}
 		}
-	case mean < threshold && age >= 3*second && pooled >= enough, age >= 6*second && mean-err < threshold:
+	case d.doubtful == 0 && (age >= 3*second && pooled >= enough || age >= 4*second):
 		d.want = vote{On, d.news.Build, d.news.Stage}
 	}
 }
@@ -800,7 +818,7 @@
 		return
 	}
 	c.due = d.queue.Add(c.cutOff-2*d.set.Tick, c)
-	if c.out == 1 && d.set.Copies && d.mayRepeat(c, false) && d.now < c.contract && d.again.take() {
+	if c.out == 1 && d.set.Copies && d.pressure <= 0 && d.mayRepeat(c, false) && d.now < c.contract && d.again.take() {
 		if h := d.pick(c); h != nil && !c.met(h) {
 			c.next, c.until = h, c.cutOff
 			d.differ = append(d.differ, c)
@@ -840,7 +858,14 @@
 		}
 	}
 	c.band.rate[over]++
-	if d.pressure == 0 {
+	// by Little's law a command's time is what is open over the pace of answers; past half of the contract
+	// time turn away, past the whole of it turn nearly all away
+	contract := 0.0
+	for _, b := range d.bands {
+		contract += float64(b.Contract) / float64(len(d.bands))
+	}
+	d.pressure = min(0.9, 2*d.open/max(d.pace, 1)*float64(second)/contract-1)
+	if d.pressure <= 0 || d.open < 5 {
 		return false
 	}
 	mine, below, all := cell(c.band, over), 0.0, 0.0
