Judging: 10 s memory, proper standard error, routers heard as the pooled count, hints and warmth

Causes found: slow answers of cold hosts and of heavy commands passed for the build's fault; short time-outs of our own counted as failures; a lone router took its few outcomes for many; slightly wrong builds stayed below the error.

--- a/rules/door.go
+++ b/rules/door.go
@@ -3,6 +3,7 @@
 package rules
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"slices"
@@ -243,6 +244,7 @@
 	band     *band
 	carrier  int
 	key      uint64
+	hint     int64
 	at       int64
 	cutOff   int64
 	contract int64
@@ -266,6 +268,72 @@
 	scrap
 )
 
+// band is the table's row: the settings, and what was learnt.
+type band struct {
+	Band
+	exposure *bucket
+	typical  float64 // mean time of the earlier build's answers
+	hint     float64 // mean hint
+	rate     [2]float64
+}
+
+// vote is a verdict on a stage of a build.
+type vote struct {
+	verdict      Verdict
+	build, stage int
+}
+
+// sample is what one tick saw of a build: outcomes and their badness.
+type sample struct{ n, bad float64 }
+
+type decider struct {
+	set    Settings
+	out    Effects
+	now    int64
+	seed   uint64
+	draws  uint64
+	bands  []*band
+	fleet  []*host // all that are listed and not gone, by id
+	queue  due.Queue[*command]
+	held   []*command
+	gone   []*command // ended outside their own events
+	differ []*command // their wanted state may differ from the present one
+	armed  int64      // when the latest wake-up is to come, 0 for none
+	wakes  uint64     // how many have been asked for
+	ticks  int64      // when the next tick is due
+
+	news    News
+	base    int // the newest build that was released before the one judged
+	told    bool
+	stageAt int64
+	cap     float64          // what the builds on trial may get
+	stuck   map[uint64]int   // key: the build on trial that has answered it
+	seenKey map[uint64]int64 // key: when it last came
+	again   bucket           // further hand-offs
+
+	state, seen, count, spread float64 // gossiped: the state s, measured share of ticks, trial count, square
+	trial, earlier             sample  // this tick's
+	usual                      float64 // the earlier build's failure share
+	usualN                     float64
+	doubtful                   int  // ticks in a row in which the build looked bad
+	condemned                  bool // it looked bad for long enough, on enough outcomes
+	want, cast                 vote
+	castAt, callAt             int64
+	calling                    bool
+
+	began    int64
+	watchAt  int64
+	taken    float64   // this tick's
+	rate     float64   // commands taken a second
+	rates    []float64 // of each router
+	heardAt  []int64   // when each was last heard
+	carriers []float64 // rate of each carrier
+	open     float64   // commands that are held or out
+	done     float64   // this tick's answers
+	pace     float64   // answers a second
+	pressure float64   // part of the commands to turn away
+}
+
 // Router is one instance. It is not safe for use by two goroutines.
 type Router struct {
 	*decider
@@ -287,7 +355,7 @@
 		return
 	}
 	b := r.bands[in.Band]
-	c := &command{id: in.ID, band: b, carrier: in.Carrier, key: in.Key, at: now, cutOff: now + in.Left,
+	c := &command{id: in.ID, band: b, carrier: in.Carrier, key: in.Key, hint: in.Hint, at: now, cutOff: now + in.Left,
 		contract: now + b.Contract, again: in.Again}
 	r.commands[in.ID] = c
 	r.now = now
@@ -339,9 +407,15 @@
 		r.listFailed()
 		return
 	}
-	named := map[uint32]bool{}
+	if form != Changes { // what a whole list does not name is gone
+		for _, h := range r.fleet {
+			if !slices.ContainsFunc(entries, func(e Listed) bool { return e.ID == h.id }) {
+				entries = append(entries[:len(entries):len(entries)], Listed{ID: h.id, Health: Gone, Build: h.build,
+					Size: h.size, Started: h.started})
+			}
+		}
+	}
 	for _, e := range entries {
-		named[e.ID] = true
 		h := r.hosts[e.ID]
 		if h == nil {
 			h = &host{id: e.ID, health: Gone}
@@ -349,14 +423,14 @@
 		}
 		r.show(h, e)
 	}
-	if form != Changes {
-		for _, h := range slices.Clone(r.fleet) {
-			if !named[h.id] {
-				r.show(h, Listed{ID: h.id, Health: Gone, Build: h.build, Size: h.size, Started: h.started})
-			}
+	r.fleet = r.fleet[:0]
+	for _, h := range r.hosts {
+		if h.health != Gone {
+			r.fleet = append(r.fleet, h)
 		}
 	}
-	r.listShown(form)
+	slices.SortFunc(r.fleet, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
+	r.listShown()
 }
 
 // Hear brings news of the newest build.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -11,8 +11,6 @@
 	"hash/fnv"
 	"math"
 	"slices"
-
-	"portflow/internal/due"
 )
 
 const second = int64(1e9)
@@ -29,71 +27,9 @@
 	return true
 }
 
-// band is the table's row: the settings, and what was learnt.
-type band struct {
-	Band
-	exposure *bucket
-	typical  float64 // mean time of the earlier build's answers
-	rate     [2]float64
-}
-
-// vote is a verdict on a stage of a build.
-type vote struct {
-	verdict      Verdict
-	build, stage int
-}
-
-// sample is what one tick saw of a build: outcomes and their badness.
-type sample struct{ n, bad float64 }
-
-type decider struct {
-	set    Settings
-	out    Effects
-	now    int64
-	seed   uint64
-	draws  uint64
-	bands  []*band
-	fleet  []*host // all that are listed and not gone, by id
-	queue  due.Queue[*command]
-	held   []*command
-	gone   []*command // ended outside their own events
-	differ []*command // their wanted state may differ from the present one
-	armed  int64      // when the latest wake-up is to come, 0 for none
-	wakes  uint64     // how many have been asked for
-	ticks  int64      // when the next tick is due
-
-	news    News
-	base    int // the newest build that was released before the one judged
-	told    bool
-	stageAt int64
-	cap     float64          // what the builds on trial may get
-	stuck   map[uint64]int   // key: the build on trial that has answered it
-	seenKey map[uint64]int64 // key: when it last came
-	again   bucket           // further hand-offs
-
-	state, seen, count, spread float64 // gossiped: the state s, measured share of ticks, trial count, square
-	trial, earlier             sample  // this tick's
-	usual                      float64 // the earlier build's failure share
-	usualN                     float64
-	doubtful                   int // ticks in a row in which the build looked bad
-	want, cast                 vote
-	castAt, callAt             int64
-	calling                    bool
-
-	watchAt  int64
-	taken    float64 // this tick's
-	rate     float64 // commands taken a second
-	rates    []float64
-	carriers []float64 // rate of each carrier
-	open     float64   // commands that are held or out
-	done     float64   // this tick's answers
-	pace     float64   // answers a second
-	pressure float64   // part of the commands to turn away
-}
-
 func newDecider(s Settings, seed uint64, out Effects) *decider {
 	d := &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{},
-		rates: make([]float64, s.Routers), carriers: make([]float64, len(s.Carriers))}
+		rates: make([]float64, s.Routers), heardAt: make([]int64, s.Routers), carriers: make([]float64, len(s.Carriers))}
 	one := &bucket{s.Free, s.Free}
 	for _, b := range s.Bands {
 		row := &band{Band: b, exposure: one, typical: float64(b.Contract) / 5}
@@ -122,7 +58,7 @@
 
 func (d *decider) begin() {
 	d.ticks = d.now + tickLen
-	d.watchAt = d.now
+	d.watchAt, d.began = d.now, d.now
 	d.settle()
 }
 
@@ -193,7 +129,7 @@
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
 	mean, err := d.excess()
 	d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: excess %.3f, its error %.3f, pooled count %.0f, usual %.3f",
-		d.want.verdict, d.want.build, d.want.stage, mean, err, d.count*float64(d.set.Routers), d.usual))
+		d.want.verdict, d.want.build, d.want.stage, mean, err, d.count*d.company(), d.usual))
 }
 
 // retryVote keeps the voters' calls far below what platforms take, and is short beside a stage.
@@ -213,7 +149,7 @@
 		return last
 	}
 	// 2.5 typical times: longer than almost every healthy answer, and early enough to be of use
-	return min(last, max(d.now+int64(2.5*c.band.typical), d.now+1))
+	return min(last, max(d.now+int64(2.5*d.expected(c)), d.now+1))
 }
 
 func (d *decider) take(c *command) {
@@ -247,7 +183,7 @@
 	}
 	c.next, c.until = h, c.cutOff
 	spare := c.contract - int64(1.5*c.band.typical) // where one copy must end before the next: leave time for it
-	if !d.set.Copies && d.mayRepeat(c, true) && float64(spare-d.now) > 2.5*c.band.typical && d.again.have >= 1 {
+	if !d.set.Copies && d.mayRepeat(c, true) && float64(spare-d.now) > 4*d.expected(c) && d.again.have >= 1 {
 		c.until = min(c.until, spare)
 	}
 }
@@ -375,7 +311,7 @@
 	pool := pools[0]
 	if len(pools[1]) > 0 {
 		share := sizes[1] / (sizes[0] + sizes[1])
-		if d.doubt() {
+		if d.condemned {
 			share /= 10 // a build that looks bad gets just enough to go on being judged
 		} else if c.key != 0 && d.set.KeysStay && stuck == 0 && d.cap < 1 && d.now-d.seenKey[c.key] < 3*second {
 			share = 0 // a key that comes often would tie more commands to the trial than the cap lets through
@@ -440,12 +376,16 @@
 	d.report(h, report)
 	d.health(h, e)
 	if e == Fulfilled && !c.streams {
-		ratio := float64(took) / c.band.typical
+		ratio := float64(took) / d.expected(c)
 		h.slow = d.slowness(h) + 0.2*(min(ratio, 8)-d.slowness(h)) // about the last five answers
 		h.slowAt = d.now
 		d.done++
 		if !d.judged(o.build) {
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
+			if c.band.hint == 0 {
+				c.band.hint = float64(c.hint)
+			}
+			c.band.hint += 0.01 * (float64(c.hint) - c.band.hint)
 		}
 		d.warmed()
 		if o.build >= d.news.Build && o.build > d.base && d.set.KeysStay && c.key != 0 { // also once released
@@ -465,6 +405,14 @@
 	d.settle()
 }
 
+// expected is the time that the earlier build takes for such a command, by its band and its hint.
+func (d *decider) expected(c *command) float64 {
+	if c.hint <= 0 || c.band.hint <= 0 {
+		return c.band.typical
+	}
+	return c.band.typical * min(4, max(0.25, float64(c.hint)/c.band.hint))
+}
+
 // afresh hands a command off again where that is allowed and of use, else ends it.
 func (d *decider) afresh(c *command) {
 	worth := c.contract
@@ -532,19 +480,23 @@
 }
 
 // slowBadness makes a slow answer a part of a failure: the page's failures miss builds that are slow within
-// their time-outs. It acts on answers later than twice the band's typical time.
+// their time-outs. It acts on answers later than twice the expected time, and on hand-offs cut short.
 const slowBadness = 0.3
 
 // weigh counts an outcome for the reading of this tick.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
 	bad := 0.0
 	switch e {
-	case Failed, TimedOut, Reset:
-		bad = 1
-	case Fulfilled:
-		if float64(took) > 2*c.band.typical {
+	case Fulfilled, TimedOut:
+		// a cold host may take longer by as much as it can do less
+		if float64(took) > 2*d.expected(c)/d.warmth(o.host) {
 			bad = slowBadness
 		}
+		if e == TimedOut && o.until >= c.cutOff {
+			bad = 1
+		}
+	case Failed, Reset:
+		bad = 1
 	default:
 		return
 	}
@@ -584,8 +536,8 @@
 	d.settle()
 }
 
-// forgetting is the factor a tick: a memory of 5 s, so that the first stage's few commands add up.
-const forgetting = 0.98
+// forgetting is the factor a tick: a memory of 10 s, so that the first stage's few commands add up.
+const forgetting = 0.99
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
@@ -623,7 +575,7 @@
 const gain = 0.5
 
 func (d *decider) heard(peer int, g gossip) {
-	d.rates[peer] = g.own
+	d.rates[peer], d.heardAt[peer] = g.own, d.now
 	if g.build == d.news.Build {
 		d.state += gain * (g.state - d.state)
 		d.seen += gain * (g.seen - d.seen)
@@ -640,36 +592,44 @@
 	sure      = 1.5 // so many standard errors must the state clear it by
 )
 
+// company is how many routers the mixed figures stand for: those heard of late, and this one. The page has the
+// balancer count; a router that is cut off or alone must not take its own few outcomes for many.
+func (d *decider) company() float64 {
+	n := 1.0
+	for _, at := range d.heardAt {
+		if at > 0 && d.now-at < 3*second { // by then each of ten peers has picked this one with near certainty
+			n++
+		}
+	}
+	return n
+}
+
 // excess is the state without its missing measurements, and its standard error.
 func (d *decider) excess() (mean, err float64) {
 	if d.seen < 1e-6 {
 		return 0, 1
 	}
-	ticks := d.seen / (1 - forgetting) * float64(d.set.Routers)
+	ticks := d.seen * (1 + forgetting) / (1 - forgetting) * d.company()
 	return d.state / d.seen, math.Sqrt(d.spread / d.seen / max(ticks, 1))
 }
 
-// doubt is when the build on trial looks bad enough to keep commands from it.
-func (d *decider) doubt() bool {
-	mean, err := d.excess()
-	return d.judged(d.news.Build) && mean-sure*err > threshold
-}
-
 // mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for many.
 const mixing = 8
 
 // judge sets the wanted vote.
 func (d *decider) judge() {
 	d.want = vote{}
+	mean, err := d.excess()
+	if d.doubtful++; !d.judged(d.news.Build) || mean-sure*err <= threshold {
+		d.doubtful = 0
+	}
+	pooled := d.count * d.company()
+	// what is condemned gets few commands, and stays so on fewer outcomes than it took
+	d.condemned = d.usualN > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1 // one more, as one may be cut off
 	if d.set.Rank >= voters || !d.judged(d.news.Build) {
 		return
 	}
-	mean, _ := d.excess()
-	if d.doubtful++; !d.doubt() {
-		d.doubtful = 0
-	}
-	pooled := d.count * float64(d.set.Routers)
 	newest := d.stageAt
 	for _, h := range d.fleet {
 		if h.build == d.news.Build {
@@ -678,14 +638,14 @@
 	}
 	age := d.now - newest
 	switch {
-	case d.usualN > 0 && pooled >= enough && d.doubtful > mixing:
+	case d.condemned:
 		d.want = vote{Back, d.news.Build, d.news.Stage}
 	case d.news.Standing != OnTrial:
 	case d.set.Gate == Clock:
 		if mean > threshold/2 {
 			d.want = vote{Hold, d.news.Build, d.news.Stage}
 		}
-	case d.doubtful == 0 && (age >= 3*second && pooled >= enough || age >= 4*second):
+	case d.doubtful == 0 && (age >= 2*second && pooled >= enough || age >= 7*second/2):
 		d.want = vote{On, d.news.Build, d.news.Stage}
 	}
 }
@@ -732,13 +692,6 @@
 
 // show brings one entry of the list up to date.
 func (d *decider) show(h *host, e Listed) {
-	if h.health == Gone && e.Health != Gone {
-		at, _ := slices.BinarySearchFunc(d.fleet, h.id, func(x *host, id uint32) int { return int(int64(x.id) - int64(id)) })
-		d.fleet = slices.Insert(d.fleet, at, h)
-	}
-	if e.Health == Gone && h.health != Gone {
-		d.fleet = slices.DeleteFunc(d.fleet, func(x *host) bool { return x == h })
-	}
 	if e.Started != h.started || e.Build != h.build || h.listed == 0 {
 		h.listed = d.now
 		if e.Started == 0 {
@@ -754,7 +707,7 @@
 	}
 }
 
-func (d *decider) listShown(f Form) {
+func (d *decider) listShown() {
 	d.cap = d.lowestCap()
 	d.retryHeld()
 	d.settle()
@@ -843,7 +796,7 @@
 	if c.carrier < len(d.carriers) {
 		own := d.rate
 		for i, r := range d.rates {
-			if i != d.set.Rank {
+			if d.now-d.heardAt[i] < 3*second {
 				own += r
 			}
 		}
@@ -869,7 +822,7 @@
 		contract += float64(b.Contract) / float64(len(d.bands))
 	}
 	d.pressure = min(0.9, 2*d.open/max(d.pace, 1)*float64(second)/contract-1)
-	if d.pressure <= 0 || d.open < 5 {
+	if d.pressure <= 0 || d.open < 5 || d.now-d.began < 2*second { // the pace is not known at once
 		return false
 	}
 	mine, below, all := cell(c.band, over), 0.0, 0.0
