Slowness counts only beside fresh outcomes of the earlier build

Cause: after a release the earlier hosts leave, and an overload or a shared slowdown then passed for the build's fault.

--- a/rules/door.go
+++ b/rules/door.go
@@ -313,10 +313,11 @@
 
 	state, seen, count, spread float64 // gossiped: the state s, measured share of ticks, trial count, square
 	trial, earlier             sample  // this tick's
-	usual                      float64 // the earlier build's failure share
-	usualN                     float64
-	doubtful                   int  // ticks in a row in which the build looked bad
-	condemned                  bool // it looked bad for long enough, on enough outcomes
+	past                       sample  // the earlier build's outcomes, forgotten like the state
+	pastAt                     int64   // when the last of them came
+	usual                      float64 // their failure share
+	doubtful                   int     // ticks in a row in which the build looked bad
+	condemned                  bool    // it looked bad for long enough, on enough outcomes
 	want, cast                 vote
 	castAt, callAt             int64
 	calling                    bool
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -483,17 +483,21 @@
 // their time-outs. It acts on answers later than twice the expected time, and on hand-offs cut short.
 const slowBadness = 0.3
 
+// alongside is how fresh the earlier build's outcomes must be to compare slowness with: a shared slowdown or an
+// overload, after the earlier hosts have left, is no fault of the build.
+const alongside = 2 * second
+
 // weigh counts an outcome for the reading of this tick.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
 	bad := 0.0
 	switch e {
 	case Fulfilled, TimedOut:
-		// a cold host may take longer by as much as it can do less
-		if float64(took) > 2*d.expected(c)/d.warmth(o.host) {
+		// a cold host may take longer by as much as it can do less; slow beside nothing is no fault of the build
+		if float64(took) > 2*d.expected(c)/d.warmth(o.host) && (!d.judged(o.build) || d.now-d.pastAt < alongside) {
 			bad = slowBadness
-		}
-		if e == TimedOut && o.until >= c.cutOff {
-			bad = 1
+			if e == TimedOut && o.until >= c.cutOff {
+				bad = 1
+			}
 		}
 	case Failed, Reset:
 		bad = 1
@@ -506,6 +510,7 @@
 		}
 	} else {
 		d.earlier.put(1, bad)
+		d.pastAt = d.now
 	}
 }
 
@@ -541,10 +546,8 @@
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
-	if d.earlier.n > 0 {
-		d.usualN = min(d.usualN+d.earlier.n, 500)
-		d.usual += d.earlier.n / d.usualN * (d.earlier.bad/d.earlier.n - d.usual)
-	}
+	d.past.n, d.past.bad = forgetting*d.past.n+d.earlier.n, forgetting*d.past.bad+d.earlier.bad
+	d.usual = d.past.bad / max(d.past.n, 1)
 	x, seen, square := 0.0, 0.0, 0.0
 	if n := max(d.trial.n, 1); d.trial.n > 0 || d.trial.bad > 0 {
 		x, seen, square = d.trial.bad/n-d.usual, 1, d.trial.bad/n*d.trial.bad/n
@@ -625,7 +628,7 @@
 	}
 	pooled := d.count * d.company()
 	// what is condemned gets few commands, and stays so on fewer outcomes than it took
-	d.condemned = d.usualN > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
+	d.condemned = d.past.n > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1 // one more, as one may be cut off
 	if d.set.Rank >= voters || !d.judged(d.news.Build) {
 		return
