Compare with the earlier build's last second

Tried: the earlier build's share over one second in place of ten, so that both builds are compared at the same time.

--- a/rules/door.go
+++ b/rules/door.go
@@ -313,7 +313,7 @@
 
 	state, seen, count, spread float64 // gossiped: the state s, measured share of ticks, trial count, square
 	trial, earlier             sample  // this tick's
-	past                       sample  // the earlier build's outcomes, forgotten like the state
+	past                       sample  // the earlier build's outcomes of the last second
 	pastAt                     int64   // when the last of them came
 	usual                      float64 // their failure share
 	doubtful                   int     // ticks in a row in which the build looked bad
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -546,7 +546,8 @@
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
-	d.past.n, d.past.bad = forgetting*d.past.n+d.earlier.n, forgetting*d.past.bad+d.earlier.bad
+	// the earlier build's share is of the last second: of the same time as the trial's, and yet of some outcomes
+	d.past.n, d.past.bad = 0.9*d.past.n+d.earlier.n, 0.9*d.past.bad+d.earlier.bad
 	d.usual = d.past.bad / max(d.past.n, 1)
 	x, seen, square := 0.0, 0.0, 0.0
 	if n := max(d.trial.n, 1); d.trial.n > 0 || d.trial.bad > 0 {
@@ -628,7 +629,7 @@
 	}
 	pooled := d.count * d.company()
 	// what is condemned gets few commands, and stays so on fewer outcomes than it took
-	d.condemned = d.past.n > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
+	d.condemned = d.pastAt > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1 // one more, as one may be cut off
 	if d.set.Rank >= voters || !d.judged(d.news.Build) {
 		return
