The trial gets its hosts' part of the capacity, no more

Cause: half as much again for the trial, against keys that are kept from it, overloaded its few hosts when the fleet was slow, and good builds went back. Votes are noted when their verdict changes only.

--- a/rules/door.go
+++ b/rules/door.go
@@ -318,7 +318,7 @@
 	usual                      float64 // their failure share
 	doubtful                   int     // ticks in a row in which the build looked bad
 	condemned                  bool    // it looked bad for long enough, on enough outcomes
-	want, cast                 vote
+	want, cast, noted          vote
 	castAt, callAt             int64
 	calling                    bool
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -127,6 +127,10 @@
 	d.calling, d.callAt = true, d.now
 	d.cast, d.castAt = d.want, d.now
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
+	if d.want == d.noted {
+		return
+	}
+	d.noted = d.want
 	mean, err := d.excess()
 	d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: excess %.3f, its error %.3f, pooled count %.0f, usual %.3f",
 		d.want.verdict, d.want.build, d.want.stage, mean, err, d.count*d.company(), d.usual))
@@ -315,8 +319,6 @@
 			share /= 10 // a build that looks bad gets just enough to go on being judged
 		} else if c.key != 0 && d.set.KeysStay && stuck == 0 && d.cap < 1 && d.now-d.seenKey[c.key] < 3*second {
 			share = 0 // a key that comes often would tie more commands to the trial than the cap lets through
-		} else if c.key != 0 && d.set.KeysStay && d.cap < 1 {
-			share *= 1.5
 		}
 		if len(pools[0]) == 0 || d.chance() < share {
 			pool = pools[1]
