--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -81,8 +81,6 @@
 		r.Hear(now, x.News)
 	case wire.ReportedWrong:
 		r.Flagged(now, x.Host, x.Band, x.Age)
-	case wire.Metrics:
-		r.Counted(now, x.Build, x.Band, x.Many, x.Failed, x.Mean, x.Age)
 	case wire.FromPeer:
 		r.Heard(now, x.From, x.Raw)
 	case wire.ProbeDone:
--- a/rules/door.go
+++ b/rules/door.go
@@ -7,8 +7,6 @@
 	"encoding/binary"
 	"math"
 	"slices"
-
-	"portflow/internal/due"
 )
 
 // Repeat tells whether a band's commands may run again.
@@ -207,134 +205,6 @@
 	Note(text string)
 }
 
-type host struct {
-	id       uint32
-	zone     int
-	kind     int
-	cell     int
-	health   Health
-	build    int
-	size     float64
-	started  int64
-	listed   int64 // when this router was told of this start
-	out      int   // hand-offs of this router that are out
-	waiting  int64 // since when it owes a sign of life
-	slow     float64
-	slowAt   int64
-	strikes  int
-	aside    int64 // set aside until then
-	probed   bool  // a probe is out
-	budget   bucket
-	queue    float64
-	queuedAt int64
-}
-
-type handOff struct {
-	host   *host
-	build  int
-	at     int64
-	until  int64
-	number int
-	ended  bool
-	unrun  bool // known not to have run
-}
-
-type command struct {
-	id       uint32
-	band     *band
-	carrier  int
-	key      uint64
-	hint     int64
-	at       int64
-	cutOff   int64
-	contract int64
-	handOffs []*handOff
-	out      int
-	next     *host // wanted hand-off
-	until    int64
-	answer   answer // wanted final answer
-	recalled bool
-	over     bool // nothing more is owed
-	streams  bool
-	again    bool
-	due      *due.Item[*command]
-}
-
-type answer uint8
-
-const (
-	none answer = iota
-	dismiss
-	scrap
-)
-
-// band is the table's row: the settings, and what was learnt.
-type band struct {
-	Band
-	exposure *bucket
-	typical  float64 // mean time of the earlier build's answers
-	hint     float64 // mean hint
-	rate     [2]float64
-}
-
-// vote is a verdict on a stage of a build.
-type vote struct {
-	verdict      Verdict
-	build, stage int
-}
-
-// sample is what one tick saw of a build: outcomes and their badness.
-type sample struct{ n, bad float64 }
-
-type decider struct {
-	set    Settings
-	out    Effects
-	now    int64
-	seed   uint64
-	draws  uint64
-	bands  []*band
-	fleet  []*host // all that are listed and not gone, by id
-	queue  due.Queue[*command]
-	held   []*command
-	gone   []*command // ended outside their own events
-	differ []*command // their wanted state may differ from the present one
-	armed  int64      // when the latest wake-up is to come, 0 for none
-	wakes  uint64     // how many have been asked for
-	ticks  int64      // when the next tick is due
-
-	news    News
-	base    int // the newest build that was released before the one judged
-	told    bool
-	stageAt int64
-	cap     float64          // what the builds on trial may get
-	stuck   map[uint64]int   // key: the build on trial that has answered it
-	seenKey map[uint64]int64 // key: when it last came
-	again   bucket           // further hand-offs
-
-	state, seen, count, spread float64 // gossiped: the state s, measured share of ticks, trial count, square
-	trial, earlier             sample  // this tick's
-	past                       sample  // the earlier build's outcomes of the last second
-	pastAt                     int64   // when the last of them came
-	usual                      float64 // their failure share
-	doubtful                   int     // ticks in a row in which the build looked bad
-	condemned                  bool    // it looked bad for long enough, on enough outcomes
-	want, cast, noted          vote
-	castAt, callAt             int64
-	calling                    bool
-
-	began    int64
-	watchAt  int64
-	taken    float64   // this tick's
-	rate     float64   // commands taken a second
-	rates    []float64 // of each router
-	heardAt  []int64   // when each was last heard
-	carriers []float64 // rate of each carrier
-	open     float64   // commands that are held or out
-	done     float64   // this tick's answers
-	pace     float64   // answers a second
-	pressure float64   // part of the commands to turn away
-}
-
 // Router is one instance. It is not safe for use by two goroutines.
 type Router struct {
 	*decider
@@ -347,6 +217,7 @@
 	r := &Router{decider: newDecider(s, seed, out), commands: map[uint32]*command{}, hosts: map[uint32]*host{}}
 	r.now = now
 	r.begin()
+	r.settle()
 	return r
 }
 
@@ -356,11 +227,12 @@
 		return
 	}
 	b := r.bands[in.Band]
-	c := &command{id: in.ID, band: b, carrier: in.Carrier, key: in.Key, hint: in.Hint, at: now, cutOff: now + in.Left,
-		contract: now + b.Contract, again: in.Again}
+	c := &command{id: in.ID, band: b, carrier: in.Carrier, key: in.Key, hint: in.Hint, at: now,
+		cutOff: now + in.Left, contract: now + b.Contract, again: in.Again}
 	r.commands[in.ID] = c
 	r.now = now
 	r.take(c)
+	r.settle()
 	r.forget(c)
 }
 
@@ -374,6 +246,7 @@
 	c.handOffs[number].ended = true
 	c.out--
 	r.ended(c, c.handOffs[number], e, over, took, report)
+	r.settle()
 	r.forget(c)
 }
 
@@ -382,6 +255,7 @@
 	if c := r.commands[id]; c != nil && number >= 0 && number < len(c.handOffs) {
 		r.now = now
 		r.begun(c, c.handOffs[number])
+		r.settle()
 	}
 }
 
@@ -389,7 +263,8 @@
 func (r *Router) Left(now int64, id uint32) {
 	if c := r.commands[id]; c != nil {
 		r.now = now
-		r.left(c)
+		r.close(c)
+		r.settle()
 		r.forget(c)
 	}
 }
@@ -406,6 +281,7 @@
 	r.now = now
 	if form == CallFailed {
 		r.listFailed()
+		r.settle()
 		return
 	}
 	if form != Changes { // what a whole list does not name is gone
@@ -431,13 +307,15 @@
 		}
 	}
 	slices.SortFunc(r.fleet, func(a, b *host) int { return cmp.Compare(a.id, b.id) })
-	r.listShown()
+	r.survey()
+	r.settle()
 }
 
 // Hear brings news of the newest build.
 func (r *Router) Hear(now int64, n News) {
 	r.now = now
 	r.hear(n)
+	r.settle()
 }
 
 // Flagged tells that a client found an answer of this host wrong, and how long ago it was handed off.
@@ -445,6 +323,7 @@
 	if h := r.hosts[id]; h != nil && band >= 0 && band < len(r.bands) {
 		r.now = now
 		r.flagged(h, age)
+		r.settle()
 	}
 }
 
@@ -453,14 +332,7 @@
 	if h := r.hosts[id]; h != nil {
 		r.now = now
 		r.probed(h, e, report)
-	}
-}
-
-// Counted brings what the platform counted for a build and band: hand-offs, those that failed, mean time.
-func (r *Router) Counted(now int64, build, band, many, failed int, mean, age int64) {
-	if band >= 0 && band < len(r.bands) && many > 0 {
-		r.now = now
-		r.counted(build, r.bands[band], many, failed, mean, age)
+		r.settle()
 	}
 }
 
@@ -468,28 +340,13 @@
 func (r *Router) Woken(now int64, mark uint64) {
 	r.now = now
 	r.woken(mark)
+	r.settle()
 	for _, c := range r.gone {
 		r.forget(c)
 	}
 	r.gone = r.gone[:0]
 }
 
-// gossip is what one router tells another.
-type gossip struct {
-	build                           int
-	state, seen, count, spread, own float64
-}
-
-const gossipLen = 2 + 5*4
-
-func (g gossip) encode() []byte {
-	raw := binary.BigEndian.AppendUint16(nil, uint16(g.build))
-	for _, f := range []float64{g.state, g.seen, g.count, g.spread, g.own} {
-		raw = binary.BigEndian.AppendUint32(raw, math.Float32bits(float32(f)))
-	}
-	return raw
-}
-
 // Heard brings a peer's message; one that is not of the right length or holds impossible numbers is ignored.
 func (r *Router) Heard(now int64, peer int, raw []byte) {
 	if len(raw) != gossipLen || peer < 0 || peer >= r.set.Routers || peer == r.set.Rank {
@@ -507,4 +364,5 @@
 	}
 	r.now = now
 	r.heard(peer, gossip{int(binary.BigEndian.Uint16(raw)), f[0], f[1], f[2], f[3], f[4]})
+	r.settle()
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -6,30 +6,17 @@
 package rules
 
 import (
-	"encoding/binary"
 	"fmt"
-	"hash/fnv"
+	"maps"
 	"math"
-	"slices"
 )
 
 const second = int64(1e9)
 
-// bucket is "within free + share x counted", kept so that it holds over every span of time.
-type bucket struct{ have, top float64 }
-
-func (b *bucket) add(x float64) { b.have = min(b.top, b.have+x) }
-func (b *bucket) take() bool {
-	if b.have < 1 {
-		return false
-	}
-	b.have--
-	return true
-}
-
 func newDecider(s Settings, seed uint64, out Effects) *decider {
 	d := &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{},
-		rates: make([]float64, s.Routers), heardAt: make([]int64, s.Routers), carriers: make([]float64, len(s.Carriers))}
+		rates: make([]float64, s.Routers), heardAt: make([]int64, s.Routers),
+		carriers: make([]float64, len(s.Carriers)), again: bucket{5, 10}}
 	one := &bucket{s.Free, s.Free}
 	for _, b := range s.Bands {
 		row := &band{Band: b, exposure: one, typical: float64(b.Contract) / 5}
@@ -38,53 +25,30 @@
 		}
 		d.bands = append(d.bands, row)
 	}
-	d.again = bucket{5, 10}
 	return d
 }
 
-// chance draws from [0, 1).
-func (d *decider) chance() float64 {
-	d.draws++
-	f := fnv.New64a()
-	f.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, d.draws), d.seed))
-	x := f.Sum64()
-	x ^= x >> 32
-	x *= 0x9e3779b97f4a7c15
-	return float64(x>>11) / (1 << 53)
-}
-
 // tickLen is the design's tick.
 const tickLen = second / 10
 
-func (d *decider) begin() {
-	d.ticks = d.now + tickLen
-	d.watchAt, d.began = d.now, d.now
-	d.settle()
-}
+func (d *decider) begin() { d.ticks, d.watchAt, d.began = d.now+tickLen, d.now, d.now }
 
 // settle works out how the present differs from what is wanted and emits it.
 func (d *decider) settle() {
-	for _, c := range d.differ {
+	for i := 0; i < len(d.differ); i++ { // closing a command lists it once more
+		c := d.differ[i]
 		if c.answer != none && !c.over {
-			if c.answer == dismiss {
-				d.out.Dismiss(c.id, d.advice())
-			} else {
+			if c.answer == scrap {
 				d.out.Scrap(c.id)
+			} else if d.set.Advice {
+				d.out.Dismiss(c.id, min(d.set.MaxAdvice, second/4)) // about as long as a burst's queue takes to drain
+			} else {
+				d.out.Dismiss(c.id, 0)
 			}
 			d.close(c)
 			d.gone = append(d.gone, c)
 		}
-		switch {
-		case c.over && !c.recalled:
-			c.recalled = true
-			for _, h := range c.handOffs {
-				if !h.ended && d.set.Recalls && !c.streams {
-					d.out.Recall(c.id, h.number)
-				}
-			}
-		case c.over:
-		case c.next != nil:
-			h := c.next
+		if h := c.next; h != nil {
 			c.next = nil
 			c.handOffs = append(c.handOffs, &handOff{host: h, build: h.build, at: d.now, until: c.until,
 				number: len(c.handOffs)})
@@ -96,6 +60,12 @@
 			d.queue.Remove(c.due)
 			c.due = d.queue.Add(d.nextLook(c), c)
 		}
+		for _, h := range c.handOffs {
+			if c.over && !h.ended && !h.recalled && d.set.Recalls && !c.streams {
+				h.recalled = true
+				d.out.Recall(c.id, h.number)
+			}
+		}
 	}
 	d.differ = d.differ[:0]
 	if d.set.Subscribe && d.watchAt != 0 && d.now >= d.watchAt {
@@ -114,36 +84,26 @@
 	}
 }
 
-// settleVote casts the wanted vote where it differs from the one that stands, and renews it in time.
+// retryVote keeps the voters' calls far below what platforms take, and is short beside a stage.
+const retryVote = second / 4
+
+// settleVote casts the wanted vote where it differs from the one that stands, and renews it in time. A call
+// that gets no answer must not end the voting.
 func (d *decider) settleVote() {
-	if d.calling && d.now-d.callAt > d.set.VoteWait+second { // an answer that never comes must not end the voting
-		d.calling = false
-	}
-	standing := d.cast.verdict != NoVote && d.now-d.castAt < d.set.VoteLife
-	if d.calling || d.now < d.callAt+retryVote || d.want == d.cast && (d.want.verdict == NoVote ||
-		d.now-d.castAt < d.set.VoteLife/2) || d.want.verdict == NoVote && !standing {
+	stands := d.cast.verdict != NoVote && d.now-d.castAt < d.set.VoteLife
+	fresh := d.want == d.cast && d.now-d.castAt < d.set.VoteLife/2
+	if d.now < d.callAt+retryVote || d.calling && d.now < d.callAt+d.set.VoteWait+second || fresh ||
+		d.want.verdict == NoVote && !stands {
 		return
 	}
-	d.calling, d.callAt = true, d.now
-	d.cast, d.castAt = d.want, d.now
+	d.calling, d.callAt, d.cast, d.castAt = true, d.now, d.want, d.now
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
-	if d.want == d.noted {
-		return
+	if d.want != d.noted {
+		d.noted = d.want
+		mean, err := d.excess()
+		d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: excess %.3f, error %.3f, of %.0f, usual %.3f",
+			d.want.verdict, d.want.build, d.want.stage, mean, err, d.count*d.company(), d.usual))
 	}
-	d.noted = d.want
-	mean, err := d.excess()
-	d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: excess %.3f, its error %.3f, pooled count %.0f, usual %.3f",
-		d.want.verdict, d.want.build, d.want.stage, mean, err, d.count*d.company(), d.usual))
-}
-
-// retryVote keeps the voters' calls far below what platforms take, and is short beside a stage.
-const retryVote = second / 4
-
-func (d *decider) advice() int64 {
-	if !d.set.Advice {
-		return 0
-	}
-	return min(d.set.MaxAdvice, second/4) // about as long as a burst's queue takes to drain
 }
 
 // nextLook is when a command wants another look: for a second copy, or for its last answer.
@@ -170,7 +130,6 @@
 	if c.key != 0 {
 		d.seenKey[c.key] = d.now
 	}
-	d.settle()
 }
 
 // place wants a hand-off to the best host, or holds the command for a short time.
@@ -192,16 +151,6 @@
 	}
 }
 
-// mayHaveRun is the first hand-off that is out or may have run.
-func (c *command) mayHaveRun() *handOff {
-	for _, h := range c.handOffs {
-		if !h.unrun {
-			return h
-		}
-	}
-	return nil
-}
-
 // mayRepeat tells whether the band allows another hand-off; ran counts the present one as having run.
 func (d *decider) mayRepeat(c *command, ran bool) bool {
 	first := c.mayHaveRun()
@@ -233,35 +182,30 @@
 	}
 	c.over, c.next = true, nil
 	d.queue.Remove(c.due)
+	d.differ = append(d.differ, c) // for the hand-offs that are still out
 }
 
-// left ends a command whose client has gone.
-func (d *decider) left(c *command) {
-	d.close(c)
-	d.differ = append(d.differ, c)
-	d.settle()
-}
-
-// onTrial tells whether this router must count a build as on trial, and at which stage.
-func (d *decider) onTrial(build int) (stage int, yes bool) {
-	if build > d.news.Build || !d.told {
-		return 0, true
-	}
-	return d.news.Stage, build == d.news.Build && d.news.Standing != Released
-}
-
-// lowestCap is the share that the builds on trial may get: the lowest that any listed one has.
-func (d *decider) lowestCap() float64 {
-	cap := 1.0
-	if d.told && d.news.Standing != Released {
-		cap = d.news.Cap
+// survey marks the hosts that this router must count as on trial: those of a build that its news does not
+// name yet, and of one that is not released. The cap is the lowest that any of them has.
+func (d *decider) survey() {
+	d.cap = 1
+	if d.news.Standing != Released {
+		d.cap = d.news.Cap
 	}
 	for _, h := range d.fleet {
-		if h.build > d.news.Build {
-			cap = min(cap, d.set.FirstCap)
+		h.stage, h.trial = d.news.Stage, h.build == d.news.Build && d.news.Standing != Released
+		if h.build > d.news.Build || !d.told {
+			h.stage, h.trial = 0, true
+			d.cap = min(d.cap, d.set.FirstCap)
+		}
+	}
+	held := d.held
+	d.held = nil
+	for _, c := range held {
+		if !c.over && c.answer == none && c.out == 0 {
+			d.place(c)
 		}
 	}
-	return cap
 }
 
 // warmth is the part of its capacity that a host can surely use.
@@ -277,8 +221,8 @@
 	if h.health != Ready || h.build < stuck || d.warmth(h) < 1 && h.budget.have < 1 {
 		return false
 	}
-	if stage, yes := d.onTrial(h.build); yes && (c.band.exposure.have < 1 || d.cap <= 0 ||
-		stage < d.set.Guarded && c.band.Repeat != Replayable) {
+	if h.trial && (c.band.exposure.have < 1 || d.cap <= 0 ||
+		h.stage < d.set.Guarded && c.band.Repeat != Replayable) {
 		return false
 	}
 	if first := c.mayHaveRun(); first != nil && c.band.Repeat == Referenced {
@@ -290,10 +234,7 @@
 
 // pick chooses the build by its share, then the better of two random hosts inside it.
 func (d *decider) pick(c *command) *host {
-	stuck := d.stuck[c.key]
-	if c.key == 0 {
-		stuck = 0
-	}
+	stuck := d.stuck[c.key] // no command without a key is ever in there
 	var pools [2][]*host
 	var sizes [2]float64
 	for _, strict := range []bool{true, false} {
@@ -302,7 +243,7 @@
 				continue
 			}
 			side := 0
-			if _, yes := d.onTrial(h.build); yes {
+			if h.trial {
 				side = 1
 			}
 			pools[side] = append(pools[side], h)
@@ -334,16 +275,12 @@
 	if d.warmth(a) < 1 {
 		a.budget.take()
 	}
-	if _, yes := d.onTrial(a.build); yes {
+	if a.trial {
 		c.band.exposure.take()
 	}
 	return a
 }
 
-func (c *command) met(h *host) bool {
-	return slices.ContainsFunc(c.handOffs, func(x *handOff) bool { return x.host == h })
-}
-
 // cost is how long a command would take at h: what is there, over what it can do, times how slow it has been.
 func (d *decider) cost(h *host) float64 {
 	there := 1 + float64(h.out)
@@ -399,12 +336,10 @@
 	case c.over:
 	case over:
 		d.close(c)
-		d.differ = append(d.differ, c)
 	case c.out > 0:
 	default:
 		d.afresh(c)
 	}
-	d.settle()
 }
 
 // expected is the time that the earlier build takes for such a command, by its band and its hint.
@@ -432,11 +367,10 @@
 	c.streams = true
 	d.queue.Remove(c.due)
 	o.host.waiting = d.now
-	d.settle()
 }
 
-// warmed lets cold hosts have what fulfilled commands show that a fleet of this capacity carries: the sum over
-// all routers then stays at this multiple of what a cold host can do, however much clients ask for.
+// warmed lets cold hosts have what fulfilled commands show that a fleet of this capacity carries: the sum
+// over all routers then stays at this multiple of what a cold host can do, however much clients ask for.
 func (d *decider) warmed() {
 	total := 0.0
 	for _, h := range d.fleet {
@@ -451,7 +385,8 @@
 	}
 }
 
-// health sets a host aside after signs that it is down, for longer each time, and takes it back after an answer.
+// health sets a host aside after signs that it is down, for longer each time, and takes it back after an
+// answer.
 func (d *decider) health(h *host, e Ending) {
 	switch e {
 	case Fulfilled, Failed:
@@ -467,11 +402,9 @@
 }
 
 func (d *decider) report(h *host, values []float64) {
-	for i, v := range values {
-		if i < len(d.set.Reports) && (d.set.Reports[i] == Waiting || d.set.Reports[i] == Holding) {
-			if v >= 0 && v < 1e6 {
-				h.queue, h.queuedAt = v, d.now
-			}
+	for i, v := range values[:min(len(values), len(d.set.Reports))] {
+		if what := d.set.Reports[i]; (what == Waiting || what == Holding) && v >= 0 && v < 1e6 {
+			h.queue, h.queuedAt = v, d.now
 		}
 	}
 }
@@ -485,8 +418,8 @@
 // their time-outs. It acts on answers later than twice the expected time, and on hand-offs cut short.
 const slowBadness = 0.3
 
-// alongside is how fresh the earlier build's outcomes must be to compare slowness with: a shared slowdown or an
-// overload, after the earlier hosts have left, is no fault of the build.
+// alongside is how fresh the earlier build's outcomes must be to compare slowness with: a shared slowdown
+// or an overload, after the earlier hosts have left, is no fault of the build.
 const alongside = 2 * second
 
 // weigh counts an outcome for the reading of this tick.
@@ -494,7 +427,8 @@
 	bad := 0.0
 	switch e {
 	case Fulfilled, TimedOut:
-		// a cold host may take longer by as much as it can do less; slow beside nothing is no fault of the build
+		// a cold host may take longer by as much as it can do less; slow beside nothing is no fault of the
+		// build
 		if float64(took) > 2*d.expected(c)/d.warmth(o.host) && (!d.judged(o.build) || d.now-d.pastAt < alongside) {
 			bad = slowBadness
 			if e == TimedOut && o.until >= c.cutOff {
@@ -506,41 +440,31 @@
 	default:
 		return
 	}
-	if d.judged(o.build) {
-		if o.at-o.host.listed >= second { // the page: trial machines listed a short while ago are skipped
-			d.trial.put(1, bad)
-		}
-	} else {
-		d.earlier.put(1, bad)
+	if !d.judged(o.build) {
 		d.pastAt = d.now
+	} else if o.at-o.host.listed < second { // the page: trial machines listed a short while ago are skipped
+		return
 	}
+	d.side(o.build).put(1, bad)
 }
 
-func (s *sample) put(n, bad float64) {
-	s.n += n
-	s.bad += bad
+// side is where this tick's outcomes of a build are counted.
+func (d *decider) side(build int) *sample {
+	if d.judged(build) {
+		return &d.trial
+	}
+	return &d.earlier
 }
 
 // flagged counts a wrong answer for as many as the reports stand for.
 func (d *decider) flagged(h *host, age int64) {
 	bad := 1 / max(d.set.FlagShare, 0.05)
-	if d.judged(h.build) {
-		d.trial.put(0, bad)
-	} else {
-		d.earlier.put(0, bad)
-	}
-	d.settle()
+	d.side(h.build).put(0, bad)
 }
 
-func (d *decider) counted(build int, b *band, many, failed int, mean, age int64) {}
-
 func (d *decider) probed(h *host, e Ending, report []float64) {
-	h.probed = false
 	d.report(h, report)
-	if e == Fulfilled {
-		h.aside, h.strikes = 0, 0
-	}
-	d.settle()
+	d.health(h, e)
 }
 
 // forgetting is the factor a tick: a memory of 10 s, so that the first stage's few commands add up.
@@ -548,7 +472,8 @@
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
-	// the earlier build's share is of the last second: of the same time as the trial's, and yet of some outcomes
+	// the earlier build's share is of the last second: of the same time as the trial's, and yet of some
+	// outcomes
 	d.past.n, d.past.bad = 0.9*d.past.n+d.earlier.n, 0.9*d.past.bad+d.earlier.bad
 	d.usual = d.past.bad / max(d.past.n, 1)
 	x, seen, square := 0.0, 0.0, 0.0
@@ -563,7 +488,7 @@
 	d.rate += 0.1 * (d.taken*float64(second/tickLen) - d.rate)
 	d.taken = 0
 	for i := range d.carriers {
-		d.carriers[i] *= 1 - float64(tickLen)/float64(3*second)
+		d.carriers[i] *= 1 - float64(tickLen)/float64(recent)
 	}
 	if d.set.Peers && d.set.Routers > 1 {
 		peer := int(d.chance() * float64(d.set.Routers-1))
@@ -577,6 +502,9 @@
 	d.judge()
 }
 
+// recent is how long a peer's figures hold.
+const recent = 3 * second
+
 // gain is the paper's consensus gain.
 const gain = 0.5
 
@@ -588,7 +516,6 @@
 		d.count += gain * (g.count - d.count)
 		d.spread += gain * (g.spread - d.spread)
 	}
-	d.settle()
 }
 
 // threshold is the common one for the state over the measured share; enough is the pooled count it needs.
@@ -598,12 +525,12 @@
 	sure      = 1.5 // so many standard errors must the state clear it by
 )
 
-// company is how many routers the mixed figures stand for: those heard of late, and this one. The page has the
-// balancer count; a router that is cut off or alone must not take its own few outcomes for many.
+// company is how many routers the mixed figures stand for: those heard of late, and this one. The page has
+// the balancer count; a router that is cut off or alone must not take its own few outcomes for many.
 func (d *decider) company() float64 {
 	n := 1.0
 	for _, at := range d.heardAt {
-		if at > 0 && d.now-at < 3*second { // by then each of ten peers has picked this one with near certainty
+		if at > 0 && d.now-at < recent { // by then each of ten peers has picked this one with near certainty
 			n++
 		}
 	}
@@ -619,7 +546,8 @@
 	return d.state / d.seen, math.Sqrt(d.spread / d.seen / max(ticks, 1))
 }
 
-// mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for many.
+// mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for
+// many.
 const mixing = 8
 
 // judge sets the wanted vote.
@@ -661,39 +589,30 @@
 		d.calling = false
 		if n.Ending != Counts {
 			d.cast = vote{} // it may not stand: cast again
-			d.settle()
 			return
 		}
 	}
-	if !d.told {
-		d.told = true
-		d.base = n.Build - 1
-		if n.Standing == Released {
-			d.base = n.Build
-		}
+	if n.Build != d.news.Build || n.Stage != d.news.Stage || n.Standing != d.news.Standing {
 		d.stageAt = d.now - n.Age
+	}
+	if !d.told && n.Standing == Released {
+		d.base = n.Build
+	} else if !d.told {
+		d.base = n.Build - 1
 	} else if n.Build != d.news.Build {
 		if d.news.Standing == Released {
-			d.base = max(d.base, d.news.Build)
+			d.base = d.news.Build
 		}
 		d.state, d.seen, d.count, d.spread = 0, 0, 0, 0
-		d.stageAt = d.now - n.Age
-	} else if n.Stage != d.news.Stage || n.Standing != d.news.Standing {
-		d.stageAt = d.now - n.Age
 	}
-	d.news = n
+	d.news, d.told = n, true
 	if n.Standing == GoingBack || n.Standing == Withdrawn {
-		for k, b := range d.stuck {
-			if b >= n.Build {
-				delete(d.stuck, k)
-			}
-		}
-		if n.Standing == Withdrawn {
-			d.news.Cap = 0
-		}
+		maps.DeleteFunc(d.stuck, func(_ uint64, b int) bool { return b >= n.Build })
 	}
-	d.cap = d.lowestCap()
-	d.settle()
+	if n.Standing == Withdrawn {
+		d.news.Cap = 0
+	}
+	d.survey()
 }
 
 // show brings one entry of the list up to date.
@@ -707,38 +626,20 @@
 		h.slow, h.strikes, h.aside = 1, 0, 0
 	}
 	h.zone, h.kind, h.cell, h.health, h.build, h.started = e.Zone, e.Kind, e.Cell, e.Health, e.Build, e.Started
-	h.size = e.Size
-	if !(h.size > 1e-3 && h.size < 1e6) {
+	if h.size = e.Size; !(h.size > 1e-3 && h.size < 1e6) {
 		h.size = 1
 	}
 }
 
-func (d *decider) listShown() {
-	d.cap = d.lowestCap()
-	d.retryHeld()
-	d.settle()
-}
-
 // listFailed asks again after a moment: the call or the subscription is lost, and which is not told.
 func (d *decider) listFailed() {
 	if d.watchAt == 0 {
 		d.watchAt = d.now + second/2 + int64(d.chance()*float64(second))
 	}
-	d.settle()
 }
 
-func (d *decider) retryHeld() {
-	held := d.held
-	d.held = nil
-	for _, c := range held {
-		if !c.over && c.answer == none && c.out == 0 {
-			d.place(c)
-		}
-	}
-}
-
-// woken takes the latest wake-up as come whatever the clock says: one that comes a little early, or an old one
-// that comes again, must neither stop the chain nor start a second.
+// woken takes the latest wake-up as come whatever the clock says: one that comes a little early, or an old
+// one that comes again, must neither stop the chain nor start a second.
 func (d *decider) woken(mark uint64) {
 	if mark == d.wakes {
 		d.armed = 0
@@ -755,19 +656,14 @@
 			d.ticks += tickLen
 		}
 		d.tick()
-		d.retryHeld()
-		for k, at := range d.seenKey {
-			if d.now-at > 3*second {
-				delete(d.seenKey, k)
-			}
-		}
+		d.survey()
+		maps.DeleteFunc(d.seenKey, func(_ uint64, at int64) bool { return d.now-at > 3*second })
 		for _, h := range d.fleet {
 			if d.warmth(h) < 1 {
 				h.budget.add(0.05) // so that a fleet that is all cold can start
 			}
 		}
 	}
-	d.settle()
 }
 
 // look gives a command its second copy, or its last answer.
@@ -781,7 +677,8 @@
 		return
 	}
 	c.due = d.queue.Add(c.cutOff-2*d.set.Tick, c)
-	if c.out == 1 && d.set.Copies && d.pressure <= 0 && d.mayRepeat(c, false) && d.now < c.contract && d.again.take() {
+	if c.out == 1 && d.set.Copies && d.pressure <= 0 && d.mayRepeat(c, false) && d.now < c.contract &&
+		d.again.take() {
 		if h := d.pick(c); h != nil && !c.met(h) {
 			c.next, c.until = h, c.cutOff
 			d.differ = append(d.differ, c)
@@ -789,56 +686,47 @@
 	}
 }
 
-// sheds turns away the commands worth least for their work while answers come too late.
-func (d *decider) sheds(c *command) bool {
-	cell := func(b *band, over int) float64 {
-		v := b.Importance / b.typical
-		if over == 1 {
-			v *= d.set.OverShare
-		}
-		return v
-	}
-	over := 0
-	if c.carrier < len(d.carriers) {
-		own := d.rate
-		for i, r := range d.rates {
-			if d.now-d.heardAt[i] < 3*second {
-				own += r
-			}
-		}
-		part := 1.0
-		if own > 0 {
-			part = d.rate / own
-		}
-		d.carriers[c.carrier]++
-		if may := d.set.Carriers[c.carrier].PerSecond * part; d.carriers[c.carrier] > 3*may && d.chance() > 3*may/d.carriers[c.carrier] {
-			over = 1
-		}
+// beyond tells whether a command is more than what is left of its carrier's share, of which this router may
+// use as much as it carries of all routers' commands.
+func (d *decider) beyond(c *command) bool {
+	if c.carrier >= len(d.carriers) {
+		return false
 	}
-	for _, b := range d.bands {
-		for i := range b.rate {
-			b.rate[i] *= 0.999
+	all := max(d.rate, 1)
+	for i, r := range d.rates {
+		if d.now-d.heardAt[i] < recent {
+			all += r
 		}
 	}
+	d.carriers[c.carrier]++ // forgotten over some seconds, so that it comes to as many times its rate
+	may := d.set.Carriers[c.carrier].PerSecond * d.rate / all * float64(recent/second)
+	return d.chance() > may/d.carriers[c.carrier]
+}
+
+// sheds turns away the commands worth least for their work while answers come too late. By Little's law a
+// command's time is what is open over the pace of answers: past half of the contract time some are turned
+// away, past the whole of it nearly all.
+func (d *decider) sheds(c *command) bool {
+	over, contract, mine, below, all := 0, 0.0, 0.0, 0.0, 0.0
+	value := [2]float64{1, d.set.OverShare}
+	if d.beyond(c) {
+		over = 1
+	}
 	c.band.rate[over]++
-	// by Little's law a command's time is what is open over the pace of answers; past half of the contract
-	// time turn away, past the whole of it turn nearly all away
-	contract := 0.0
+	mine = c.band.Importance / c.band.typical * value[over]
 	for _, b := range d.bands {
 		contract += float64(b.Contract) / float64(len(d.bands))
-	}
-	d.pressure = min(0.9, 2*d.open/max(d.pace, 1)*float64(second)/contract-1)
-	if d.pressure <= 0 || d.open < 5 || d.now-d.began < 2*second { // the pace is not known at once
-		return false
-	}
-	mine, below, all := cell(c.band, over), 0.0, 0.0
-	for _, b := range d.bands {
 		for i, r := range b.rate {
+			b.rate[i] *= 0.999 // a memory of a thousand commands
 			all += r
-			if cell(b, i) < mine {
+			if b.Importance/b.typical*value[i] < mine {
 				below += r
 			}
 		}
 	}
-	return d.chance() < (d.pressure*all-below)/c.band.rate[over]
+	d.pressure = min(0.9, 2*d.open/max(d.pace, 1)*float64(second)/contract-1)
+	if d.open < 5 || d.now-d.began < 2*second { // the pace is not known at once
+		d.pressure = 0
+	}
+	return d.pressure > 0 && d.chance() < (d.pressure*all-below)/c.band.rate[over]
 }
--- /dev/null
+++ b/rules/state.go
@@ -0,0 +1,197 @@
+package rules
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"portflow/internal/due"
+)
+
+type host struct {
+	id       uint32
+	zone     int
+	kind     int
+	cell     int
+	health   Health
+	build    int
+	size     float64
+	trial    bool // to be counted as on trial, in this stage
+	stage    int
+	started  int64
+	listed   int64 // when this router was told of this start
+	out      int   // hand-offs of this router that are out
+	waiting  int64 // since when it owes a sign of life
+	slow     float64
+	slowAt   int64
+	strikes  int
+	aside    int64 // set aside until then
+	budget   bucket
+	queue    float64
+	queuedAt int64
+}
+
+type handOff struct {
+	host     *host
+	build    int
+	at       int64
+	until    int64
+	number   int
+	ended    bool
+	unrun    bool // known not to have run
+	recalled bool
+}
+
+type command struct {
+	id       uint32
+	band     *band
+	carrier  int
+	key      uint64
+	hint     int64
+	at       int64
+	cutOff   int64
+	contract int64
+	handOffs []*handOff
+	out      int
+	next     *host // wanted hand-off
+	until    int64
+	answer   answer // wanted final answer
+	over     bool   // nothing more is owed
+	streams  bool
+	again    bool
+	due      *due.Item[*command]
+}
+
+type answer uint8
+
+const (
+	none answer = iota
+	dismiss
+	scrap
+)
+
+// band is the table's row: the settings, and what was learnt.
+type band struct {
+	Band
+	exposure *bucket
+	typical  float64 // mean time of the earlier build's answers
+	hint     float64 // mean hint
+	rate     [2]float64
+}
+
+// vote is a verdict on a stage of a build.
+type vote struct {
+	verdict      Verdict
+	build, stage int
+}
+
+// sample is what one tick saw of a build: outcomes and their badness.
+type sample struct{ n, bad float64 }
+
+type decider struct {
+	set    Settings
+	out    Effects
+	now    int64
+	seed   uint64
+	draws  uint64
+	bands  []*band
+	fleet  []*host // all that are listed and not gone, by id
+	queue  due.Queue[*command]
+	held   []*command
+	gone   []*command // ended outside their own events
+	differ []*command // their wanted state may differ from the present one
+	armed  int64      // when the latest wake-up is to come, 0 for none
+	wakes  uint64     // how many have been asked for
+	ticks  int64      // when the next tick is due
+
+	news    News
+	base    int // the newest build that was released before the one judged
+	told    bool
+	stageAt int64
+	cap     float64          // what the builds on trial may get
+	stuck   map[uint64]int   // key: the build on trial that has answered it
+	seenKey map[uint64]int64 // key: when it last came
+	again   bucket           // further hand-offs
+
+	state, seen, count, spread float64 // gossiped: the state s, measured share of ticks, trial count, square
+	trial, earlier             sample  // this tick's
+	past                       sample  // the earlier build's outcomes of the last second
+	pastAt                     int64   // when the last of them came
+	usual                      float64 // their failure share
+	doubtful                   int     // ticks in a row in which the build looked bad
+	condemned                  bool    // it looked bad for long enough, on enough outcomes
+	want, cast, noted          vote
+	castAt, callAt             int64
+	calling                    bool
+
+	began    int64
+	watchAt  int64
+	taken    float64   // this tick's
+	rate     float64   // commands taken a second
+	rates    []float64 // of each router
+	heardAt  []int64   // when each was last heard
+	carriers []float64 // rate of each carrier
+	open     float64   // commands that are held or out
+	done     float64   // this tick's answers
+	pace     float64   // answers a second
+	pressure float64   // part of the commands to turn away
+}
+
+// bucket is "within free + share x counted", kept so that it holds over every span of time.
+type bucket struct{ have, top float64 }
+
+func (b *bucket) add(x float64) { b.have = min(b.top, b.have+x) }
+func (b *bucket) take() bool {
+	if b.have < 1 {
+		return false
+	}
+	b.have--
+	return true
+}
+
+func (s *sample) put(n, bad float64) {
+	s.n += n
+	s.bad += bad
+}
+
+// mayHaveRun is the first hand-off that is out or may have run.
+func (c *command) mayHaveRun() *handOff {
+	for _, h := range c.handOffs {
+		if !h.unrun {
+			return h
+		}
+	}
+	return nil
+}
+
+func (c *command) met(h *host) bool {
+	return slices.ContainsFunc(c.handOffs, func(x *handOff) bool { return x.host == h })
+}
+
+// gossip is what one router tells another.
+type gossip struct {
+	build                           int
+	state, seen, count, spread, own float64
+}
+
+const gossipLen = 2 + 5*4
+
+func (g gossip) encode() []byte {
+	raw := binary.BigEndian.AppendUint16(nil, uint16(g.build))
+	for _, f := range []float64{g.state, g.seen, g.count, g.spread, g.own} {
+		raw = binary.BigEndian.AppendUint32(raw, math.Float32bits(float32(f)))
+	}
+	return raw
+}
+
+// chance draws from [0, 1).
+func (d *decider) chance() float64 {
+	d.draws++
+	f := fnv.New64a()
+	f.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, d.draws), d.seed))
+	x := f.Sum64()
+	x ^= x >> 32
+	x *= 0x9e3779b97f4a7c15
+	return float64(x>>11) / (1 << 53)
+}
--- a/rules/world_test.go
+++ b/rules/world_test.go
@@ -161,8 +161,8 @@
 	return w.set.ColdFrom + (1-w.set.ColdFrom)*age
 }
 
-// cold is rule 4: with this router as all the traffic, what is sent must fit twice the host's part of what the
-// fleet was seen to carry, but for a few at the start.
+// cold is rule 4: with this router as all the traffic, what is sent must fit twice the host's part of what
+// the fleet was seen to carry, but for a few at the start.
 func (w *world) cold(h *shown) {
 	sent, room := 0.0, 5.0
 	for _, x := range w.sent {
