--- a/rules/door.go
+++ b/rules/door.go
@@ -352,17 +352,17 @@
 	if len(raw) != gossipLen || peer < 0 || peer >= r.set.Routers || peer == r.set.Rank {
 		return
 	}
-	var f [5]float64
-	for i := range f {
-		f[i] = float64(math.Float32frombits(binary.BigEndian.Uint32(raw[2+4*i:])))
-		if math.IsNaN(f[i]) || math.Abs(f[i]) > 1e6 || i > 0 && f[i] < 0 {
+	g := gossip{build: int(binary.BigEndian.Uint16(raw))}
+	for i, f := range g.figures() {
+		*f = float64(math.Float32frombits(binary.BigEndian.Uint32(raw[2+4*i:])))
+		if math.IsNaN(*f) || math.Abs(*f) > 1e6 || i >= kinds && *f < 0 {
 			return
 		}
 	}
-	if f[1] > 1 {
+	if g.seen > 1 {
 		return
 	}
 	r.now = now
-	r.heard(peer, gossip{int(binary.BigEndian.Uint16(raw)), f[0], f[1], f[2], f[3], f[4]})
+	r.heard(peer, g)
 	r.settle()
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -100,9 +100,10 @@
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
 	if d.want != d.noted {
 		d.noted = d.want
-		mean, err := d.excess()
-		d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: excess %.3f, error %.3f, of %.0f, usual %.3f",
-			d.want.verdict, d.want.build, d.want.stage, mean, err, d.count*d.company(), d.usual))
+		fails, err := d.excess(failing)
+		lags, err2 := d.excess(lagging)
+		d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: failing %.3f+-%.3f, lagging %.3f+-%.3f, of %.0f",
+			d.want.verdict, d.want.build, d.want.stage, fails, err, lags, err2, d.count*d.company()))
 	}
 }
 
@@ -414,30 +415,24 @@
 	return d.told && build == d.news.Build && build > d.base && d.news.Standing != Withdrawn
 }
 
-// slowBadness makes a slow answer a part of a failure: the page's failures miss builds that are slow within
-// their time-outs. It acts on answers later than twice the expected time, and on hand-offs cut short.
-const slowBadness = 0.3
-
-// alongside is how fresh the earlier build's outcomes must be to compare slowness with: a shared slowdown
-// or an overload, after the earlier hosts have left, is no fault of the build.
+// alongside is how fresh the earlier build's outcomes must be to compare with: what a shared slowdown, an overload
+// or a host's end bring once the earlier hosts have left is no fault of the build.
 const alongside = 2 * second
 
-// weigh counts an outcome for the reading of this tick.
+// weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for builds
+// that are slow within their time-outs, and acts on answers that take more than twice the expected time. A cold
+// host may take longer by as much as it can do less.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
-	bad := 0.0
-	switch e {
-	case Fulfilled, TimedOut:
-		// a cold host may take longer by as much as it can do less; slow beside nothing is no fault of the
-		// build
-		if float64(took) > 2*d.expected(c)/d.warmth(o.host) && (!d.judged(o.build) || d.now-d.pastAt < alongside) {
-			bad = slowBadness
-			if e == TimedOut && o.until >= c.cutOff {
-				bad = 1
-			}
+	var bad [kinds]float64
+	lags := float64(took) > 2*d.expected(c)/d.warmth(o.host)
+	switch {
+	case e == Failed, (e == Reset || e == TimedOut && o.until >= c.cutOff) && d.now-d.pastAt < alongside:
+		bad[failing] = 1
+	case e == Fulfilled || e == TimedOut:
+		if lags && d.now-d.pastAt < alongside {
+			bad[lagging] = 1
 		}
-	case Failed, Reset:
-		bad = 1
-	default:
+	case e != Reset:
 		return
 	}
 	if !d.judged(o.build) {
@@ -458,8 +453,7 @@
 
 // flagged counts a wrong answer for as many as the reports stand for.
 func (d *decider) flagged(h *host, age int64) {
-	bad := 1 / max(d.set.FlagShare, 0.05)
-	d.side(h.build).put(0, bad)
+	d.side(h.build).put(0, [kinds]float64{failing: 1 / max(d.set.FlagShare, 0.05)})
 }
 
 func (d *decider) probed(h *host, e Ending, report []float64) {
@@ -472,18 +466,23 @@
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
-	// the earlier build's share is of the last second: of the same time as the trial's, and yet of some
-	// outcomes
-	d.past.n, d.past.bad = 0.9*d.past.n+d.earlier.n, 0.9*d.past.bad+d.earlier.bad
-	d.usual = d.past.bad / max(d.past.n, 1)
-	x, seen, square := 0.0, 0.0, 0.0
-	if n := max(d.trial.n, 1); d.trial.n > 0 || d.trial.bad > 0 {
-		x, seen, square = d.trial.bad/n-d.usual, 1, d.trial.bad/n*d.trial.bad/n
-	}
-	d.state = forgetting*d.state + (1-forgetting)*x
+	seen := 0.0
+	if d.trial.n > 0 || d.trial.bad[failing] > 0 {
+		seen = 1
+	}
 	d.seen = forgetting*d.seen + (1-forgetting)*seen
-	d.spread = forgetting*d.spread + (1-forgetting)*square
 	d.count = forgetting*d.count + d.trial.n
+	for k := range d.state {
+		// the earlier build's share of failures is as old as the state; that of slow answers follows the traffic
+		keep := [kinds]float64{forgetting, 0.9}[k]
+		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n, keep*d.past[k].bad+d.earlier.bad[k]
+		x, share := 0.0, d.trial.bad[k]/max(d.trial.n, 1)
+		if seen > 0 {
+			x = share - d.past[k].bad/max(d.past[k].n, 1e-9)
+		}
+		d.state[k] = forgetting*d.state[k] + (1-forgetting)*x
+		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*share*share
+	}
 	d.trial, d.earlier = sample{}, sample{}
 	d.rate += 0.1 * (d.taken*float64(second/tickLen) - d.rate)
 	d.taken = 0
@@ -495,7 +494,7 @@
 		if peer >= d.set.Rank {
 			peer++
 		}
-		d.out.Tell(peer, gossip{d.news.Build, d.state, d.seen, d.count, d.spread, d.rate}.encode())
+		d.out.Tell(peer, gossip{d.news.Build, d.state, d.spread, d.seen, d.count, d.rate}.encode())
 	}
 	d.pace += 0.1 * (d.done*float64(second/tickLen) - d.pace)
 	d.done = 0
@@ -511,18 +510,22 @@
 func (d *decider) heard(peer int, g gossip) {
 	d.rates[peer], d.heardAt[peer] = g.own, d.now
 	if g.build == d.news.Build {
-		d.state += gain * (g.state - d.state)
 		d.seen += gain * (g.seen - d.seen)
 		d.count += gain * (g.count - d.count)
-		d.spread += gain * (g.spread - d.spread)
+		for k := range d.state {
+			d.state[k] += gain * (g.state[k] - d.state[k])
+			d.spread[k] += gain * (g.spread[k] - d.spread[k])
+		}
 	}
 }
 
-// threshold is the common one for the state over the measured share; enough is the pooled count it needs.
+// threshold is the common one for each state over the measured share, that of slow answers being the coarser
+// measure; enough is the pooled count it needs, and so many standard errors must the state clear it by.
+var threshold = [kinds]float64{failing: 0.03, lagging: 0.1}
+
 const (
-	threshold = 0.03
-	enough    = 20
-	sure      = 1.5 // so many standard errors must the state clear it by
+	enough = 20
+	sure   = 1.5
 )
 
 // company is how many routers the mixed figures stand for: those heard of late, and this one. The page has
@@ -537,13 +540,13 @@
 	return n
 }
 
-// excess is the state without its missing measurements, and its standard error.
-func (d *decider) excess() (mean, err float64) {
+// excess is a state without its missing measurements, and its standard error.
+func (d *decider) excess(k int) (mean, err float64) {
 	if d.seen < 1e-6 {
 		return 0, 1
 	}
 	ticks := d.seen * (1 + forgetting) / (1 - forgetting) * d.company()
-	return d.state / d.seen, math.Sqrt(d.spread / d.seen / max(ticks, 1))
+	return d.state[k] / d.seen, math.Sqrt(d.spread[k] / d.seen / max(ticks, 1))
 }
 
 // mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for
@@ -553,8 +556,13 @@
 // judge sets the wanted vote.
 func (d *decider) judge() {
 	d.want = vote{}
-	mean, err := d.excess()
-	if d.doubtful++; !d.judged(d.news.Build) || mean-sure*err <= threshold {
+	doubt, worry := false, false
+	for k := range d.state {
+		mean, err := d.excess(k)
+		doubt = doubt || mean-sure*err > threshold[k]
+		worry = worry || mean > threshold[k]/2
+	}
+	if d.doubtful++; !doubt || !d.judged(d.news.Build) {
 		d.doubtful = 0
 	}
 	pooled := d.count * d.company()
@@ -576,7 +584,7 @@
 		d.want = vote{Back, d.news.Build, d.news.Stage}
 	case d.news.Standing != OnTrial:
 	case d.set.Gate == Clock:
-		if mean > threshold/2 {
+		if worry {
 			d.want = vote{Hold, d.news.Build, d.news.Stage}
 		}
 	case d.doubtful == 0 && (age >= 2*second && pooled >= enough || age >= 7*second/2):
@@ -603,7 +611,7 @@
 		if d.news.Standing == Released {
 			d.base = d.news.Build
 		}
-		d.state, d.seen, d.count, d.spread = 0, 0, 0, 0
+		d.seen, d.count, d.state, d.spread = 0, 0, [kinds]float64{}, [kinds]float64{}
 	}
 	d.news, d.told = n, true
 	if n.Standing == GoingBack || n.Standing == Withdrawn {
--- a/rules/state.go
+++ b/rules/state.go
@@ -87,7 +87,17 @@
 }
 
 // sample is what one tick saw of a build: outcomes and their badness.
-type sample struct{ n, bad float64 }
+type sample struct {
+	n   float64
+	bad [kinds]float64
+}
+
+// What the states count.
+const (
+	failing = iota
+	lagging
+	kinds
+)
 
 type decider struct {
 	set    Settings
@@ -114,16 +124,16 @@
 	seenKey map[uint64]int64 // key: when it last came
 	again   bucket           // further hand-offs
 
-	state, seen, count, spread float64 // gossiped: the state s, measured share of ticks, trial count, square
-	trial, earlier             sample  // this tick's
-	past                       sample  // the earlier build's outcomes of the last second
-	pastAt                     int64   // when the last of them came
-	usual                      float64 // their failure share
-	doubtful                   int     // ticks in a row in which the build looked bad
-	condemned                  bool    // it looked bad for long enough, on enough outcomes
-	want, cast, noted          vote
-	castAt, callAt             int64
-	calling                    bool
+	seen, count       float64                         // gossiped: the measured share of ticks, the decayed trial count
+	state, spread     [kinds]float64                  // gossiped: the states s, and the mean squares of their readings
+	trial, earlier    sample                          // this tick's
+	past              [kinds]struct{ n, bad float64 } // the earlier build's outcomes
+	pastAt            int64                           // when the last of them came
+	doubtful          int                             // ticks in a row in which the build looked bad
+	condemned         bool                            // it looked bad for long enough, on enough outcomes
+	want, cast, noted vote
+	castAt, callAt    int64
+	calling           bool
 
 	began    int64
 	watchAt  int64
@@ -150,9 +160,11 @@
 	return true
 }
 
-func (s *sample) put(n, bad float64) {
+func (s *sample) put(n float64, bad [kinds]float64) {
 	s.n += n
-	s.bad += bad
+	for k := range bad {
+		s.bad[k] += bad[k]
+	}
 }
 
 // mayHaveRun is the first hand-off that is out or may have run.
@@ -171,16 +183,22 @@
 
 // gossip is what one router tells another.
 type gossip struct {
-	build                           int
-	state, seen, count, spread, own float64
+	build            int
+	state, spread    [kinds]float64
+	seen, count, own float64
 }
 
-const gossipLen = 2 + 5*4
+const gossipLen = 2 + (2*kinds+3)*4
+
+func (g *gossip) figures() []*float64 {
+	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging], &g.seen,
+		&g.count, &g.own}
+}
 
 func (g gossip) encode() []byte {
 	raw := binary.BigEndian.AppendUint16(nil, uint16(g.build))
-	for _, f := range []float64{g.state, g.seen, g.count, g.spread, g.own} {
-		raw = binary.BigEndian.AppendUint32(raw, math.Float32bits(float32(f)))
+	for _, f := range g.figures() {
+		raw = binary.BigEndian.AppendUint32(raw, math.Float32bits(float32(*f)))
 	}
 	return raw
 }
