--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,7 +14,7 @@
 const second = int64(1e9)
 
 func newDecider(s Settings, seed uint64, out Effects) *decider {
-	d := &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{},
+	d := &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{}, models: map[int]float64{},
 		rates: make([]float64, s.Routers), heardAt: make([]int64, s.Routers),
 		carriers: make([]float64, len(s.Carriers)), again: bucket{5, 10}}
 	one := &bucket{s.Free, s.Free}
@@ -322,6 +322,7 @@
 		d.done++
 		if !d.judged(o.build) {
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
+			d.models[h.kind] = d.kind(h) + 0.01*(ratio-d.kind(h))
 			if c.band.hint == 0 {
 				c.band.hint = float64(c.hint)
 			}
@@ -351,6 +352,14 @@
 	return c.band.typical * min(4, max(0.25, float64(c.hint)/c.band.hint))
 }
 
+// kind is how long a host's kind of machine takes, over what all take.
+func (d *decider) kind(h *host) float64 {
+	if x, known := d.models[h.kind]; known {
+		return x
+	}
+	return 1
+}
+
 // afresh hands a command off again where that is allowed and of use, else ends it.
 func (d *decider) afresh(c *command) {
 	worth := c.contract
@@ -424,7 +433,7 @@
 // host may take longer by as much as it can do less.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
 	var bad [kinds]float64
-	lags := float64(took) > 2*d.expected(c)/d.warmth(o.host)
+	lags := float64(took) > 2*d.expected(c)*d.kind(o.host)/d.warmth(o.host)
 	switch {
 	case e == Failed, (e == Reset || e == TimedOut && o.until >= c.cutOff) && d.now-d.pastAt < alongside:
 		bad[failing] = 1
@@ -521,11 +530,11 @@
 
 // threshold is the common one for each state over the measured share, that of slow answers being the coarser
 // measure; enough is the pooled count it needs, and so many standard errors must the state clear it by.
-var threshold = [kinds]float64{failing: 0.03, lagging: 0.1}
+var threshold = [kinds]float64{failing: 0.02, lagging: 0.08}
 
 const (
 	enough = 20
-	sure   = 1.5
+	sure   = 2
 )
 
 // company is how many routers the mixed figures stand for: those heard of late, and this one. The page has
@@ -560,7 +569,7 @@
 	for k := range d.state {
 		mean, err := d.excess(k)
 		doubt = doubt || mean-sure*err > threshold[k]
-		worry = worry || mean > threshold[k]/2
+		worry = worry || mean > threshold[k]
 	}
 	if d.doubtful++; !doubt || !d.judged(d.news.Build) {
 		d.doubtful = 0
@@ -587,7 +596,7 @@
 		if worry {
 			d.want = vote{Hold, d.news.Build, d.news.Stage}
 		}
-	case d.doubtful == 0 && (age >= 2*second && pooled >= enough || age >= 7*second/2):
+	case d.doubtful == 0 && (!worry && (age >= 2*second && pooled >= enough || age >= 7*second/2) || age >= 6*second):
 		d.want = vote{On, d.news.Build, d.news.Stage}
 	}
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -208,7 +208,7 @@
 			back = back || v.verdict == Back
 		}
 		if played != reports || back != want {
-			t.Fatalf("%d of %d reports played; back was voted: %v", played, reports, back)
+			for _, v := range w.votes { t.Log(v) }; t.Log(w.r.excess(0)); t.Log(w.r.count, w.r.doubtful);t.Fatalf("%d of %d reports played; back was voted: %v", played, reports, back)
 		}
 	}
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -137,15 +137,16 @@
 
 	began    int64
 	watchAt  int64
-	taken    float64   // this tick's
-	rate     float64   // commands taken a second
-	rates    []float64 // of each router
-	heardAt  []int64   // when each was last heard
-	carriers []float64 // rate of each carrier
-	open     float64   // commands that are held or out
-	done     float64   // this tick's answers
-	pace     float64   // answers a second
-	pressure float64   // part of the commands to turn away
+	taken    float64         // this tick's
+	models   map[int]float64 // by kind of machine: how long it takes, over what all take
+	rate     float64         // commands taken a second
+	rates    []float64       // of each router
+	heardAt  []int64         // when each was last heard
+	carriers []float64       // rate of each carrier
+	open     float64         // commands that are held or out
+	done     float64         // this tick's answers
+	pace     float64         // answers a second
+	pressure float64         // part of the commands to turn away
 }
 
 // bucket is "within free + share x counted", kept so that it holds over every span of time.
