--- a/rules/door.go
+++ b/rules/door.go
@@ -359,9 +359,6 @@
 			return
 		}
 	}
-	if g.seen > 1 {
-		return
-	}
 	r.now = now
 	r.heard(peer, g)
 	r.settle()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -429,19 +429,16 @@
 const alongside = 2 * second
 
 // weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for builds
-// that are slow within their time-outs, and acts on answers that take more than twice the expected time. A cold
-// host may take longer by as much as it can do less.
+// that are slow within their time-outs: how much longer than expected an answer took, up to four times, as a part
+// of that. A cold host may take longer by as much as it can do less.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
 	var bad [kinds]float64
-	lags := float64(took) > 2*d.expected(c)*d.kind(o.host)/d.warmth(o.host)
-	switch {
-	case e == Failed, (e == Reset || e == TimedOut && o.until >= c.cutOff) && d.now-d.pastAt < alongside:
+	switch beside := d.now-d.pastAt < alongside; {
+	case e == Failed, beside && (e == Reset || e == TimedOut && o.until >= c.cutOff):
 		bad[failing] = 1
-	case e == Fulfilled || e == TimedOut:
-		if lags && d.now-d.pastAt < alongside {
-			bad[lagging] = 1
-		}
-	case e != Reset:
+	case beside && (e == Fulfilled || e == TimedOut):
+		bad[lagging] = min(4, float64(took)*d.warmth(o.host)/(d.expected(c)*d.kind(o.host)))/4 - 0.25
+	case e != Fulfilled && e != TimedOut && e != Reset:
 		return
 	}
 	if !d.judged(o.build) {
@@ -475,22 +472,15 @@
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
-	seen := 0.0
-	if d.trial.n > 0 || d.trial.bad[failing] > 0 {
-		seen = 1
-	}
-	d.seen = forgetting*d.seen + (1-forgetting)*seen
 	d.count = forgetting*d.count + d.trial.n
 	for k := range d.state {
 		// the earlier build's share of failures is as old as the state; that of slow answers follows the traffic
 		keep := [kinds]float64{forgetting, 0.9}[k]
 		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n, keep*d.past[k].bad+d.earlier.bad[k]
-		x, share := 0.0, d.trial.bad[k]/max(d.trial.n, 1)
-		if seen > 0 {
-			x = share - d.past[k].bad/max(d.past[k].n, 1e-9)
-		}
+		// the page's reading, weighed by its outcomes: else a tick of one outcome is worth as much as one of ten
+		x := d.trial.bad[k] - d.trial.n*d.past[k].bad/max(d.past[k].n, 1e-9)
 		d.state[k] = forgetting*d.state[k] + (1-forgetting)*x
-		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*share*share
+		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
 	d.rate += 0.1 * (d.taken*float64(second/tickLen) - d.rate)
@@ -503,7 +493,7 @@
 		if peer >= d.set.Rank {
 			peer++
 		}
-		d.out.Tell(peer, gossip{d.news.Build, d.state, d.spread, d.seen, d.count, d.rate}.encode())
+		d.out.Tell(peer, gossip{d.news.Build, d.state, d.spread, d.count, d.rate}.encode())
 	}
 	d.pace += 0.1 * (d.done*float64(second/tickLen) - d.pace)
 	d.done = 0
@@ -519,7 +509,6 @@
 func (d *decider) heard(peer int, g gossip) {
 	d.rates[peer], d.heardAt[peer] = g.own, d.now
 	if g.build == d.news.Build {
-		d.seen += gain * (g.seen - d.seen)
 		d.count += gain * (g.count - d.count)
 		for k := range d.state {
 			d.state[k] += gain * (g.state[k] - d.state[k])
@@ -530,7 +519,7 @@
 
 // threshold is the common one for each state over the measured share, that of slow answers being the coarser
 // measure; enough is the pooled count it needs, and so many standard errors must the state clear it by.
-var threshold = [kinds]float64{failing: 0.02, lagging: 0.08}
+var threshold = [kinds]float64{failing: 0.015, lagging: 0.08}
 
 const (
 	enough = 20
@@ -549,13 +538,13 @@
 	return n
 }
 
-// excess is a state without its missing measurements, and its standard error.
+// excess is a state for each outcome that it stands for, and its standard error.
 func (d *decider) excess(k int) (mean, err float64) {
-	if d.seen < 1e-6 {
+	n := d.count * (1 - forgetting)
+	if n < 1e-6 {
 		return 0, 1
 	}
-	ticks := d.seen * (1 + forgetting) / (1 - forgetting) * d.company()
-	return d.state[k] / d.seen, math.Sqrt(d.spread[k] / d.seen / max(ticks, 1))
+	return d.state[k] / n, math.Sqrt(d.spread[k] / n / max(d.count*d.company(), 1))
 }
 
 // mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for
@@ -620,7 +609,7 @@
 		if d.news.Standing == Released {
 			d.base = d.news.Build
 		}
-		d.seen, d.count, d.state, d.spread = 0, 0, [kinds]float64{}, [kinds]float64{}
+		d.count, d.state, d.spread = 0, [kinds]float64{}, [kinds]float64{}
 	}
 	d.news, d.told = n, true
 	if n.Standing == GoingBack || n.Standing == Withdrawn {
--- a/rules/state.go
+++ b/rules/state.go
@@ -88,8 +88,8 @@
 
 // sample is what one tick saw of a build: outcomes and their badness.
 type sample struct {
-	n   float64
-	bad [kinds]float64
+	n           float64
+	bad, square [kinds]float64
 }
 
 // What the states count.
@@ -124,7 +124,7 @@
 	seenKey map[uint64]int64 // key: when it last came
 	again   bucket           // further hand-offs
 
-	seen, count       float64                         // gossiped: the measured share of ticks, the decayed trial count
+	count             float64                         // gossiped: the decayed trial count
 	state, spread     [kinds]float64                  // gossiped: the states s, and the mean squares of their readings
 	trial, earlier    sample                          // this tick's
 	past              [kinds]struct{ n, bad float64 } // the earlier build's outcomes
@@ -165,6 +165,7 @@
 	s.n += n
 	for k := range bad {
 		s.bad[k] += bad[k]
+		s.square[k] += bad[k] * bad[k]
 	}
 }
 
@@ -184,16 +185,16 @@
 
 // gossip is what one router tells another.
 type gossip struct {
-	build            int
-	state, spread    [kinds]float64
-	seen, count, own float64
+	build         int
+	state, spread [kinds]float64
+	count, own    float64
 }
 
-const gossipLen = 2 + (2*kinds+3)*4
+const gossipLen = 2 + (2*kinds+2)*4
 
 func (g *gossip) figures() []*float64 {
-	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging], &g.seen,
-		&g.count, &g.own}
+	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging], &g.count,
+		&g.own}
 }
 
 func (g gossip) encode() []byte {
