--- a/rules/rules.go
+++ b/rules/rules.go
@@ -523,7 +523,7 @@
 
 const (
 	enough = 20
-	sure   = 2
+	sure   = 1.7
 )
 
 // company is how many routers the mixed figures stand for: those heard of late, and this one. The page has
