Keep the trial back for a moment when all hosts are slow (first forms)

Tried: an A/B/A test of builds that slow all hosts; one test, then two tests and only with the earlier hosts all there. Not good as it is: under study.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,6 +20,7 @@
 	one := &bucket{s.Free, s.Free}
 	for _, b := range s.Bands {
 		row := &band{Band: b, exposure: one, typical: float64(b.Contract) / 5}
+		row.calm, d.mean, d.pulse, d.level = row.typical, d.mean+row.typical/float64(len(s.Bands)), 1, 1
 		if s.CapByBand {
 			row.exposure = &bucket{s.Free, s.Free}
 		}
@@ -103,7 +104,7 @@
 		fails, err := d.excess(failing)
 		lags, err2 := d.excess(lagging)
 		d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: failing %.3f+-%.3f, lagging %.3f+-%.3f, of %.0f",
-			d.want.verdict, d.want.build, d.want.stage, fails, err, lags, err2, d.count*d.company()))
+			d.want.verdict, d.want.build, d.want.stage, fails, err, lags, err2, d.count*d.company))
 	}
 }
 
@@ -257,7 +258,9 @@
 	pool := pools[0]
 	if len(pools[1]) > 0 {
 		share := sizes[1] / (sizes[0] + sizes[1])
-		if d.condemned {
+		if d.dipAt > 0 && d.after == 0 {
+			share = 0
+		} else if d.condemned {
 			share /= 10 // a build that looks bad gets just enough to go on being judged
 		} else if c.key != 0 && d.set.KeysStay && stuck == 0 && d.cap < 1 && d.now-d.seenKey[c.key] < 3*second {
 			share = 0 // a key that comes often would tie more commands to the trial than the cap lets through
@@ -290,19 +293,11 @@
 	}
 	cost := there / (h.size * d.warmth(h)) * d.slowness(h)
 	if h.out > 0 { // owing a sign of life for long: paused, stalled or silent
-		cost *= 1 + float64(d.now-h.waiting)/d.typical()
+		cost *= 1 + float64(d.now-h.waiting)/d.mean
 	}
 	return cost
 }
 
-func (d *decider) typical() float64 {
-	sum := 0.0
-	for _, b := range d.bands {
-		sum += b.typical
-	}
-	return sum / float64(len(d.bands))
-}
-
 // slowness is a host's mean time over the typical one; it is forgotten over some seconds.
 func (d *decider) slowness(h *host) float64 {
 	return 1 + (h.slow-1)*math.Exp(-float64(d.now-h.slowAt)/float64(5*second))
@@ -322,7 +317,10 @@
 		d.done++
 		if !d.judged(o.build) {
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
-			d.models[h.kind] = d.kind(h) + 0.01*(ratio-d.kind(h))
+			d.models[h.kind] += 0.01 * (ratio - 1 - d.models[h.kind])
+			d.mean += 0.01 * (float64(took) - d.mean)
+			pulse := ratio / (1 + d.models[h.kind]) * c.band.typical / c.band.calm
+			d.pulse += 0.03 * (min(pulse, 8) - d.pulse) // the last thirty answers
 			if c.band.hint == 0 {
 				c.band.hint = float64(c.hint)
 			}
@@ -352,14 +350,6 @@
 	return c.band.typical * min(4, max(0.25, float64(c.hint)/c.band.hint))
 }
 
-// kind is how long a host's kind of machine takes, over what all take.
-func (d *decider) kind(h *host) float64 {
-	if x, known := d.models[h.kind]; known {
-		return x
-	}
-	return 1
-}
-
 // afresh hands a command off again where that is allowed and of use, else ends it.
 func (d *decider) afresh(c *command) {
 	worth := c.contract
@@ -437,7 +427,7 @@
 	case e == Failed, beside && (e == Reset || e == TimedOut && o.until >= c.cutOff):
 		bad[failing] = 1
 	case beside && (e == Fulfilled || e == TimedOut):
-		bad[lagging] = min(4, float64(took)*d.warmth(o.host)/(d.expected(c)*d.kind(o.host)))/4 - 0.25
+		bad[lagging] = min(4, float64(took)*d.warmth(o.host)/(d.expected(c)*(1+d.models[o.host.kind])))/4 - 0.25
 	case e != Fulfilled && e != TimedOut && e != Reset:
 		return
 	}
@@ -493,7 +483,20 @@
 		if peer >= d.set.Rank {
 			peer++
 		}
-		d.out.Tell(peer, gossip{d.news.Build, d.state, d.spread, d.count, d.rate}.encode())
+		g := gossip{d.news.Build, d.state, d.spread, d.count, d.rate, 0}
+		if d.dipAt > 0 {
+			g.dip = float64(d.now-d.dipAt) / float64(second)
+		}
+		d.out.Tell(peer, g.encode())
+	}
+	// the pooled count stands for the routers heard of late, where the page has all of them: a router that is cut
+	// off or alone must not take its own few outcomes for many
+	d.company, d.all = 1, max(d.rate, 1)
+	for i, at := range d.heardAt {
+		if at > 0 && d.now-at < recent {
+			d.company++
+			d.all += d.rates[i]
+		}
 	}
 	d.pace += 0.1 * (d.done*float64(second/tickLen) - d.pace)
 	d.done = 0
@@ -508,6 +511,9 @@
 
 func (d *decider) heard(peer int, g gossip) {
 	d.rates[peer], d.heardAt[peer] = g.own, d.now
+	if age := int64(g.dip * float64(second)); age > 0 && age < dipFor/2 && d.dipAt == 0 && d.pulse > 1.2*d.level {
+		d.dipAt, d.before, d.after = d.now-age, d.pulse, 0
+	}
 	if g.build == d.news.Build {
 		d.count += gain * (g.count - d.count)
 		for k := range d.state {
@@ -526,25 +532,50 @@
 	sure   = 1.7
 )
 
-// company is how many routers the mixed figures stand for: those heard of late, and this one. The page has
-// the balancer count; a router that is cut off or alone must not take its own few outcomes for many.
-func (d *decider) company() float64 {
-	n := 1.0
-	for _, at := range d.heardAt {
-		if at > 0 && d.now-at < recent { // by then each of ten peers has picked this one with near certainty
-			n++
-		}
-	}
-	return n
-}
-
 // excess is a state for each outcome that it stands for, and its standard error.
 func (d *decider) excess(k int) (mean, err float64) {
 	n := d.count * (1 - forgetting)
 	if n < 1e-6 {
 		return 0, 1
 	}
-	return d.state[k] / n, math.Sqrt(d.spread[k] / n / max(d.count*d.company(), 1))
+	return d.state[k] / n, math.Sqrt(d.spread[k] / n / max(d.count*d.company, 1))
+}
+
+// A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows. This
+// exception acts while the earlier build's answers take half as long again as before the trial: all routers keep
+// the trial's commands back for a while; where that brings the times down and the commands' return brings them
+// up again, it is the build. Should also tell a build that overloads something they share; harms a good build by
+// some seconds when something else slows all. It takes two such tests, and earlier hosts that are all still there.
+const (
+	dragged = 1.5
+	dipFor  = 3 * second // for the backlog to go, and for thirty answers after it
+)
+
+// dip starts, ends and reads such a test; it tells whether one is on.
+func (d *decider) dip() bool {
+	earlier := 0.0
+	for _, h := range d.fleet {
+		if h.health == Ready && !h.trial {
+			earlier += h.size
+		}
+	}
+	d.room = max(d.room, earlier)
+	d.level = min(d.level, max(1, d.pulse)) // what an earlier test found not to be the build's fault
+	switch age := d.now - d.dipAt; {
+	case d.news.Standing != OnTrial || !d.judged(d.news.Build):
+		d.dipAt = 0
+	case d.dipAt == 0 && d.pulse > dragged*d.level && d.count > 0 && earlier > 0.9*d.room:
+		d.dipAt, d.before, d.after = d.now, d.pulse, 0
+	case d.dipAt > 0 && d.after == 0 && age > dipFor:
+		if d.after = d.pulse; (d.after - 1) > (d.before-1)/2 {
+			d.dipAt, d.level = 0, d.pulse
+		}
+	case d.dipAt > 0 && age > 2*dipFor:
+		if d.dipAt = 0; d.pulse-d.after > (d.before-d.after)/2 {
+			d.proofs++
+		}
+	}
+	return d.dipAt > 0
 }
 
 // mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for
@@ -563,9 +594,10 @@
 	if d.doubtful++; !doubt || !d.judged(d.news.Build) {
 		d.doubtful = 0
 	}
-	pooled := d.count * d.company()
+	pooled := d.count * d.company
+	dipping := d.dip()
 	// what is condemned gets few commands, and stays so on fewer outcomes than it took
-	d.condemned = d.pastAt > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
+	d.condemned = d.proofs >= 2 || d.pastAt > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1 // one more, as one may be cut off
 	if d.set.Rank >= voters || !d.judged(d.news.Build) {
 		return
@@ -585,7 +617,7 @@
 		if worry {
 			d.want = vote{Hold, d.news.Build, d.news.Stage}
 		}
-	case d.doubtful == 0 && (!worry && (age >= 2*second && pooled >= enough || age >= 7*second/2) || age >= 6*second):
+	case d.doubtful == 0 && !dipping && (!worry && (age >= 2*second && pooled >= enough || age >= 7*second/2) || age >= 6*second):
 		d.want = vote{On, d.news.Build, d.news.Stage}
 	}
 }
@@ -609,6 +641,10 @@
 		if d.news.Standing == Released {
 			d.base = d.news.Build
 		}
+		d.proofs, d.level, d.room = 0, 1, 0
+		for _, b := range d.bands {
+			b.calm = b.typical
+		}
 		d.count, d.state, d.spread = 0, [kinds]float64{}, [kinds]float64{}
 	}
 	d.news, d.told = n, true
@@ -698,14 +734,8 @@
 	if c.carrier >= len(d.carriers) {
 		return false
 	}
-	all := max(d.rate, 1)
-	for i, r := range d.rates {
-		if d.now-d.heardAt[i] < recent {
-			all += r
-		}
-	}
 	d.carriers[c.carrier]++ // forgotten over some seconds, so that it comes to as many times its rate
-	may := d.set.Carriers[c.carrier].PerSecond * d.rate / all * float64(recent/second)
+	may := d.set.Carriers[c.carrier].PerSecond * d.rate / d.all * float64(recent/second)
 	return d.chance() > may/d.carriers[c.carrier]
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -77,6 +77,7 @@
 	exposure *bucket
 	typical  float64 // mean time of the earlier build's answers
 	hint     float64 // mean hint
+	calm     float64 // the typical time before the trial
 	rate     [2]float64
 }
 
@@ -131,6 +132,11 @@
 	pastAt            int64                           // when the last of them came
 	doubtful          int                             // ticks in a row in which the build looked bad
 	condemned         bool                            // it looked bad for long enough, on enough outcomes
+	proofs            int                             // tests that found it to slow all hosts
+	room              float64                         // the most that the earlier hosts were
+	pulse, level      float64                         // the earlier build's times over the calm ones, and what of that is not the build's fault
+	dipAt             int64                           // since when the trial's commands are kept back, 0 for not
+	before, after     float64                         // the pulse before and in the dip
 	want, cast, noted vote
 	castAt, callAt    int64
 	calling           bool
@@ -138,6 +144,9 @@
 	began    int64
 	watchAt  int64
 	taken    float64         // this tick's
+	mean     float64         // mean time of an answer
+	company  float64         // routers heard of late, and this one
+	all      float64         // commands a second that they take
 	models   map[int]float64 // by kind of machine: how long it takes, over what all take
 	rate     float64         // commands taken a second
 	rates    []float64       // of each router
@@ -185,16 +194,16 @@
 
 // gossip is what one router tells another.
 type gossip struct {
-	build         int
-	state, spread [kinds]float64
-	count, own    float64
+	build           int
+	state, spread   [kinds]float64
+	count, own, dip float64 // dip: for how many seconds the trial has been kept back
 }
 
-const gossipLen = 2 + (2*kinds+2)*4
+const gossipLen = 2 + (2*kinds+3)*4
 
 func (g *gossip) figures() []*float64 {
 	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging], &g.count,
-		&g.own}
+		&g.own, &g.dip}
 }
 
 func (g gossip) encode() []byte {
