--- a/rules/rules.go
+++ b/rules/rules.go
@@ -104,7 +104,7 @@
 		fails, err := d.excess(failing)
 		lags, err2 := d.excess(lagging)
 		d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: failing %.3f+-%.3f, lagging %.3f+-%.3f, of %.0f",
-			d.want.verdict, d.want.build, d.want.stage, fails, err, lags, err2, d.count*d.company))
+			d.want.verdict, d.want.build, d.want.stage, fails, err, lags, err2, d.count[failing]*d.company))
 	}
 }
 
@@ -258,7 +258,7 @@
 	pool := pools[0]
 	if len(pools[1]) > 0 {
 		share := sizes[1] / (sizes[0] + sizes[1])
-		if d.dipAt > 0 && d.after == 0 {
+		if d.dipAt > 0 && d.now < d.dipAt+dipFor {
 			share = 0
 		} else if d.condemned {
 			share /= 10 // a build that looks bad gets just enough to go on being judged
@@ -321,6 +321,12 @@
 			d.mean += 0.01 * (float64(took) - d.mean)
 			pulse := ratio / (1 + d.models[h.kind]) * c.band.typical / c.band.calm
 			d.pulse += 0.03 * (min(pulse, 8) - d.pulse) // the last thirty answers
+			for i := range d.times {
+				if from := d.dipAt + int64(i)*dipFor; o.at > from+second && d.now < from+dipFor {
+					d.times[i].n++
+					d.times[i].bad += min(pulse, 8)
+				}
+			}
 			if c.band.hint == 0 {
 				c.band.hint = float64(c.hint)
 			}
@@ -420,23 +426,23 @@
 
 // weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for builds
 // that are slow within their time-outs: how much longer than expected an answer took, up to four times, as a part
-// of that. A cold host may take longer by as much as it can do less.
+// of that. It takes warm hosts only, as those that still warm up queue when the others don't.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
-	var bad [kinds]float64
-	switch beside := d.now-d.pastAt < alongside; {
-	case e == Failed, beside && (e == Reset || e == TimedOut && o.until >= c.cutOff):
-		bad[failing] = 1
-	case beside && (e == Fulfilled || e == TimedOut):
-		bad[lagging] = min(4, float64(took)*d.warmth(o.host)/(d.expected(c)*(1+d.models[o.host.kind])))/4 - 0.25
-	case e != Fulfilled && e != TimedOut && e != Reset:
-		return
-	}
-	if !d.judged(o.build) {
+	beside, side := d.now-d.pastAt < alongside, d.side(o.build)
+	if side == &d.earlier {
 		d.pastAt = d.now
 	} else if o.at-o.host.listed < second { // the page: trial machines listed a short while ago are skipped
 		return
 	}
-	d.side(o.build).put(1, bad)
+	switch {
+	case e == Failed, beside && (e == Reset || e == TimedOut && o.until >= c.cutOff):
+		side.put(failing, 1, 1)
+	case e == Fulfilled || e == TimedOut || e == Reset:
+		side.put(failing, 1, 0)
+	}
+	if beside && (e == Fulfilled || e == TimedOut) && d.warmth(o.host) == 1 {
+		side.put(lagging, 1, min(4, float64(took)/(d.expected(c)*(1+d.models[o.host.kind])))/4-0.25)
+	}
 }
 
 // side is where this tick's outcomes of a build are counted.
@@ -449,7 +455,7 @@
 
 // flagged counts a wrong answer for as many as the reports stand for.
 func (d *decider) flagged(h *host, age int64) {
-	d.side(h.build).put(0, [kinds]float64{failing: 1 / max(d.set.FlagShare, 0.05)})
+	d.side(h.build).put(failing, 0, 1/max(d.set.FlagShare, 0.05))
 }
 
 func (d *decider) probed(h *host, e Ending, report []float64) {
@@ -462,13 +468,13 @@
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
-	d.count = forgetting*d.count + d.trial.n
 	for k := range d.state {
 		// the earlier build's share of failures is as old as the state; that of slow answers follows the traffic
 		keep := [kinds]float64{forgetting, 0.9}[k]
-		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n, keep*d.past[k].bad+d.earlier.bad[k]
+		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n[k], keep*d.past[k].bad+d.earlier.bad[k]
 		// the page's reading, weighed by its outcomes: else a tick of one outcome is worth as much as one of ten
-		x := d.trial.bad[k] - d.trial.n*d.past[k].bad/max(d.past[k].n, 1e-9)
+		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, 1e-9)
+		d.count[k] = forgetting*d.count[k] + d.trial.n[k]
 		d.state[k] = forgetting*d.state[k] + (1-forgetting)*x
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
@@ -483,7 +489,7 @@
 		if peer >= d.set.Rank {
 			peer++
 		}
-		g := gossip{d.news.Build, d.state, d.spread, d.count, d.rate, 0}
+		g := gossip{d.news.Build, d.state, d.spread, d.count, d.rate, 0, d.proof}
 		if d.dipAt > 0 {
 			g.dip = float64(d.now-d.dipAt) / float64(second)
 		}
@@ -512,11 +518,12 @@
 func (d *decider) heard(peer int, g gossip) {
 	d.rates[peer], d.heardAt[peer] = g.own, d.now
 	if age := int64(g.dip * float64(second)); age > 0 && age < dipFor/2 && d.dipAt == 0 && d.pulse > 1.2*d.level {
-		d.dipAt, d.before, d.after = d.now-age, d.pulse, 0
+		d.startDip(age)
 	}
 	if g.build == d.news.Build {
-		d.count += gain * (g.count - d.count)
+		d.proof += gain * (g.proof - d.proof)
 		for k := range d.state {
+			d.count[k] += gain * (g.count[k] - d.count[k])
 			d.state[k] += gain * (g.state[k] - d.state[k])
 			d.spread[k] += gain * (g.spread[k] - d.spread[k])
 		}
@@ -534,25 +541,26 @@
 
 // excess is a state for each outcome that it stands for, and its standard error.
 func (d *decider) excess(k int) (mean, err float64) {
-	n := d.count * (1 - forgetting)
+	n := d.count[k] * (1 - forgetting)
 	if n < 1e-6 {
 		return 0, 1
 	}
-	return d.state[k] / n, math.Sqrt(d.spread[k] / n / max(d.count*d.company, 1))
+	return d.state[k] / n, math.Sqrt(d.spread[k] / n / max(d.count[k]*d.company, 1))
 }
 
 // A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows. This
-// exception acts while the earlier build's answers take half as long again as before the trial: all routers keep
-// the trial's commands back for a while; where that brings the times down and the commands' return brings them
-// up again, it is the build. Should also tell a build that overloads something they share; harms a good build by
-// some seconds when something else slows all. It takes two such tests, and earlier hosts that are all still there.
+// exception acts while the earlier build's answers take half as long again as before the trial, and its hosts are
+// all still there: the routers together keep the trial's commands back for a while; where that brings the times
+// down, and the commands' return brings them up again, it is the build. Should also tell a build that overloads
+// what all share; costs a good build some seconds when something else slows all. Routers mix what they find.
 const (
 	dragged = 1.5
-	dipFor  = 3 * second // for the backlog to go, and for thirty answers after it
+	dipFor  = 3 * second // a second for the backlog to go, and two to measure
+	proven  = 0.4        // one test by nearly all routers, or two by most
 )
 
-// dip starts, ends and reads such a test; it tells whether one is on.
-func (d *decider) dip() bool {
+// dip starts, ends and reads such a test.
+func (d *decider) dip() {
 	earlier := 0.0
 	for _, h := range d.fleet {
 		if h.health == Ready && !h.trial {
@@ -561,21 +569,27 @@
 	}
 	d.room = max(d.room, earlier)
 	d.level = min(d.level, max(1, d.pulse)) // what an earlier test found not to be the build's fault
+	without, with := d.times[0].bad/max(d.times[0].n, 1), d.times[1].bad/max(d.times[1].n, 1)
 	switch age := d.now - d.dipAt; {
 	case d.news.Standing != OnTrial || !d.judged(d.news.Build):
 		d.dipAt = 0
-	case d.dipAt == 0 && d.pulse > dragged*d.level && d.count > 0 && earlier > 0.9*d.room:
-		d.dipAt, d.before, d.after = d.now, d.pulse, 0
-	case d.dipAt > 0 && d.after == 0 && age > dipFor:
-		if d.after = d.pulse; (d.after - 1) > (d.before-1)/2 {
-			d.dipAt, d.level = 0, d.pulse
-		}
-	case d.dipAt > 0 && age > 2*dipFor:
-		if d.dipAt = 0; d.pulse-d.after > (d.before-d.after)/2 {
-			d.proofs++
+	case d.dipAt == 0:
+		if d.pulse > dragged*d.level && d.count[failing] > 0 && earlier > 0.9*d.room {
+			d.startDip(0)
+		}
+	case age > 2*dipFor || age > dipFor && without-1 > (d.before-1)*0.6:
+		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
+		if d.proof /= 2; with > 1.25*without && min(d.times[0].n, d.times[1].n) >= 8 {
+			d.proof += 0.5
+		} else {
+			d.level = max(d.level, d.pulse)
 		}
+		d.dipAt = 0
 	}
-	return d.dipAt > 0
+}
+
+func (d *decider) startDip(age int64) {
+	d.dipAt, d.before, d.times = d.now-age, d.pulse, [2]mean{}
 }
 
 // mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for
@@ -594,10 +608,10 @@
 	if d.doubtful++; !doubt || !d.judged(d.news.Build) {
 		d.doubtful = 0
 	}
-	pooled := d.count * d.company
-	dipping := d.dip()
+	pooled := d.count[failing] * d.company
+	d.dip()
 	// what is condemned gets few commands, and stays so on fewer outcomes than it took
-	d.condemned = d.proofs >= 2 || d.pastAt > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
+	d.condemned = d.proof > proven || d.pastAt > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1 // one more, as one may be cut off
 	if d.set.Rank >= voters || !d.judged(d.news.Build) {
 		return
@@ -617,7 +631,7 @@
 		if worry {
 			d.want = vote{Hold, d.news.Build, d.news.Stage}
 		}
-	case d.doubtful == 0 && !dipping && (!worry && (age >= 2*second && pooled >= enough || age >= 7*second/2) || age >= 6*second):
+	case d.doubtful == 0 && d.dipAt == 0 && (!worry && (age >= 2*second && pooled >= enough || age >= 7*second/2) || age >= 6*second):
 		d.want = vote{On, d.news.Build, d.news.Stage}
 	}
 }
@@ -641,11 +655,11 @@
 		if d.news.Standing == Released {
 			d.base = d.news.Build
 		}
-		d.proofs, d.level, d.room = 0, 1, 0
+		d.proof, d.level, d.room = 0, 1, 0
 		for _, b := range d.bands {
 			b.calm = b.typical
 		}
-		d.count, d.state, d.spread = 0, [kinds]float64{}, [kinds]float64{}
+		d.count, d.state, d.spread = [kinds]float64{}, [kinds]float64{}, [kinds]float64{}
 	}
 	d.news, d.told = n, true
 	if n.Standing == GoingBack || n.Standing == Withdrawn {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -114,24 +114,24 @@
 func TestStateAndGossip(t *testing.T) {
 	w := still(t, plain(), true)
 	d := w.r.decider
-	d.trial, d.earlier = sample{4, [kinds]float64{2}, [kinds]float64{2}}, sample{n: 10, bad: [kinds]float64{1}}
+	d.trial, d.earlier = sample{n: [kinds]float64{4}, bad: [kinds]float64{2}}, sample{n: [kinds]float64{10}, bad: [kinds]float64{1}}
 	d.tick()
-	if want := (1 - forgetting) * 4 * (0.5 - 0.1); !near(d.state[failing], want) || !near(d.count, 4) {
+	if want := (1 - forgetting) * 4 * (0.5 - 0.1); !near(d.state[failing], want) || !near(d.count[failing], 4) {
 		t.Fatalf("state %v, wanted %v; count %v", d.state[failing], want, d.count)
 	}
 	before := d.state[failing]
 	d.tick() // no outcome: the paper's missing measurement counts as 0
-	if !near(d.state[failing], forgetting*before) || !near(d.count, 4*forgetting) {
+	if !near(d.state[failing], forgetting*before) || !near(d.count[failing], 4*forgetting) {
 		t.Fatalf("state %v, count %v after an empty tick", d.state, d.count)
 	}
-	state, count := d.state[failing], d.count
-	w.r.Heard(w.now, 1, gossip{build: 5, state: [kinds]float64{0.25}, count: 8}.encode())
-	if !near(d.state[failing], (1-gain)*state+gain*0.25) || !near(d.count, (1-gain)*count+gain*8) {
+	state, count := d.state[failing], d.count[failing]
+	w.r.Heard(w.now, 1, gossip{build: 5, state: [kinds]float64{0.25}, count: [kinds]float64{8}}.encode())
+	if !near(d.state[failing], (1-gain)*state+gain*0.25) || !near(d.count[failing], (1-gain)*count+gain*8) {
 		t.Fatalf("state %v, count %v after gossip", d.state, d.count)
 	}
 	state = d.state[failing]
 	for _, raw := range [][]byte{nil, make([]byte, gossipLen+1), gossip{build: 5, state: [kinds]float64{math.NaN()}}.encode(),
-		gossip{build: 5, count: -1}.encode(), gossip{build: 5, state: [kinds]float64{0, 1e30}}.encode(), gossip{build: 4, state: [kinds]float64{9}}.encode()} {
+		gossip{build: 5, count: [kinds]float64{-1}}.encode(), gossip{build: 5, state: [kinds]float64{0, 1e30}}.encode(), gossip{build: 4, state: [kinds]float64{9}}.encode()} {
 		if w.r.Heard(w.now, 1, raw); d.state[failing] != state {
 			t.Fatalf("the message %x moved the state", raw)
 		}
--- a/rules/state.go
+++ b/rules/state.go
@@ -88,10 +88,10 @@
 }
 
 // sample is what one tick saw of a build: outcomes and their badness.
-type sample struct {
-	n           float64
-	bad, square [kinds]float64
-}
+// mean is a sum and of how many.
+type mean struct{ n, bad float64 }
+
+type sample struct{ n, bad, square [kinds]float64 }
 
 // What the states count.
 const (
@@ -125,18 +125,19 @@
 	seenKey map[uint64]int64 // key: when it last came
 	again   bucket           // further hand-offs
 
-	count             float64                         // gossiped: the decayed trial count
-	state, spread     [kinds]float64                  // gossiped: the states s, and the mean squares of their readings
-	trial, earlier    sample                          // this tick's
-	past              [kinds]struct{ n, bad float64 } // the earlier build's outcomes
-	pastAt            int64                           // when the last of them came
-	doubtful          int                             // ticks in a row in which the build looked bad
-	condemned         bool                            // it looked bad for long enough, on enough outcomes
-	proofs            int                             // tests that found it to slow all hosts
-	room              float64                         // the most that the earlier hosts were
-	pulse, level      float64                         // the earlier build's times over the calm ones, and what of that is not the build's fault
-	dipAt             int64                           // since when the trial's commands are kept back, 0 for not
-	before, after     float64                         // the pulse before and in the dip
+	count             [kinds]float64 // gossiped: the decayed trial counts
+	state, spread     [kinds]float64 // gossiped: the states s, and the mean squares of their readings
+	trial, earlier    sample         // this tick's
+	past              [kinds]mean    // the earlier build's outcomes
+	pastAt            int64          // when the last of them came
+	doubtful          int            // ticks in a row in which the build looked bad
+	condemned         bool           // it looked bad for long enough, on enough outcomes
+	proof             float64        // gossiped: in how far tests found it to slow all hosts
+	times             [2]mean        // what a test measures, without and with the trial's commands
+	room              float64        // the most that the earlier hosts were
+	pulse, level      float64        // the earlier build's times over the calm ones, and what of that is not the build's fault
+	dipAt             int64          // since when the trial's commands are kept back, 0 for not
+	before            float64        // the pulse before it
 	want, cast, noted vote
 	castAt, callAt    int64
 	calling           bool
@@ -170,12 +171,10 @@
 	return true
 }
 
-func (s *sample) put(n float64, bad [kinds]float64) {
-	s.n += n
-	for k := range bad {
-		s.bad[k] += bad[k]
-		s.square[k] += bad[k] * bad[k]
-	}
+func (s *sample) put(k int, n, bad float64) {
+	s.n[k] += n
+	s.bad[k] += bad
+	s.square[k] += bad * bad
 }
 
 // mayHaveRun is the first hand-off that is out or may have run.
@@ -194,16 +193,16 @@
 
 // gossip is what one router tells another.
 type gossip struct {
-	build           int
-	state, spread   [kinds]float64
-	count, own, dip float64 // dip: for how many seconds the trial has been kept back
+	build                int
+	state, spread, count [kinds]float64
+	own, dip, proof      float64 // dip: for how many seconds the trial has been kept back
 }
 
-const gossipLen = 2 + (2*kinds+3)*4
+const gossipLen = 2 + (3*kinds+3)*4
 
 func (g *gossip) figures() []*float64 {
-	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging], &g.count,
-		&g.own, &g.dip}
+	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging], &g.count[failing],
+		&g.count[lagging], &g.own, &g.dip, &g.proof}
 }
 
 func (g gossip) encode() []byte {
