--- a/rules/rules.go
+++ b/rules/rules.go
@@ -257,7 +257,14 @@
 	}
 	pool := pools[0]
 	if len(pools[1]) > 0 {
+		// commands that can go nowhere else, as their keys are kept there, are part of the trial's share
 		share := sizes[1] / (sizes[0] + sizes[1])
+		if len(pools[0]) > 0 {
+			share = (share - d.forced) / (1 - d.forced)
+			d.forced -= 0.01 * d.forced
+		} else {
+			d.forced += 0.01 * (0.9 - d.forced)
+		}
 		if d.dipAt > 0 && d.now < d.dipAt+dipFor {
 			share = 0
 		} else if d.condemned {
@@ -426,7 +433,7 @@
 
 // weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for builds
 // that are slow within their time-outs: how much longer than expected an answer took, up to four times, as a part
-// of that. It takes warm hosts only, as those that still warm up queue when the others don't.
+// of that. It takes hosts that are warm and not draining, as the others have queues of their own.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
 	beside, side := d.now-d.pastAt < alongside, d.side(o.build)
 	if side == &d.earlier {
@@ -440,7 +447,7 @@
 	case e == Fulfilled || e == TimedOut || e == Reset:
 		side.put(failing, 1, 0)
 	}
-	if beside && (e == Fulfilled || e == TimedOut) && d.warmth(o.host) == 1 {
+	if beside && (e == Fulfilled || e == TimedOut) && d.warmth(o.host) == 1 && o.host.health == Ready {
 		side.put(lagging, 1, min(4, float64(took)/(d.expected(c)*(1+d.models[o.host.kind])))/4-0.25)
 	}
 }
@@ -469,12 +476,13 @@
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
 	for k := range d.state {
-		// the earlier build's share of failures is as old as the state; that of slow answers follows the traffic
-		keep := [kinds]float64{forgetting, 0.9}[k]
+		// the earlier build's share of failures is rare and kept long; that of slow answers follows the traffic
+		keep := [kinds]float64{0.998, 0.9}[k]
 		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n[k], keep*d.past[k].bad+d.earlier.bad[k]
 		// the page's reading, weighed by its outcomes: else a tick of one outcome is worth as much as one of ten
 		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, 1e-9)
 		d.count[k] = forgetting*d.count[k] + d.trial.n[k]
+		d.beside[k] = forgetting*d.beside[k] + d.earlier.n[k]
 		d.state[k] = forgetting*d.state[k] + (1-forgetting)*x
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
@@ -545,7 +553,7 @@
 	if n < 1e-6 {
 		return 0, 1
 	}
-	return d.state[k] / n, math.Sqrt(d.spread[k] / n / max(d.count[k]*d.company, 1))
+	return d.state[k] / n, math.Sqrt(d.spread[k] / n / d.company * (1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1)))
 }
 
 // A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows. This
--- a/rules/state.go
+++ b/rules/state.go
@@ -129,6 +129,8 @@
 	state, spread     [kinds]float64 // gossiped: the states s, and the mean squares of their readings
 	trial, earlier    sample         // this tick's
 	past              [kinds]mean    // the earlier build's outcomes
+	beside            [kinds]float64 // how many of them stand beside the trial's
+	forced            float64        // part of the commands that can only go to the trial
 	pastAt            int64          // when the last of them came
 	doubtful          int            // ticks in a row in which the build looked bad
 	condemned         bool           // it looked bad for long enough, on enough outcomes
