--- a/rules/rules.go
+++ b/rules/rules.go
@@ -269,7 +269,7 @@
 			share = 0
 		} else if d.condemned {
 			share /= 10 // a build that looks bad gets just enough to go on being judged
-		} else if c.key != 0 && d.set.KeysStay && stuck == 0 && d.cap < 1 && d.now-d.seenKey[c.key] < 3*second {
+		} else if c.key != 0 && d.set.KeysStay && stuck == 0 && d.now-d.seenKey[c.key] < 3*second {
 			share = 0 // a key that comes often would tie more commands to the trial than the cap lets through
 		}
 		if len(pools[0]) == 0 || d.chance() < share {
@@ -427,17 +427,19 @@
 	return d.told && build == d.news.Build && build > d.base && d.news.Standing != Withdrawn
 }
 
-// alongside is how fresh the earlier build's outcomes must be to compare with: what a shared slowdown, an overload
-// or a host's end bring once the earlier hosts have left is no fault of the build.
-const alongside = 2 * second
+// alongside is how long ago a hand-off to the earlier build, already ended, may have been sent to compare
+// with: what a shared slowdown, an overload or a host's end bring once the earlier hosts have left is no
+// fault of the build.
+const alongside = second
 
-// weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for builds
-// that are slow within their time-outs: how much longer than expected an answer took, up to four times, as a part
-// of that. It takes hosts that are warm and not draining, as the others have queues of their own.
+// weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception
+// for builds that are slow within their time-outs: how much longer than expected an answer took, up to four
+// times, as a part of that. It takes hosts that are warm and not draining, as the others have queues of
+// their own.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
-	beside, side := d.now-d.pastAt < alongside, d.side(o.build)
+	beside, side := o.at-d.pastAt < alongside, d.side(o.build)
 	if side == &d.earlier {
-		d.pastAt = d.now
+		d.pastAt = max(d.pastAt, o.at)
 	} else if o.at-o.host.listed < second { // the page: trial machines listed a short while ago are skipped
 		return
 	}
@@ -476,10 +478,12 @@
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
 	for k := range d.state {
-		// the earlier build's share of failures is rare and kept long; that of slow answers follows the traffic
+		// the earlier build's share of failures is rare and kept long; that of slow answers follows the
+		// traffic
 		keep := [kinds]float64{0.998, 0.9}[k]
 		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n[k], keep*d.past[k].bad+d.earlier.bad[k]
-		// the page's reading, weighed by its outcomes: else a tick of one outcome is worth as much as one of ten
+		// the page's reading, weighed by its outcomes: else a tick of one outcome is worth as much as one
+		// of ten
 		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, 1e-9)
 		d.count[k] = forgetting*d.count[k] + d.trial.n[k]
 		d.beside[k] = forgetting*d.beside[k] + d.earlier.n[k]
@@ -503,8 +507,8 @@
 		}
 		d.out.Tell(peer, g.encode())
 	}
-	// the pooled count stands for the routers heard of late, where the page has all of them: a router that is cut
-	// off or alone must not take its own few outcomes for many
+	// the pooled count stands for the routers heard of late, where the page has all of them: a router that
+	// is cut off or alone must not take its own few outcomes for many
 	d.company, d.all = 1, max(d.rate, 1)
 	for i, at := range d.heardAt {
 		if at > 0 && d.now-at < recent {
@@ -556,11 +560,12 @@
 	return d.state[k] / n, math.Sqrt(d.spread[k] / n / d.company * (1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1)))
 }
 
-// A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows. This
-// exception acts while the earlier build's answers take half as long again as before the trial, and its hosts are
-// all still there: the routers together keep the trial's commands back for a while; where that brings the times
-// down, and the commands' return brings them up again, it is the build. Should also tell a build that overloads
-// what all share; costs a good build some seconds when something else slows all. Routers mix what they find.
+// A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows.
+// This exception acts while the earlier build's answers take half as long again as before the trial, and
+// its hosts are all still there: the routers together keep the trial's commands back for a while; where
+// that brings the times down, and the commands' return brings them up again, it is the build. Should also
+// tell a build that overloads what all share; costs a good build some seconds when something else slows
+// all. Routers mix what they find.
 const (
 	dragged = 1.5
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
@@ -611,7 +616,7 @@
 	for k := range d.state {
 		mean, err := d.excess(k)
 		doubt = doubt || mean-sure*err > threshold[k]
-		worry = worry || mean > threshold[k]
+		worry = worry || mean-err > threshold[k]
 	}
 	if d.doubtful++; !doubt || !d.judged(d.news.Build) {
 		d.doubtful = 0
