--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,7 +20,7 @@
 	one := &bucket{s.Free, s.Free}
 	for _, b := range s.Bands {
 		row := &band{Band: b, exposure: one, typical: float64(b.Contract) / 5}
-		row.calm, d.mean, d.pulse, d.level = row.typical, d.mean+row.typical/float64(len(s.Bands)), 1, 1
+		d.mean, d.level = d.mean+row.typical/float64(len(s.Bands)), 1
 		if s.CapByBand {
 			row.exposure = &bucket{s.Free, s.Free}
 		}
@@ -326,18 +326,15 @@
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
 			d.models[h.kind] += 0.01 * (ratio - 1 - d.models[h.kind])
 			d.mean += 0.01 * (float64(took) - d.mean)
-			pulse := ratio / (1 + d.models[h.kind]) * c.band.typical / c.band.calm
-			d.pulse += 0.03 * (min(pulse, 8) - d.pulse) // the last thirty answers
+			// the mean of the speeds goes by the quick answers, that did not wait: load moves it little
+			speed := min(5, float64(c.band.Contract)/float64(took)*d.expected(c)/c.band.typical/10)
+			d.speed += 0.03 * (speed - d.speed) // the last thirty answers
 			for i := range d.times {
 				if from := d.dipAt + int64(i)*dipFor; o.at > from+second && d.now < from+dipFor {
 					d.times[i].n++
-					d.times[i].bad += min(pulse, 8)
+					d.times[i].bad += speed
 				}
 			}
-			if c.band.hint == 0 {
-				c.band.hint = float64(c.hint)
-			}
-			c.band.hint += 0.01 * (float64(c.hint) - c.band.hint)
 		}
 		d.warmed()
 		if o.build >= d.news.Build && o.build > d.base && d.set.KeysStay && c.key != 0 { // also once released
@@ -529,7 +526,7 @@
 
 func (d *decider) heard(peer int, g gossip) {
 	d.rates[peer], d.heardAt[peer] = g.own, d.now
-	if age := int64(g.dip * float64(second)); age > 0 && age < dipFor/2 && d.dipAt == 0 && d.pulse > 1.2*d.level {
+	if age := int64(g.dip * float64(second)); age > 0 && age < dipFor/2 && d.dipAt == 0 && d.calm > 1.1*d.level*d.speed {
 		d.startDip(age)
 	}
 	if g.build == d.news.Build {
@@ -567,7 +564,7 @@
 // tell a build that overloads what all share; costs a good build some seconds when something else slows
 // all. Routers mix what they find.
 const (
-	dragged = 1.5
+	dragged = 1.25
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
 	proven  = 0.4        // one test by nearly all routers, or two by most
 )
@@ -581,28 +578,29 @@
 		}
 	}
 	d.room = max(d.room, earlier)
-	d.level = min(d.level, max(1, d.pulse)) // what an earlier test found not to be the build's fault
-	without, with := d.times[0].bad/max(d.times[0].n, 1), d.times[1].bad/max(d.times[1].n, 1)
+	pulse := d.calm / max(d.speed, 1e-3)
+	d.level = min(d.level, max(1, pulse)) // what an earlier test found not to be the build's fault
+	without, with := d.calm*d.times[0].n/max(d.times[0].bad, 1e-3), d.calm*d.times[1].n/max(d.times[1].bad, 1e-3)
 	switch age := d.now - d.dipAt; {
 	case d.news.Standing != OnTrial || !d.judged(d.news.Build):
 		d.dipAt = 0
 	case d.dipAt == 0:
-		if d.pulse > dragged*d.level && d.count[failing] > 0 && earlier > 0.9*d.room {
+		if pulse > dragged*d.level && d.count[failing] > 0 && earlier > 0.9*d.room {
 			d.startDip(0)
 		}
-	case age > 2*dipFor || age > dipFor && without-1 > (d.before-1)*0.6:
+	case age > 2*dipFor:
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
-		if d.proof /= 2; with > 1.25*without && min(d.times[0].n, d.times[1].n) >= 8 {
+		if d.proof /= 2; with > 1.15*without && min(d.times[0].n, d.times[1].n) >= 8 {
 			d.proof += 0.5
 		} else {
-			d.level = max(d.level, d.pulse)
+			d.level = max(d.level, pulse)
 		}
 		d.dipAt = 0
 	}
 }
 
 func (d *decider) startDip(age int64) {
-	d.dipAt, d.before, d.times = d.now-age, d.pulse, [2]mean{}
+	d.dipAt, d.before, d.times = d.now-age, d.calm/max(d.speed, 1e-3), [2]mean{}
 }
 
 // mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for
@@ -669,9 +667,7 @@
 			d.base = d.news.Build
 		}
 		d.proof, d.level, d.room = 0, 1, 0
-		for _, b := range d.bands {
-			b.calm = b.typical
-		}
+		d.calm = d.speed
 		d.count, d.state, d.spread = [kinds]float64{}, [kinds]float64{}, [kinds]float64{}
 	}
 	d.news, d.told = n, true
--- a/rules/state.go
+++ b/rules/state.go
@@ -77,7 +77,6 @@
 	exposure *bucket
 	typical  float64 // mean time of the earlier build's answers
 	hint     float64 // mean hint
-	calm     float64 // the typical time before the trial
 	rate     [2]float64
 }
 
@@ -125,24 +124,24 @@
 	seenKey map[uint64]int64 // key: when it last came
 	again   bucket           // further hand-offs
 
-	count             [kinds]float64 // gossiped: the decayed trial counts
-	state, spread     [kinds]float64 // gossiped: the states s, and the mean squares of their readings
-	trial, earlier    sample         // this tick's
-	past              [kinds]mean    // the earlier build's outcomes
-	beside            [kinds]float64 // how many of them stand beside the trial's
-	forced            float64        // part of the commands that can only go to the trial
-	pastAt            int64          // when the last of them came
-	doubtful          int            // ticks in a row in which the build looked bad
-	condemned         bool           // it looked bad for long enough, on enough outcomes
-	proof             float64        // gossiped: in how far tests found it to slow all hosts
-	times             [2]mean        // what a test measures, without and with the trial's commands
-	room              float64        // the most that the earlier hosts were
-	pulse, level      float64        // the earlier build's times over the calm ones, and what of that is not the build's fault
-	dipAt             int64          // since when the trial's commands are kept back, 0 for not
-	before            float64        // the pulse before it
-	want, cast, noted vote
-	castAt, callAt    int64
-	calling           bool
+	count              [kinds]float64 // gossiped: the decayed trial counts
+	state, spread      [kinds]float64 // gossiped: the states s, and the mean squares of their readings
+	trial, earlier     sample         // this tick's
+	past               [kinds]mean    // the earlier build's outcomes
+	beside             [kinds]float64 // how many of them stand beside the trial's
+	forced             float64        // part of the commands that can only go to the trial
+	pastAt             int64          // when the last of them came
+	doubtful           int            // ticks in a row in which the build looked bad
+	condemned          bool           // it looked bad for long enough, on enough outcomes
+	proof              float64        // gossiped: in how far tests found it to slow all hosts
+	times              [2]mean        // what a test measures, without and with the trial's commands
+	room               float64        // the most that the earlier hosts were
+	speed, calm, level float64        // the earlier build's speed now, before the trial, and what of the loss is no fault of the build
+	dipAt              int64          // since when the trial's commands are kept back, 0 for not
+	before             float64        // how much slower than calm before it
+	want, cast, noted  vote
+	castAt, callAt     int64
+	calling            bool
 
 	began    int64
 	watchAt  int64
