--- a/rules/rules.go
+++ b/rules/rules.go
@@ -564,7 +564,7 @@
 // tell a build that overloads what all share; costs a good build some seconds when something else slows
 // all. Routers mix what they find.
 const (
-	dragged = 1.25
+	dragged = 1.3
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
 	proven  = 0.4        // one test by nearly all routers, or two by most
 )
@@ -590,7 +590,7 @@
 		}
 	case age > 2*dipFor:
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
-		if d.proof /= 2; with > 1.15*without && min(d.times[0].n, d.times[1].n) >= 8 {
+		if d.proof /= 2; with/without-1 > math.Max(0.15, math.Sqrt(1/max(d.times[0].n, 1)+1/max(d.times[1].n, 1))) {
 			d.proof += 0.5
 		} else {
 			d.level = max(d.level, pulse)
