--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -21,7 +21,7 @@
 	Discovery  string
 	FamilyInfo struct {
 		BackVotes, ToAdvance, ToPause int
-		CapScope, GateMode            string
+		CapScope, GateMode, Layout    string
 		ComplaintShare, SpareTries    float64
 		ExposureCaps                  []float64
 		KeysStay, WarmKeys            bool
@@ -62,7 +62,7 @@
 		Recalls: lim.Cancel, Probes: lim.Probing, Peers: lim.PeerMessages, Advice: lim.RetryAfter,
 		MaxAdvice: lim.MaxRetryAfterNs, WarmKeys: fam.WarmKeys, OnVotes: fam.ToAdvance, BackVotes: fam.BackVotes,
 		HoldVotes: fam.ToPause, VoteLife: fam.VoteTtlNs, VoteWait: fam.VoteWaitNs, Free: fam.SpareTries,
-		CapByBand: fam.CapScope == "per_lane", Guarded: fam.Shielded, KeysStay: fam.KeysStay,
+		CapByBand: fam.CapScope == "per_lane", Guarded: fam.Shielded, Beside: fam.Layout == "side_by_side", KeysStay: fam.KeysStay,
 		FlagShare: fam.ComplaintShare, ColdFrom: p.Contract.ColdFrom, ColdFor: p.Contract.ColdNs,
 	}
 	if len(fam.ExposureCaps) > 0 {
--- a/rules/door.go
+++ b/rules/door.go
@@ -126,7 +126,8 @@
 	Free          float64 // exposure: hand-offs beyond the cap
 	FirstCap      float64
 	CapByBand     bool
-	Guarded       int // so many first stages take replayable commands only
+	Beside        bool // the earlier hosts stay until the release
+	Guarded       int  // so many first stages take replayable commands only
 	KeysStay      bool
 	FlagShare     float64 // part of the wrong answers that is reported
 	ColdFrom      float64
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -558,26 +558,19 @@
 }
 
 // A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows.
-// This exception acts while the earlier build's answers take half as long again as before the trial, and
-// its hosts are all still there: the routers together keep the trial's commands back for a while; where
-// that brings the times down, and the commands' return brings them up again, it is the build. Should also
-// tell a build that overloads what all share; costs a good build some seconds when something else slows
-// all. Routers mix what they find.
+// This exception acts where the earlier hosts stay until the release, while their answers are much slower
+// than before the trial: the routers together keep the trial's commands back for a while; where that brings
+// the times down, and the commands' return brings them up again, it is the build. Should also tell a build
+// that overloads what all share; costs a good build some seconds when something else slows all. Routers mix
+// what they find.
 const (
-	dragged = 1.3
+	dragged = 1.35
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
 	proven  = 0.4        // one test by nearly all routers, or two by most
 )
 
 // dip starts, ends and reads such a test.
 func (d *decider) dip() {
-	earlier := 0.0
-	for _, h := range d.fleet {
-		if h.health == Ready && !h.trial {
-			earlier += h.size
-		}
-	}
-	d.room = max(d.room, earlier)
 	pulse := d.calm / max(d.speed, 1e-3)
 	d.level = min(d.level, max(1, pulse)) // what an earlier test found not to be the build's fault
 	without, with := d.calm*d.times[0].n/max(d.times[0].bad, 1e-3), d.calm*d.times[1].n/max(d.times[1].bad, 1e-3)
@@ -585,7 +578,7 @@
 	case d.news.Standing != OnTrial || !d.judged(d.news.Build):
 		d.dipAt = 0
 	case d.dipAt == 0:
-		if pulse > dragged*d.level && d.count[failing] > 0 && earlier > 0.9*d.room {
+		if pulse > dragged*d.level && d.count[failing] > 0 && d.set.Beside {
 			d.startDip(0)
 		}
 	case age > 2*dipFor:
@@ -666,7 +659,7 @@
 		if d.news.Standing == Released {
 			d.base = d.news.Build
 		}
-		d.proof, d.level, d.room = 0, 1, 0
+		d.proof, d.level = 0, 1
 		d.calm = d.speed
 		d.count, d.state, d.spread = [kinds]float64{}, [kinds]float64{}, [kinds]float64{}
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -135,7 +135,6 @@
 	condemned          bool           // it looked bad for long enough, on enough outcomes
 	proof              float64        // gossiped: in how far tests found it to slow all hosts
 	times              [2]mean        // what a test measures, without and with the trial's commands
-	room               float64        // the most that the earlier hosts were
 	speed, calm, level float64        // the earlier build's speed now, before the trial, and what of the loss is no fault of the build
 	dipAt              int64          // since when the trial's commands are kept back, 0 for not
 	before             float64        // how much slower than calm before it
