--- a/rules/rules.go
+++ b/rules/rules.go
@@ -603,7 +603,7 @@
 // judge sets the wanted vote.
 func (d *decider) judge() {
 	d.want = vote{}
-	doubt, worry := false, false
+	doubt, worry := d.proof > proven, false
 	for k := range d.state {
 		mean, err := d.excess(k)
 		doubt = doubt || mean-sure*err > threshold[k]
@@ -615,7 +615,7 @@
 	pooled := d.count[failing] * d.company
 	d.dip()
 	// what is condemned gets few commands, and stays so on fewer outcomes than it took
-	d.condemned = d.proof > proven || d.pastAt > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
+	d.condemned = d.pastAt > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1 // one more, as one may be cut off
 	if d.set.Rank >= voters || !d.judged(d.news.Build) {
 		return
