--- a/rules/rules.go
+++ b/rules/rules.go
@@ -432,7 +432,7 @@
 // weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception
 // for builds that are slow within their time-outs: how much longer than expected an answer took, up to four
 // times, as a part of that. It takes hosts that are warm and not draining, as the others have queues of
-// their own.
+// their own, and ends with the trial, when the load moves.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
 	beside, side := o.at-d.pastAt < alongside, d.side(o.build)
 	if side == &d.earlier {
@@ -446,7 +446,8 @@
 	case e == Fulfilled || e == TimedOut || e == Reset:
 		side.put(failing, 1, 0)
 	}
-	if beside && (e == Fulfilled || e == TimedOut) && d.warmth(o.host) == 1 && o.host.health == Ready {
+	if beside && (e == Fulfilled || e == TimedOut) && d.news.Standing == OnTrial && d.warmth(o.host) == 1 &&
+		o.host.health == Ready {
 		side.put(lagging, 1, min(4, float64(took)/(d.expected(c)*(1+d.models[o.host.kind])))/4-0.25)
 	}
 }
@@ -566,7 +567,7 @@
 const (
 	dragged = 1.35
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
-	proven  = 0.4        // one test by nearly all routers, or two by most
+	proven  = 0.22       // mixed: a test by half of the routers, and not by one alone
 )
 
 // dip starts, ends and reads such a test.
