--- a/rules/rules.go
+++ b/rules/rules.go
@@ -542,7 +542,7 @@
 
 // threshold is the common one for each state over the measured share, that of slow answers being the coarser
 // measure; enough is the pooled count it needs, and so many standard errors must the state clear it by.
-var threshold = [kinds]float64{failing: 0.015, lagging: 0.08}
+var threshold = [kinds]float64{failing: 0.015, lagging: 0.12}
 
 const (
 	enough = 20
@@ -567,7 +567,7 @@
 const (
 	dragged = 1.35
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
-	proven  = 0.22       // mixed: a test by half of the routers, and not by one alone
+	proven  = 0.28       // mixed: a test by most of the routers, and not by one alone
 )
 
 // dip starts, ends and reads such a test.
@@ -584,7 +584,7 @@
 		}
 	case age > 2*dipFor:
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
-		if d.proof /= 2; with/without-1 > math.Max(0.15, math.Sqrt(1/max(d.times[0].n, 1)+1/max(d.times[1].n, 1))) {
+		if d.proof /= 2; with/without-1 > math.Max(0.15, 0.6*math.Sqrt(1/max(d.times[0].n, 1)+1/max(d.times[1].n, 1))) {
 			d.proof += 0.5
 		} else {
 			d.level = max(d.level, pulse)
