--- a/rules/rules.go
+++ b/rules/rules.go
@@ -567,7 +567,7 @@
 const (
 	dragged = 1.35
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
-	proven  = 0.28       // mixed: a test by most of the routers, and not by one alone
+	proven  = 0.45       // mixed: a test by about half of the routers, and not by one alone
 )
 
 // dip starts, ends and reads such a test.
@@ -584,10 +584,9 @@
 		}
 	case age > 2*dipFor:
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
-		if d.proof /= 2; with/without-1 > math.Max(0.15, 0.6*math.Sqrt(1/max(d.times[0].n, 1)+1/max(d.times[1].n, 1))) {
-			d.proof += 0.5
-		} else {
-			d.level = max(d.level, pulse)
+		chance := 0.6 * math.Sqrt(1/max(d.times[0].n, 1)+1/max(d.times[1].n, 1))
+		if d.proof = 1; with/without-1 < max(0.15, chance) {
+			d.proof, d.level = 0, max(d.level, pulse)
 		}
 		d.dipAt = 0
 	}
