--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -59,12 +59,15 @@
 	s := rules.Settings{
 		Rank: p.Rank, Routers: p.ReplicasOfMe, OverShare: p.OverShareWorth, Tick: p.TickNs,
 		Subscribe: p.Discovery == "subscribe", MaxHandOffs: lim.MaxAttempts, Copies: lim.ParallelTries,
-		Recalls: lim.Cancel, Probes: lim.Probing, Peers: lim.PeerMessages, Advice: lim.RetryAfter,
-		MaxAdvice: lim.MaxRetryAfterNs, WarmKeys: fam.WarmKeys, OnVotes: fam.ToAdvance, BackVotes: fam.BackVotes,
+		Recalls: lim.Cancel, Probes: lim.Probing, Peers: lim.PeerMessages,
+		WarmKeys: fam.WarmKeys, OnVotes: fam.ToAdvance, BackVotes: fam.BackVotes,
 		HoldVotes: fam.ToPause, VoteLife: fam.VoteTtlNs, VoteWait: fam.VoteWaitNs, Free: fam.SpareTries,
 		CapByBand: fam.CapScope == "per_lane", Guarded: fam.Shielded, Beside: fam.Layout == "side_by_side", KeysStay: fam.KeysStay,
 		FlagShare: fam.ComplaintShare, ColdFrom: p.Contract.ColdFrom, ColdFor: p.Contract.ColdNs,
 	}
+	if lim.RetryAfter {
+		s.MaxAdvice = lim.MaxRetryAfterNs
+	}
 	if len(fam.ExposureCaps) > 0 {
 		s.FirstCap = fam.ExposureCaps[0]
 	}
--- a/rules/door.go
+++ b/rules/door.go
@@ -114,7 +114,6 @@
 	Recalls       bool
 	Probes        bool
 	Peers         bool
-	Advice        bool // dismissed clients can be told when to come back
 	MaxAdvice     int64
 	WarmKeys      bool
 	Gate          Gate
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,13 +14,12 @@
 const second = int64(1e9)
 
 func newDecider(s Settings, seed uint64, out Effects) *decider {
-	d := &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{}, models: map[int]float64{},
-		rates: make([]float64, s.Routers), heardAt: make([]int64, s.Routers),
-		carriers: make([]float64, len(s.Carriers)), again: bucket{5, 10}}
+	d := blank(s, seed, out)
+	d.again, d.level = bucket{5, 10}, 1 // some further hand-offs at once, for a host that ends
 	one := &bucket{s.Free, s.Free}
 	for _, b := range s.Bands {
 		row := &band{Band: b, exposure: one, typical: float64(b.Contract) / 5}
-		d.mean, d.level = d.mean+row.typical/float64(len(s.Bands)), 1
+		d.mean += row.typical / float64(len(s.Bands))
 		if s.CapByBand {
 			row.exposure = &bucket{s.Free, s.Free}
 		}
@@ -41,10 +40,8 @@
 		if c.answer != none && !c.over {
 			if c.answer == scrap {
 				d.out.Scrap(c.id)
-			} else if d.set.Advice {
-				d.out.Dismiss(c.id, min(d.set.MaxAdvice, second/4)) // about as long as a burst's queue takes to drain
 			} else {
-				d.out.Dismiss(c.id, 0)
+				d.out.Dismiss(c.id, min(d.set.MaxAdvice, second/4)) // about as long as a queue takes to drain
 			}
 			d.close(c)
 			d.gone = append(d.gone, c)
@@ -101,10 +98,10 @@
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
 	if d.want != d.noted {
 		d.noted = d.want
-		fails, err := d.excess(failing)
-		lags, err2 := d.excess(lagging)
-		d.out.Note(fmt.Sprintf("vote %d on build %d stage %d: failing %.3f+-%.3f, lagging %.3f+-%.3f, of %.0f",
-			d.want.verdict, d.want.build, d.want.stage, fails, err, lags, err2, d.count[failing]*d.company))
+		f, fe := d.excess(failing)
+		l, le := d.excess(lagging)
+		d.out.Note(fmt.Sprintf("vote %v: failing %.3f+-%.3f, lagging %.3f+-%.3f, of %.0f", d.want, f, fe, l, le,
+			d.count[failing]*d.company))
 	}
 }
 
@@ -294,10 +291,8 @@
 
 // cost is how long a command would take at h: what is there, over what it can do, times how slow it has been.
 func (d *decider) cost(h *host) float64 {
-	there := 1 + float64(h.out)
-	if age := float64(d.now-h.queuedAt) / float64(second); h.queuedAt > 0 {
-		there += h.queue * math.Exp(-age) // a report says less the older it is
-	}
+	// a report says less the older it is
+	there := 1 + float64(h.out) + h.queue*math.Exp(-float64(d.now-h.queuedAt)/float64(second))
 	cost := there / (h.size * d.warmth(h)) * d.slowness(h)
 	if h.out > 0 { // owing a sign of life for long: paused, stalled or silent
 		cost *= 1 + float64(d.now-h.waiting)/d.mean
@@ -324,6 +319,10 @@
 		d.done++
 		if !d.judged(o.build) {
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
+			if c.band.hint == 0 {
+				c.band.hint = float64(c.hint)
+			}
+			c.band.hint += 0.01 * (float64(c.hint) - c.band.hint)
 			d.models[h.kind] += 0.01 * (ratio - 1 - d.models[h.kind])
 			d.mean += 0.01 * (float64(took) - d.mean)
 			// the mean of the speeds goes by the quick answers, that did not wait: load moves it little
@@ -395,8 +394,7 @@
 	}
 }
 
-// health sets a host aside after signs that it is down, for longer each time, and takes it back after an
-// answer.
+// health sets a host aside after signs that it is down, longer each time, and takes it back after an answer.
 func (d *decider) health(h *host, e Ending) {
 	switch e {
 	case Fulfilled, Failed:
@@ -476,12 +474,10 @@
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
 	for k := range d.state {
-		// the earlier build's share of failures is rare and kept long; that of slow answers follows the
-		// traffic
+		// the earlier build's failures are rare and kept long; its slowness follows the traffic
 		keep := [kinds]float64{0.998, 0.9}[k]
 		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n[k], keep*d.past[k].bad+d.earlier.bad[k]
-		// the page's reading, weighed by its outcomes: else a tick of one outcome is worth as much as one
-		// of ten
+		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten
 		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, 1e-9)
 		d.count[k] = forgetting*d.count[k] + d.trial.n[k]
 		d.beside[k] = forgetting*d.beside[k] + d.earlier.n[k]
@@ -499,11 +495,8 @@
 		if peer >= d.set.Rank {
 			peer++
 		}
-		g := gossip{d.news.Build, d.state, d.spread, d.count, d.rate, 0, d.proof}
-		if d.dipAt > 0 {
-			g.dip = float64(d.now-d.dipAt) / float64(second)
-		}
-		d.out.Tell(peer, g.encode())
+		d.out.Tell(peer, gossip{d.news.Build, d.state, d.spread, d.count, d.rate,
+			min(1e3, float64(d.now-d.dipAt)/float64(second)), d.proof}.encode())
 	}
 	// the pooled count stands for the routers heard of late, where the page has all of them: a router that
 	// is cut off or alone must not take its own few outcomes for many
@@ -527,10 +520,10 @@
 
 func (d *decider) heard(peer int, g gossip) {
 	d.rates[peer], d.heardAt[peer] = g.own, d.now
-	if age := int64(g.dip * float64(second)); age > 0 && age < dipFor/2 && d.dipAt == 0 && d.calm > 1.1*d.level*d.speed {
-		d.startDip(age)
-	}
 	if g.build == d.news.Build {
+		if g.dip < 1.5 && d.dipAt == 0 && d.calm > 1.1*d.level*d.speed { // join a test that has just begun
+			d.startDip(int64(g.dip * float64(second)))
+		}
 		d.proof += gain * (g.proof - d.proof)
 		for k := range d.state {
 			d.count[k] += gain * (g.count[k] - d.count[k])
@@ -555,7 +548,8 @@
 	if n < 1e-6 {
 		return 0, 1
 	}
-	return d.state[k] / n, math.Sqrt(d.spread[k] / n / d.company * (1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1)))
+	some := 1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1) // failures of the earlier build are few
+	return d.state[k] / n, math.Sqrt(d.spread[k] / n / d.company * some)
 }
 
 // A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows.
@@ -574,21 +568,18 @@
 func (d *decider) dip() {
 	pulse := d.calm / max(d.speed, 1e-3)
 	d.level = min(d.level, max(1, pulse)) // what an earlier test found not to be the build's fault
-	without, with := d.calm*d.times[0].n/max(d.times[0].bad, 1e-3), d.calm*d.times[1].n/max(d.times[1].bad, 1e-3)
-	switch age := d.now - d.dipAt; {
-	case d.news.Standing != OnTrial || !d.judged(d.news.Build):
+	without := d.calm * d.times[0].n / max(d.times[0].bad, 1e-3)
+	with := d.calm * d.times[1].n / max(d.times[1].bad, 1e-3)
+	if d.news.Standing != OnTrial {
 		d.dipAt = 0
-	case d.dipAt == 0:
-		if pulse > dragged*d.level && d.count[failing] > 0 && d.set.Beside {
-			d.startDip(0)
-		}
-	case age > 2*dipFor:
+	} else if d.dipAt == 0 && pulse > dragged*d.level && d.count[failing] > 0 && d.set.Beside {
+		d.startDip(0)
+	} else if d.dipAt > 0 && d.now-d.dipAt > 2*dipFor {
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
 		chance := 0.6 * math.Sqrt(1/max(d.times[0].n, 1)+1/max(d.times[1].n, 1))
-		if d.proof = 1; with/without-1 < max(0.15, chance) {
+		if d.proof, d.dipAt = 1, 0; with/without-1 < max(0.15, chance) {
 			d.proof, d.level = 0, max(d.level, pulse)
 		}
-		d.dipAt = 0
 	}
 }
 
@@ -596,30 +587,29 @@
 	d.dipAt, d.before, d.times = d.now-age, d.calm/max(d.speed, 1e-3), [2]mean{}
 }
 
-// mixing is so many ticks as gossip takes to spread what one router saw: a lone report must not pass for
-// many.
+// mixing is so many ticks as gossip takes to spread what one router saw, that must not pass for many.
 const mixing = 8
 
 // judge sets the wanted vote.
 func (d *decider) judge() {
 	d.want = vote{}
+	if !d.judged(d.news.Build) {
+		d.doubtful, d.condemned, d.dipAt = 0, false, 0
+		return
+	}
+	d.dip()
 	doubt, worry := d.proof > proven, false
 	for k := range d.state {
 		mean, err := d.excess(k)
 		doubt = doubt || mean-sure*err > threshold[k]
 		worry = worry || mean-err > threshold[k]
 	}
-	if d.doubtful++; !doubt || !d.judged(d.news.Build) {
+	if d.doubtful++; !doubt {
 		d.doubtful = 0
 	}
-	pooled := d.count[failing] * d.company
-	d.dip()
+	some := d.count[failing]*d.company >= enough
 	// what is condemned gets few commands, and stays so on fewer outcomes than it took
-	d.condemned = d.pastAt > 0 && d.doubtful > mixing && (d.condemned || pooled >= enough)
-	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1 // one more, as one may be cut off
-	if d.set.Rank >= voters || !d.judged(d.news.Build) {
-		return
-	}
+	d.condemned = d.pastAt > 0 && d.doubtful > mixing && (d.condemned || some)
 	newest := d.stageAt
 	for _, h := range d.fleet {
 		if h.build == d.news.Build {
@@ -627,16 +617,21 @@
 		}
 	}
 	age := d.now - newest
+	ready := !worry && (some && age >= 2*second || age >= 7*second/2) || age >= 6*second // the page's on-rule
+	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1                // as one may be cut off
+	verdict := NoVote
 	switch {
+	case d.set.Rank >= voters:
 	case d.condemned:
-		d.want = vote{Back, d.news.Build, d.news.Stage}
+		verdict = Back
 	case d.news.Standing != OnTrial:
-	case d.set.Gate == Clock:
-		if worry {
-			d.want = vote{Hold, d.news.Build, d.news.Stage}
-		}
-	case d.doubtful == 0 && d.dipAt == 0 && (!worry && (age >= 2*second && pooled >= enough || age >= 7*second/2) || age >= 6*second):
-		d.want = vote{On, d.news.Build, d.news.Stage}
+	case d.set.Gate == Clock && worry:
+		verdict = Hold
+	case d.set.Gate != Clock && ready && d.doubtful == 0 && d.dipAt == 0:
+		verdict = On
+	}
+	if verdict != NoVote {
+		d.want = vote{verdict, d.news.Build, d.news.Stage}
 	}
 }
 
@@ -702,17 +697,11 @@
 	if mark == d.wakes {
 		d.armed = 0
 	}
-	for {
-		c, ok := d.queue.Take(d.now)
-		if !ok {
-			break
-		}
+	for c, ok := d.queue.Take(d.now); ok; c, ok = d.queue.Take(d.now) {
 		d.look(c)
 	}
 	if d.now >= d.ticks {
-		for d.ticks <= d.now {
-			d.ticks += tickLen
-		}
+		d.ticks += (d.now - d.ticks + tickLen) / tickLen * tickLen
 		d.tick()
 		d.survey()
 		maps.DeleteFunc(d.seenKey, func(_ uint64, at int64) bool { return d.now-at > 3*second })
--- a/rules/state.go
+++ b/rules/state.go
@@ -223,3 +223,9 @@
 	x *= 0x9e3779b97f4a7c15
 	return float64(x>>11) / (1 << 53)
 }
+
+func blank(s Settings, seed uint64, out Effects) *decider {
+	return &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{},
+		models: map[int]float64{}, rates: make([]float64, s.Routers), heardAt: make([]int64, s.Routers),
+		carriers: make([]float64, len(s.Carriers))}
+}
--- a/rules/world_test.go
+++ b/rules/world_test.go
@@ -72,7 +72,7 @@
 
 // plain are settings that every rule has something to say to.
 func plain() Settings {
-	return Settings{Routers: 3, Tick: 5 * ms, MaxHandOffs: 4, Copies: true, Recalls: true, Peers: true, Advice: true,
+	return Settings{Routers: 3, Tick: 5 * ms, MaxHandOffs: 4, Copies: true, Recalls: true, Peers: true,
 		MaxAdvice: 1000 * ms, OnVotes: 2, BackVotes: 1, VoteLife: 4000 * ms, VoteWait: 800 * ms, Gate: Share, Free: 2,
 		FirstCap: 0.1, KeysStay: true, FlagShare: 0.15, ColdFrom: 0.33, ColdFor: 4000 * ms, OverShare: 0.1,
 		Carriers: []Carrier{{30}, {20}}, Bands: []Band{
