--- a/rules/door.go
+++ b/rules/door.go
@@ -254,8 +254,9 @@
 func (r *Router) Begun(now int64, id uint32, number int) {
 	if c := r.commands[id]; c != nil && number >= 0 && number < len(c.handOffs) {
 		r.now = now
-		r.begun(c, c.handOffs[number])
-		r.settle()
+		c.streams = true // the client's now, without a cut-off
+		r.queue.Remove(c.due)
+		c.handOffs[number].host.waiting = now
 	}
 }
 
@@ -299,6 +300,10 @@
 			r.hosts[e.ID] = h
 		}
 		r.show(h, e)
+		h.zone, h.kind, h.cell, h.health, h.build, h.started = e.Zone, e.Kind, e.Cell, e.Health, e.Build, e.Started
+		if h.size = e.Size; !(h.size > 1e-3 && h.size < 1e6) { // no size that can be reckoned with
+			h.size = 1
+		}
 	}
 	r.fleet = r.fleet[:0]
 	for _, h := range r.hosts {
@@ -331,7 +336,8 @@
 func (r *Router) Probed(now int64, id uint32, e Ending, took int64, report []float64) {
 	if h := r.hosts[id]; h != nil {
 		r.now = now
-		r.probed(h, e, report)
+		r.report(h, report)
+		r.health(h, e)
 		r.settle()
 	}
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -98,20 +98,18 @@
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
 	if d.want != d.noted {
 		d.noted = d.want
-		f, fe := d.excess(failing)
-		l, le := d.excess(lagging)
-		d.out.Note(fmt.Sprintf("vote %v: failing %.3f+-%.3f, lagging %.3f+-%.3f, of %.0f", d.want, f, fe, l, le,
-			d.count[failing]*d.company))
+		d.out.Note(fmt.Sprintf("vote %v: states %.4f, squares %.4f, counts %.0f", d.want, d.state, d.spread,
+			d.count))
 	}
 }
 
-// nextLook is when a command wants another look: for a second copy, or for its last answer.
+// nextLook is when a command wants another look: for a second copy after 2.5 expected times, longer than
+// almost every healthy answer takes, or for its last answer, before the client gives up.
 func (d *decider) nextLook(c *command) int64 {
-	last := c.cutOff - 2*d.set.Tick // the answer must be there before the client gives up
+	last := c.cutOff - 2*d.set.Tick
 	if !d.set.Copies || c.band.Repeat == SingleUse || len(c.handOffs) != 1 {
 		return last
 	}
-	// 2.5 typical times: longer than almost every healthy answer, and early enough to be of use
 	return min(last, max(d.now+int64(2.5*d.expected(c)), d.now+1))
 }
 
@@ -174,16 +172,6 @@
 	d.differ = append(d.differ, c)
 }
 
-// close marks that nothing more is owed.
-func (d *decider) close(c *command) {
-	if !c.over {
-		d.open--
-	}
-	c.over, c.next = true, nil
-	d.queue.Remove(c.due)
-	d.differ = append(d.differ, c) // for the hand-offs that are still out
-}
-
 // survey marks the hosts that this router must count as on trial: those of a build that its news does not
 // name yet, and of one that is not released. The cap is the lowest that any of them has.
 func (d *decider) survey() {
@@ -191,7 +179,15 @@
 	if d.news.Standing != Released {
 		d.cap = d.news.Cap
 	}
+	d.total, d.newest = 0, d.stageAt
 	for _, h := range d.fleet {
+		if h.build == d.news.Build {
+			d.newest = max(d.newest, h.started)
+		}
+		if h.health == Ready {
+			d.total += h.size * d.warmth(h)
+		}
+		h.budget.add(0.05) // so that a fleet that is all cold can start
 		h.stage, h.trial = d.news.Stage, h.build == d.news.Build && d.news.Standing != Released
 		if h.build > d.news.Build || !d.told {
 			h.stage, h.trial = 0, true
@@ -346,8 +342,16 @@
 	case over:
 		d.close(c)
 	case c.out > 0:
-	default:
-		d.afresh(c)
+	default: // again where that is allowed and of use
+		worth := c.contract
+		if c.band.LateOf > 0 {
+			worth = c.cutOff
+		}
+		if d.mayRepeat(c, false) && float64(worth-d.now) > c.band.typical/2 && d.again.take() {
+			d.place(c)
+		} else {
+			d.give(c)
+		}
 	}
 }
 
@@ -359,37 +363,12 @@
 	return c.band.typical * min(4, max(0.25, float64(c.hint)/c.band.hint))
 }
 
-// afresh hands a command off again where that is allowed and of use, else ends it.
-func (d *decider) afresh(c *command) {
-	worth := c.contract
-	if c.band.LateOf > 0 {
-		worth = c.cutOff
-	}
-	if d.mayRepeat(c, false) && float64(worth-d.now) > c.band.typical/2 && d.again.take() {
-		d.place(c)
-	} else {
-		d.give(c)
-	}
-}
-
-func (d *decider) begun(c *command, o *handOff) {
-	c.streams = true
-	d.queue.Remove(c.due)
-	o.host.waiting = d.now
-}
-
 // warmed lets cold hosts have what fulfilled commands show that a fleet of this capacity carries: the sum
 // over all routers then stays at this multiple of what a cold host can do, however much clients ask for.
 func (d *decider) warmed() {
-	total := 0.0
-	for _, h := range d.fleet {
-		if h.health == Ready {
-			total += h.size * d.warmth(h)
-		}
-	}
 	for _, h := range d.fleet {
 		if w := d.warmth(h); w < 1 {
-			h.budget.add(1.2 * h.size * w / total) // room to even out chance, well under every stated multiple
+			h.budget.add(1.2 * h.size * w / d.total) // room to even out chance, well under every stated multiple
 		}
 	}
 }
@@ -422,15 +401,14 @@
 	return d.told && build == d.news.Build && build > d.base && d.news.Standing != Withdrawn
 }
 
-// alongside is how long ago a hand-off to the earlier build, already ended, may have been sent to compare
-// with: what a shared slowdown, an overload or a host's end bring once the earlier hosts have left is no
-// fault of the build.
+// alongside is how long ago a hand-off to the earlier build, now ended, may have been sent to compare with:
+// what an overload or a host's end bring once the earlier hosts have left is no fault of the build.
 const alongside = second
 
-// weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception
-// for builds that are slow within their time-outs: how much longer than expected an answer took, up to four
-// times, as a part of that. It takes hosts that are warm and not draining, as the others have queues of
-// their own, and ends with the trial, when the load moves.
+// weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for
+// builds that are slow within their time-outs, by how many times the expected time an answer took. It takes
+// hosts that are warm and not draining, as others have queues of their own, and ends with the trial, when the
+// load moves.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
 	beside, side := o.at-d.pastAt < alongside, d.side(o.build)
 	if side == &d.earlier {
@@ -463,11 +441,6 @@
 	d.side(h.build).put(failing, 0, 1/max(d.set.FlagShare, 0.05))
 }
 
-func (d *decider) probed(h *host, e Ending, report []float64) {
-	d.report(h, report)
-	d.health(h, e)
-}
-
 // forgetting is the factor a tick: a memory of 10 s, so that the first stage's few commands add up.
 const forgetting = 0.99
 
@@ -553,11 +526,10 @@
 }
 
 // A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows.
-// This exception acts where the earlier hosts stay until the release, while their answers are much slower
-// than before the trial: the routers together keep the trial's commands back for a while; where that brings
-// the times down, and the commands' return brings them up again, it is the build. Should also tell a build
-// that overloads what all share; costs a good build some seconds when something else slows all. Routers mix
-// what they find.
+// Where the earlier hosts stay until the release and are much slower than before the trial, the routers
+// together keep the trial's commands back for a while; if their return makes the earlier hosts slower than
+// that, it is the build. Also for a build that overloads what all share; costs a good build seconds when
+// something else slows all.
 const (
 	dragged = 1.35
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
@@ -610,13 +582,7 @@
 	some := d.count[failing]*d.company >= enough
 	// what is condemned gets few commands, and stays so on fewer outcomes than it took
 	d.condemned = d.pastAt > 0 && d.doubtful > mixing && (d.condemned || some)
-	newest := d.stageAt
-	for _, h := range d.fleet {
-		if h.build == d.news.Build {
-			newest = max(newest, h.started)
-		}
-	}
-	age := d.now - newest
+	age := d.now - d.newest
 	ready := !worry && (some && age >= 2*second || age >= 7*second/2) || age >= 6*second // the page's on-rule
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1                // as one may be cut off
 	verdict := NoVote
@@ -678,10 +644,6 @@
 		h.budget = bucket{0.5, 1}
 		h.slow, h.strikes, h.aside = 1, 0, 0
 	}
-	h.zone, h.kind, h.cell, h.health, h.build, h.started = e.Zone, e.Kind, e.Cell, e.Health, e.Build, e.Started
-	if h.size = e.Size; !(h.size > 1e-3 && h.size < 1e6) {
-		h.size = 1
-	}
 }
 
 // listFailed asks again after a moment: the call or the subscription is lost, and which is not told.
@@ -705,11 +667,6 @@
 		d.tick()
 		d.survey()
 		maps.DeleteFunc(d.seenKey, func(_ uint64, at int64) bool { return d.now-at > 3*second })
-		for _, h := range d.fleet {
-			if d.warmth(h) < 1 {
-				h.budget.add(0.05) // so that a fleet that is all cold can start
-			}
-		}
 	}
 }
 
@@ -744,24 +701,24 @@
 	return d.chance() > may/d.carriers[c.carrier]
 }
 
-// sheds turns away the commands worth least for their work while answers come too late. By Little's law a
-// command's time is what is open over the pace of answers: past half of the contract time some are turned
-// away, past the whole of it nearly all.
+// sheds turns away the commands worth least for their work while answers come too late: by Little's law a
+// command's time is what is open over the pace of answers; some go past half of the contract time, nearly all
+// past the whole.
 func (d *decider) sheds(c *command) bool {
-	over, contract, mine, below, all := 0, 0.0, 0.0, 0.0, 0.0
-	value := [2]float64{1, d.set.OverShare}
+	over, contract, below, all := 0, 0.0, 0.0, 0.0
 	if d.beyond(c) {
 		over = 1
 	}
 	c.band.rate[over]++
-	mine = c.band.Importance / c.band.typical * value[over]
+	value := func(b *band, over int) float64 {
+		return b.Importance / b.typical * [2]float64{1, d.set.OverShare}[over]
+	}
 	for _, b := range d.bands {
 		contract += float64(b.Contract) / float64(len(d.bands))
-		for i, r := range b.rate {
+		for i := range b.rate {
 			b.rate[i] *= 0.999 // a memory of a thousand commands
-			all += r
-			if b.Importance/b.typical*value[i] < mine {
-				below += r
+			if all += b.rate[i]; value(b, i) < value(c.band, over) {
+				below += b.rate[i]
 			}
 		}
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -129,13 +129,15 @@
 	trial, earlier     sample         // this tick's
 	past               [kinds]mean    // the earlier build's outcomes
 	beside             [kinds]float64 // how many of them stand beside the trial's
+	total              float64        // what all hosts can do now
+	newest             int64          // the last start of a host of the build on trial, or of its stage
 	forced             float64        // part of the commands that can only go to the trial
 	pastAt             int64          // when the last of them came
 	doubtful           int            // ticks in a row in which the build looked bad
 	condemned          bool           // it looked bad for long enough, on enough outcomes
 	proof              float64        // gossiped: in how far tests found it to slow all hosts
 	times              [2]mean        // what a test measures, without and with the trial's commands
-	speed, calm, level float64        // the earlier build's speed now, before the trial, and what of the loss is no fault of the build
+	speed, calm, level float64        // the earlier build now, before the trial; loss found no fault of it
 	dipAt              int64          // since when the trial's commands are kept back, 0 for not
 	before             float64        // how much slower than calm before it
 	want, cast, noted  vote
@@ -201,7 +203,8 @@
 const gossipLen = 2 + (3*kinds+3)*4
 
 func (g *gossip) figures() []*float64 {
-	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging], &g.count[failing],
+	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging],
+		&g.count[failing],
 		&g.count[lagging], &g.own, &g.dip, &g.proof}
 }
 
@@ -229,3 +232,13 @@
 		models: map[int]float64{}, rates: make([]float64, s.Routers), heardAt: make([]int64, s.Routers),
 		carriers: make([]float64, len(s.Carriers))}
 }
+
+// close marks that nothing more is owed.
+func (d *decider) close(c *command) {
+	if !c.over {
+		d.open--
+	}
+	c.over, c.next = true, nil
+	d.queue.Remove(c.due)
+	d.differ = append(d.differ, c) // for the hand-offs that are still out
+}
