--- a/rules/rules.go
+++ b/rules/rules.go
@@ -702,10 +702,10 @@
 }
 
 // sheds turns away the commands worth least for their work while answers come too late: by Little's law a
-// command's time is what is open over the pace of answers; some go past half of the contract time, nearly all
-// past the whole.
+// command's time is what is open over the pace of answers; some go past half of the shortest contract time,
+// nearly all past the whole.
 func (d *decider) sheds(c *command) bool {
-	over, contract, below, all := 0, 0.0, 0.0, 0.0
+	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
 	if d.beyond(c) {
 		over = 1
 	}
@@ -714,7 +714,7 @@
 		return b.Importance / b.typical * [2]float64{1, d.set.OverShare}[over]
 	}
 	for _, b := range d.bands {
-		contract += float64(b.Contract) / float64(len(d.bands))
+		contract = min(contract, float64(b.Contract))
 		for i := range b.rate {
 			b.rate[i] *= 0.999 // a memory of a thousand commands
 			if all += b.rate[i]; value(b, i) < value(c.band, over) {
