--- a/rules/rules.go
+++ b/rules/rules.go
@@ -702,8 +702,8 @@
 }
 
 // sheds turns away the commands worth least for their work while answers come too late: by Little's law a
-// command's time is what is open over the pace of answers; some go past half of the shortest contract time,
-// nearly all past the whole.
+// command's time is what is open over the pace of answers; some go past 0.7 of the shortest contract time,
+// nearly all past 1.15.
 func (d *decider) sheds(c *command) bool {
 	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
 	if d.beyond(c) {
@@ -722,7 +722,7 @@
 			}
 		}
 	}
-	d.pressure = min(0.9, 2*d.open/max(d.pace, 1)*float64(second)/contract-1)
+	d.pressure = min(0.9, 2*d.open/max(d.pace, 1)*float64(second)/contract-1.4)
 	if d.open < 5 || d.now-d.began < 2*second { // the pace is not known at once
 		d.pressure = 0
 	}
