--- a/rules/rules.go
+++ b/rules/rules.go
@@ -549,7 +549,7 @@
 	} else if d.dipAt > 0 && d.now-d.dipAt > 2*dipFor {
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
 		chance := 0.6 * math.Sqrt(1/max(d.times[0].n, 1)+1/max(d.times[1].n, 1))
-		if d.proof, d.dipAt = 1, 0; with/without-1 < max(0.15, chance) {
+		if d.proof, d.dipAt = 1, 0; with/without-1 < max(0.3, chance) {
 			d.proof, d.level = 0, max(d.level, pulse)
 		}
 	}
