--- a/rules/rules.go
+++ b/rules/rules.go
@@ -313,6 +313,7 @@
 		h.slow = d.slowness(h) + 0.2*(min(ratio, 8)-d.slowness(h)) // about the last five answers
 		h.slowAt = d.now
 		d.done++
+		d.lately += 0.05 * (float64(took) - d.lately) // the last twenty answers
 		if !d.judged(o.build) {
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
 			if c.band.hint == 0 {
@@ -681,7 +682,7 @@
 		return
 	}
 	c.due = d.queue.Add(c.cutOff-2*d.set.Tick, c)
-	if c.out == 1 && d.set.Copies && d.pressure <= 0 && d.mayRepeat(c, false) && d.now < c.contract &&
+	if c.out == 1 && d.set.Copies && d.pressure < 0.5 && d.mayRepeat(c, false) && d.now < c.contract &&
 		d.again.take() {
 		if h := d.pick(c); h != nil && !c.met(h) {
 			c.next, c.until = h, c.cutOff
@@ -722,7 +723,8 @@
 			}
 		}
 	}
-	d.pressure = min(0.9, 2*d.open/max(d.pace, 1)*float64(second)/contract-1.4)
+	// hosts that hang leave commands open and slow no others: no more than what answers took of late
+	d.pressure = min(0.9, 2*min(d.open/max(d.pace, 1)*float64(second), 1.5*d.lately)/contract-1.4)
 	if d.open < 5 || d.now-d.began < 2*second { // the pace is not known at once
 		d.pressure = 0
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -148,6 +148,7 @@
 	watchAt  int64
 	taken    float64         // this tick's
 	mean     float64         // mean time of an answer
+	lately   float64         // and of the latest ones
 	company  float64         // routers heard of late, and this one
 	all      float64         // commands a second that they take
 	models   map[int]float64 // by kind of machine: how long it takes, over what all take
