A host that fails fast must not pass for an idle one

Cause of the loss: such hosts held nothing, so that the better of two random hosts was one of them, and a good build went back. A failure now counts as a very slow answer for the host.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -308,10 +308,14 @@
 	o.unrun = e == TurnedAway || e == NoConnect || e == Unsent
 	d.report(h, report)
 	d.health(h, e)
+	ratio := min(8, float64(took)/d.expected(c))
+	if e == Failed || e == Reset || e == TimedOut { // a host that fails fast must not pass for an idle one
+		ratio = 8
+	}
+	if e == Fulfilled || ratio == 8 {
+		h.slow, h.slowAt = d.slowness(h)+0.2*(ratio-d.slowness(h)), d.now // about the last five outcomes
+	}
 	if e == Fulfilled && !c.streams {
-		ratio := float64(took) / d.expected(c)
-		h.slow = d.slowness(h) + 0.2*(min(ratio, 8)-d.slowness(h)) // about the last five answers
-		h.slowAt = d.now
 		d.done++
 		d.lately += 0.05 * (float64(took) - d.lately) // the last twenty answers
 		if !d.judged(o.build) {
