--- a/rules/rules.go
+++ b/rules/rules.go
@@ -76,8 +76,7 @@
 		next = min(next, at)
 	}
 	if next = max(next, d.now+1); d.armed == 0 || next < d.armed {
-		d.armed = next
-		d.wakes++
+		d.armed, d.wakes = next, d.wakes+1
 		d.out.Wake(next-d.now, d.wakes)
 	}
 }
@@ -114,8 +113,7 @@
 }
 
 func (d *decider) take(c *command) {
-	d.taken++
-	d.open++
+	d.taken, d.open = d.taken+1, d.open+1
 	c.band.exposure.add(d.cap)
 	d.again.add(0.1) // one further hand-off for ten commands bounds what failures add to an overload
 	c.due = d.queue.Add(d.nextLook(c), c)
@@ -179,10 +177,12 @@
 	if d.news.Standing != Released {
 		d.cap = d.news.Cap
 	}
-	d.total, d.newest = 0, d.stageAt
+	d.total, d.newest, d.warm = 0, d.stageAt, 0.1
 	for _, h := range d.fleet {
 		if h.build == d.news.Build {
-			d.newest = max(d.newest, h.started)
+			if d.newest = max(d.newest, h.started); d.warmth(h) == 1 && h.health == Ready {
+				d.warm++
+			}
 		}
 		if h.health == Ready {
 			d.total += h.size * d.warmth(h)
@@ -303,8 +303,7 @@
 
 func (d *decider) ended(c *command, o *handOff, e Ending, over bool, took int64, report []float64) {
 	h := o.host
-	h.out--
-	h.waiting = d.now
+	h.out, h.waiting = h.out-1, d.now
 	o.unrun = e == TurnedAway || e == NoConnect || e == Unsent
 	d.report(h, report)
 	d.health(h, e)
@@ -463,8 +462,7 @@
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
-	d.rate += 0.1 * (d.taken*float64(second/tickLen) - d.rate)
-	d.taken = 0
+	d.rate, d.taken = d.rate+0.1*(d.taken*float64(second/tickLen)-d.rate), 0
 	for i := range d.carriers {
 		d.carriers[i] *= 1 - float64(tickLen)/float64(recent)
 	}
@@ -485,8 +483,7 @@
 			d.all += d.rates[i]
 		}
 	}
-	d.pace += 0.1 * (d.done*float64(second/tickLen) - d.pace)
-	d.done = 0
+	d.pace, d.done = d.pace+0.1*(d.done*float64(second/tickLen)-d.pace), 0
 	d.judge()
 }
 
@@ -526,15 +523,15 @@
 	if n < 1e-6 {
 		return 0, 1
 	}
-	some := 1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1) // failures of the earlier build are few
-	return d.state[k] / n, math.Sqrt(d.spread[k] / n / d.company * some)
+	// failures of the earlier build are few; hosts of one build differ in speed by a quarter (of four times)
+	some := 1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1)
+	return d.state[k] / n, math.Sqrt(d.spread[k]/n/d.company*some + float64(k)*0.0036/d.warm)
 }
 
 // A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows.
 // Where the earlier hosts stay until the release and are much slower than before the trial, the routers
 // together keep the trial's commands back for a while; if their return makes the earlier hosts slower than
-// that, it is the build. Also for a build that overloads what all share; costs a good build seconds when
-// something else slows all.
+// that, it is the build. Also for a build that overloads what all share; costs a good build seconds.
 const (
 	dragged = 1.35
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
@@ -642,8 +639,7 @@
 // show brings one entry of the list up to date.
 func (d *decider) show(h *host, e Listed) {
 	if e.Started != h.started || e.Build != h.build || h.listed == 0 {
-		h.listed = d.now
-		if e.Started == 0 {
+		if h.listed = d.now; e.Started == 0 { // it has run for long
 			h.listed = 1
 		}
 		h.budget = bucket{0.5, 1}
@@ -651,11 +647,9 @@
 	}
 }
 
-// listFailed asks again after a moment: the call or the subscription is lost, and which is not told.
+// listFailed asks again after a moment: a call or the subscription is lost.
 func (d *decider) listFailed() {
-	if d.watchAt == 0 {
-		d.watchAt = d.now + second/2 + int64(d.chance()*float64(second))
-	}
+	d.watchAt = d.now + second/2 + int64(d.chance()*float64(second))
 }
 
 // woken takes the latest wake-up as come whatever the clock says: one that comes a little early, or an old
@@ -727,8 +721,8 @@
 			}
 		}
 	}
-	// hosts that hang leave commands open and slow no others: no more than what answers took of late
-	d.pressure = min(0.9, 2*min(d.open/max(d.pace, 1)*float64(second), 1.5*d.lately)/contract-1.4)
+	took := min(d.open/max(d.pace, 1)*float64(second), 1.5*d.lately) // hosts that hang keep commands open
+	d.pressure = min(0.9, 2*took/contract-1.4)
 	if d.open < 5 || d.now-d.began < 2*second { // the pace is not known at once
 		d.pressure = 0
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -130,6 +130,7 @@
 	past               [kinds]mean    // the earlier build's outcomes
 	beside             [kinds]float64 // how many of them stand beside the trial's
 	total              float64        // what all hosts can do now
+	warm               float64        // how many hosts of the build on trial are warm
 	newest             int64          // the last start of a host of the build on trial, or of its stage
 	forced             float64        // part of the commands that can only go to the trial
 	pastAt             int64          // when the last of them came
