--- a/rules/rules.go
+++ b/rules/rules.go
@@ -512,10 +512,9 @@
 // measure; enough is the pooled count it needs, and so many standard errors must the state clear it by.
 var threshold = [kinds]float64{failing: 0.015, lagging: 0.12}
 
-const (
-	enough = 20
-	sure   = 1.7
-)
+var sure = [kinds]float64{failing: 1.4, lagging: 1.7} // three reported answers are enough, two are not
+
+const enough = 20
 
 // excess is a state for each outcome that it stands for, and its standard error.
 func (d *decider) excess(k int) (mean, err float64) {
@@ -575,7 +574,7 @@
 	doubt, worry := d.proof > proven, false
 	for k := range d.state {
 		mean, err := d.excess(k)
-		doubt = doubt || mean-sure*err > threshold[k]
+		doubt = doubt || mean-sure[k]*err > threshold[k]
 		worry = worry || mean-err > threshold[k]
 	}
 	if d.doubtful++; !doubt {
