--- a/rules/rules.go
+++ b/rules/rules.go
@@ -720,7 +720,7 @@
 			}
 		}
 	}
-	took := min(d.open/max(d.pace, 1)*float64(second), 1.5*d.lately) // hosts that hang keep commands open
+	took := min(d.open/max(d.pace, 1)*float64(second), 2.5*d.lately) // hosts that hang keep commands open
 	d.pressure = min(0.9, 2*took/contract-1.4)
 	if d.open < 5 || d.now-d.began < 2*second { // the pace is not known at once
 		d.pressure = 0
