--- a/rules/door.go
+++ b/rules/door.go
@@ -46,6 +46,8 @@
 	Back
 )
 
+func (v Verdict) String() string { return [...]string{"none", "on", "hold", "back"}[v] }
+
 // Standing is where a build is.
 type Standing uint8
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -97,8 +97,8 @@
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
 	if d.want != d.noted {
 		d.noted = d.want
-		d.out.Note(fmt.Sprintf("vote %v: states %.4f, squares %.4f, counts %.0f", d.want, d.state, d.spread,
-			d.count))
+		d.out.Note(fmt.Sprintf("vote %v %v: states %.4f, squares %.4f, counts %.0f, test %.2f",
+			d.want.verdict, d.want, d.state, d.spread, d.count, d.proof))
 	}
 }
 
@@ -232,9 +232,11 @@
 	stuck := d.stuck[c.key] // no command without a key is ever in there
 	var pools [2][]*host
 	var sizes [2]float64
+	waits := false
 	for _, strict := range []bool{true, false} {
 		for _, h := range d.fleet {
-			if !d.usable(c, h, stuck) || strict && (h.aside > d.now || c.met(h)) {
+			fine := h.aside <= d.now && !c.met(h)
+			if waits = waits || fine && h.health == Ready; !d.usable(c, h, stuck) || strict && !fine {
 				continue
 			}
 			side := 0
@@ -244,7 +246,7 @@
 			pools[side] = append(pools[side], h)
 			sizes[side] += h.size * d.warmth(h)
 		}
-		if len(pools[0])+len(pools[1]) > 0 {
+		if len(pools[0])+len(pools[1]) > 0 || waits { // rather wait for a host than try one that is down
 			break
 		}
 	}
@@ -308,7 +310,7 @@
 	d.report(h, report)
 	d.health(h, e)
 	ratio := min(8, float64(took)/d.expected(c))
-	if e == Failed || e == Reset || e == TimedOut { // a host that fails fast must not pass for an idle one
+	if e == Failed || e == Reset || e == TimedOut || e == NoConnect { // a fast failure is no sign of idleness
 		ratio = 8
 	}
 	if e == Fulfilled || ratio == 8 {
@@ -545,7 +547,7 @@
 	with := d.calm * d.times[1].n / max(d.times[1].bad, 1e-3)
 	if d.news.Standing != OnTrial {
 		d.dipAt = 0
-	} else if d.dipAt == 0 && pulse > dragged*d.level && d.count[failing] > 0 && d.set.Beside {
+	} else if d.dipAt == 0 && pulse > dragged*d.level && d.news.Stage > 0 && d.set.Beside {
 		d.startDip(0)
 	} else if d.dipAt > 0 && d.now-d.dipAt > 2*dipFor {
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
