--- a/rules/rules.go
+++ b/rules/rules.go
@@ -576,15 +576,16 @@
 	doubt, worry := d.proof > proven, false
 	for k := range d.state {
 		mean, err := d.excess(k)
-		doubt = doubt || mean-sure[k]*err > threshold[k]
+		// what is condemned gets few commands, and stays so on fewer outcomes; one slow host is no slow build
+		some := (d.condemned || d.count[k]*d.company >= enough) && (k == failing || d.warm > 2)
+		doubt = doubt || some && mean-sure[k]*err > threshold[k]
 		worry = worry || mean-err > threshold[k]
 	}
 	if d.doubtful++; !doubt {
 		d.doubtful = 0
 	}
 	some := d.count[failing]*d.company >= enough
-	// what is condemned gets few commands, and stays so on fewer outcomes than it took
-	d.condemned = d.pastAt > 0 && d.doubtful > mixing && (d.condemned || some)
+	d.condemned = d.pastAt > 0 && d.doubtful > mixing
 	age := d.now - d.newest
 	ready := !worry && (some && age >= 2*second || age >= 7*second/2) || age >= 6*second // the page's on-rule
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1                // as one may be cut off
