--- a/rules/rules.go
+++ b/rules/rules.go
@@ -413,8 +413,7 @@
 
 // weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for
 // builds that are slow within their time-outs, by how many times the expected time an answer took. It takes
-// hosts that are warm and not draining, as others have queues of their own, and ends with the trial, when the
-// load moves.
+// hosts that are warm and not draining, as others have queues of their own, and ends with the trial.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
 	beside, side := o.at-d.pastAt < alongside, d.side(o.build)
 	if side == &d.earlier {
@@ -562,8 +561,9 @@
 	d.dipAt, d.before, d.times = d.now-age, d.calm/max(d.speed, 1e-3), [2]mean{}
 }
 
-// mixing is so many ticks as gossip takes to spread what one router saw, that must not pass for many.
-const mixing = 8
+// mixing is twice the ticks that gossip takes to spread what one router saw, that must not pass for many; a
+// host that fails alone is found and spared by then.
+const mixing = 16
 
 // judge sets the wanted vote.
 func (d *decider) judge() {
@@ -638,7 +638,6 @@
 	d.survey()
 }
 
-// show brings one entry of the list up to date.
 func (d *decider) show(h *host, e Listed) {
 	if e.Started != h.started || e.Build != h.build || h.listed == 0 {
 		if h.listed = d.now; e.Started == 0 { // it has run for long
@@ -691,8 +690,7 @@
 	}
 }
 
-// beyond tells whether a command is more than what is left of its carrier's share, of which this router may
-// use as much as it carries of all routers' commands.
+// beyond tells whether a command is beyond this router's part of its carrier's share.
 func (d *decider) beyond(c *command) bool {
 	if c.carrier >= len(d.carriers) {
 		return false
@@ -702,9 +700,8 @@
 	return d.chance() > may/d.carriers[c.carrier]
 }
 
-// sheds turns away the commands worth least for their work while answers come too late: by Little's law a
-// command's time is what is open over the pace of answers; some go past 0.7 of the shortest contract time,
-// nearly all past 1.15.
+// sheds turns away the commands worth least for their work while answers come too late. By Little's law a
+// time is what is open over the pace of answers; some go past 0.7 of the shortest contract, most past 1.15.
 func (d *decider) sheds(c *command) bool {
 	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
 	if d.beyond(c) {
