--- a/rules/rules.go
+++ b/rules/rules.go
@@ -252,14 +252,9 @@
 	}
 	pool := pools[0]
 	if len(pools[1]) > 0 {
-		// commands that can go nowhere else, as their keys are kept there, are part of the trial's share
+		// its hosts' part of the capacity, made up for commands that may not go there, less those that must
 		share := sizes[1] / (sizes[0] + sizes[1])
-		if len(pools[0]) > 0 {
-			share = (share - d.forced) / (1 - d.forced)
-			d.forced -= 0.01 * d.forced
-		} else {
-			d.forced += 0.01 * (0.9 - d.forced)
-		}
+		share += 4 * (share - d.got)
 		if d.dipAt > 0 && d.now < d.dipAt+dipFor {
 			share = 0
 		} else if d.condemned {
@@ -281,8 +276,10 @@
 	if d.warmth(a) < 1 {
 		a.budget.take()
 	}
+	d.got -= 0.01 * d.got
 	if a.trial {
 		c.band.exposure.take()
+		d.got += 0.01
 	}
 	return a
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -132,7 +132,7 @@
 	total              float64        // what all hosts can do now
 	warm               float64        // how many hosts of the build on trial are warm
 	newest             int64          // the last start of a host of the build on trial, or of its stage
-	forced             float64        // part of the commands that can only go to the trial
+	got                float64        // part of the hand-offs that went to the trial
 	pastAt             int64          // when the last of them came
 	doubtful           int            // ticks in a row in which the build looked bad
 	condemned          bool           // it looked bad for long enough, on enough outcomes
