--- a/rules/rules.go
+++ b/rules/rules.go
@@ -255,9 +255,10 @@
 		// its hosts' part of the capacity, made up for commands that may not go there, less those that must
 		share := sizes[1] / (sizes[0] + sizes[1])
 		short := share - d.got
-		if share += short; !d.set.KeysStay { // where keys are kept, more would tie more of them to the trial
-			share += 3 * short
+		if d.set.KeysStay { // more there would tie more keys to it
+			short = min(short, 0)
 		}
+		share += 4 * short
 		if d.dipAt > 0 && d.now < d.dipAt+dipFor {
 			share = 0
 		} else if d.condemned {
