--- a/rules/rules.go
+++ b/rules/rules.go
@@ -252,13 +252,12 @@
 	}
 	pool := pools[0]
 	if len(pools[1]) > 0 {
-		// its hosts' part of the capacity, made up for commands that may not go there, less those that must
-		share := sizes[1] / (sizes[0] + sizes[1])
-		short := share - d.got
-		if d.set.KeysStay { // more there would tie more keys to it
-			short = min(short, 0)
+		share := sizes[1] / (sizes[0] + sizes[1]) // its hosts' part of the capacity
+		if d.set.KeysStay {                       // commands whose keys are kept there can go nowhere else
+			share = (share - d.got) / (1.01 - d.got)
+		} else { // made up for commands that may not go there
+			share += 4 * (share - d.got)
 		}
-		share += 4 * short
 		if d.dipAt > 0 && d.now < d.dipAt+dipFor {
 			share = 0
 		} else if d.condemned {
@@ -283,6 +282,8 @@
 	d.got -= 0.01 * d.got
 	if a.trial {
 		c.band.exposure.take()
+	}
+	if a.trial && (len(pools[0]) == 0 || !d.set.KeysStay) {
 		d.got += 0.01
 	}
 	return a
