--- a/rules/rules.go
+++ b/rules/rules.go
@@ -262,7 +262,7 @@
 			share = 0
 		} else if d.condemned {
 			share /= 10 // a build that looks bad gets just enough to go on being judged
-		} else if c.key != 0 && d.set.KeysStay && stuck == 0 && d.now-d.seenKey[c.key] < 3*second {
+		} else if c.key != 0 && d.set.KeysStay && stuck < d.news.Build && d.now-d.seenKey[c.key] < 3*second {
 			share = 0 // a key that comes often would tie more commands to the trial than the cap lets through
 		}
 		if len(pools[0]) == 0 || d.chance() < share {
@@ -340,7 +340,7 @@
 			}
 		}
 		d.warmed()
-		if o.build >= d.news.Build && o.build > d.base && d.set.KeysStay && c.key != 0 { // also once released
+		if o.build >= d.news.Build && d.set.KeysStay && c.key != 0 { // also in a router started after the release
 			d.stuck[c.key] = max(d.stuck[c.key], o.build)
 		}
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -58,7 +58,7 @@
 		h := Listed{ID: uint32(w.rnd.IntN(9)), Health: Health(w.rnd.IntN(3)), Size: 1, Build: 4}
 		h.Cell = int(h.ID % 2)
 		if w.rnd.IntN(2) == 0 {
-			h.Health, h.Build, h.Started = Ready, w.build+w.rnd.IntN(2), w.now-w.rnd.Int64N(3000)*ms
+			h.Health, h.Build, h.Started = Ready, w.build-1+w.rnd.IntN(3), w.now-w.rnd.Int64N(3000)*ms
 		}
 		w.list(Changes, h)
 	case p < 93:
