--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -175,21 +175,6 @@
 	}
 }
 
-// A wake-up that comes a little early, as the clock of its source is coarser, once stopped all time-outs.
-func TestEarlyWake(t *testing.T) {
-	w := still(t, plain(), false)
-	for range 100 {
-		for mark, at := range w.wakes {
-			delete(w.wakes, mark)
-			w.now = max(w.now+1000, at-999)
-			w.r.Woken(w.now, mark)
-		}
-	}
-	if w.now < int64(1e12)+3*second {
-		t.Fatal("the chain of wake-ups stopped")
-	}
-}
-
 type play func(w *world, i, build int) (took int64, e Ending, wrong bool)
 
 // lone plays a build on trial at one router: how long an answer takes, how it ends, whether it is reported wrong.
--- a/rules/world_test.go
+++ b/rules/world_test.go
@@ -207,12 +207,13 @@
 func (w *world) Watch(on bool)                    {}
 func (w *world) Note(text string)                 {}
 
-// pass lets time go by, and delivers the wake-ups that fall due: a little early, late, and at times again.
+// pass lets time go by, and delivers the wake-ups that fall due: late, at times again, and a little early, as the
+// clock of their source is coarser, which once stopped all time-outs.
 func (w *world) pass(by int64) {
 	for end := w.now + by; w.now < end; {
 		w.now = min(end, w.now+w.set.Tick)
 		for _, mark := range slices.Sorted(maps.Keys(w.wakes)) {
-			if at := w.wakes[mark]; at <= w.now+w.rnd.Int64N(2)*1000 {
+			if at := w.wakes[mark]; at <= w.now+w.rnd.Int64N(2)*ms {
 				if w.rnd.IntN(4) > 0 || at < w.now-w.set.Tick {
 					delete(w.wakes, mark)
 				}
