--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,8 +28,7 @@
 	return d
 }
 
-// tickLen is the design's tick.
-const tickLen = second / 10
+const tickLen = second / 10 // the design's tick
 
 func (d *decider) begin() { d.ticks, d.watchAt, d.began = d.now+tickLen, d.now, d.now }
 
@@ -187,7 +186,10 @@
 		if h.health == Ready {
 			d.total += h.size * d.warmth(h)
 		}
-		h.budget.add(0.05) // so that a fleet that is all cold can start
+		h.budget.add(0.05)                                       // so that a fleet that is all cold can start
+		if d.set.Probes && h.aside > d.now && d.chance() < 0.2 { // asked about twice a second if it is back
+			d.out.Probe(h.id)
+		}
 		h.stage, h.trial = d.news.Stage, h.build == d.news.Build && d.news.Standing != Released
 		if h.build > d.news.Build || !d.told {
 			h.stage, h.trial = 0, true
@@ -454,7 +456,7 @@
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
 	for k := range d.state {
-		keep := [kinds]float64{0.95, 0.9}[k] // of the last seconds: what breaks hand-offs to both is no build's fault
+		keep := [kinds]float64{0.95, 0.9}[k] // the last seconds: what breaks both is no build's fault
 		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n[k], keep*d.past[k].bad+d.earlier.bad[k]
 		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten
 		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, 1)
@@ -489,11 +491,9 @@
 	d.judge()
 }
 
-// recent is how long a peer's figures hold.
-const recent = 3 * second
+const recent = 3 * second // how long a peer's figures hold
 
-// gain is the paper's consensus gain.
-const gain = 0.5
+const gain = 0.5 // the paper's consensus gain
 
 func (d *decider) heard(peer int, g gossip) {
 	d.rates[peer], d.heardAt[peer] = g.own, d.now
