--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -239,7 +239,6 @@
 		if flags&1 == 0 {
 			c.Hint = 0
 		}
-		c.Again = flags&2 != 0
 		e.Body = Incoming{c}
 	case codeMetrics:
 		name = "Metrics"
@@ -316,7 +315,6 @@
 	codeRecall    = 19
 	codeRemind    = 20
 	codePoll      = 21
-	codeRelease   = 22
 	codeSay       = 23
 	codeDebug     = 24
 	codeListen    = 26
@@ -398,10 +396,6 @@
 	o.Reply.record(codePoll, o.Instance, 4)
 	o.Reply.u32(host)
 }
-func (o Out) Close(host uint32) {
-	o.Reply.record(codeRelease, o.Instance, 4)
-	o.Reply.u32(host)
-}
 func (o Out) Watch(on bool) {
 	o.Reply.record(codeListen, o.Instance, 1)
 	if on {
--- a/rules/door.go
+++ b/rules/door.go
@@ -155,7 +155,6 @@
 	Key     uint64
 	Left    int64 // until the client gives up this try
 	Hint    int64 // expected work, 0 for none
-	Again   bool  // the client says that it tries again
 }
 
 // Listed is a host as the list shows it.
@@ -202,7 +201,6 @@
 	Tell(peer int, message []byte)
 	Wake(after int64, mark uint64)
 	Probe(host uint32)
-	Close(host uint32)
 	Watch(on bool)
 	Note(text string)
 }
@@ -230,7 +228,7 @@
 	}
 	b := r.bands[in.Band]
 	c := &command{id: in.ID, band: b, carrier: in.Carrier, key: in.Key, hint: in.Hint, at: now,
-		cutOff: now + in.Left, contract: now + b.Contract, again: in.Again}
+		cutOff: now + in.Left, contract: now + b.Contract}
 	r.commands[in.ID] = c
 	r.now = now
 	r.take(c)
--- a/rules/state.go
+++ b/rules/state.go
@@ -59,7 +59,6 @@
 	answer   answer // wanted final answer
 	over     bool   // nothing more is owed
 	streams  bool
-	again    bool
 	due      *due.Item[*command]
 }
 
--- a/rules/world_test.go
+++ b/rules/world_test.go
@@ -203,7 +203,6 @@
 func (w *world) Tell(peer int, message []byte)    {}
 func (w *world) Wake(after int64, mark uint64)    { w.wakes[mark] = w.now + after }
 func (w *world) Probe(host uint32)                {}
-func (w *world) Close(host uint32)                {}
 func (w *world) Watch(on bool)                    {}
 func (w *world) Note(text string)                 {}
 
