--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -85,6 +85,7 @@
 		r.Heard(now, x.From, x.Raw)
 	case wire.ProbeDone:
 		r.Probed(now, x.Host, x.Ending, x.Took, x.Report)
+	case wire.Metrics: // tallies: see docs/design.md
 	case wire.Reminder:
 		r.Woken(now, x.Mark)
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -24,7 +24,7 @@
 		CapScope, GateMode, Layout    string
 		ComplaintShare, SpareTries    float64
 		ExposureCaps                  []float64
-		KeysStay, WarmKeys            bool
+		KeysStay                      bool
 		Shielded                      int
 		VoteTtlNs, VoteWaitNs         int64
 	}
@@ -60,7 +60,7 @@
 		Rank: p.Rank, Routers: p.ReplicasOfMe, OverShare: p.OverShareWorth, Tick: p.TickNs,
 		Subscribe: p.Discovery == "subscribe", MaxHandOffs: lim.MaxAttempts, Copies: lim.ParallelTries,
 		Recalls: lim.Cancel, Probes: lim.Probing, Peers: lim.PeerMessages,
-		WarmKeys: fam.WarmKeys, OnVotes: fam.ToAdvance, BackVotes: fam.BackVotes,
+		OnVotes: fam.ToAdvance, BackVotes: fam.BackVotes,
 		HoldVotes: fam.ToPause, VoteLife: fam.VoteTtlNs, VoteWait: fam.VoteWaitNs, Free: fam.SpareTries,
 		CapByBand: fam.CapScope == "per_lane", Guarded: fam.Shielded, Beside: fam.Layout == "side_by_side", KeysStay: fam.KeysStay,
 		FlagShare: fam.ComplaintShare, ColdFrom: p.Contract.ColdFrom, ColdFor: p.Contract.ColdNs,
--- a/rules/door.go
+++ b/rules/door.go
@@ -117,7 +117,6 @@
 	Probes        bool
 	Peers         bool
 	MaxAdvice     int64
-	WarmKeys      bool
 	Gate          Gate
 	OnVotes       int
 	BackVotes     int
@@ -327,7 +326,7 @@
 func (r *Router) Flagged(now int64, id uint32, band int, age int64) {
 	if h := r.hosts[id]; h != nil && band >= 0 && band < len(r.bands) {
 		r.now = now
-		r.flagged(h, age)
+		r.flagged(h)
 		r.settle()
 	}
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -101,10 +101,12 @@
 	}
 }
 
+func (d *decider) lastLook(c *command) int64 { return c.cutOff - 2*d.set.Tick }
+
 // nextLook is when a command wants another look: for a second copy after 2.5 expected times, longer than
 // almost every healthy answer takes, or for its last answer, before the client gives up.
 func (d *decider) nextLook(c *command) int64 {
-	last := c.cutOff - 2*d.set.Tick
+	last := d.lastLook(c)
 	if !d.set.Copies || c.band.Repeat == SingleUse || len(c.handOffs) != 1 {
 		return last
 	}
@@ -446,7 +448,7 @@
 }
 
 // flagged counts a wrong answer for as many as the reports stand for.
-func (d *decider) flagged(h *host, age int64) {
+func (d *decider) flagged(h *host) {
 	d.side(h.build).put(failing, 0, 1/max(d.set.FlagShare, 0.05))
 }
 
@@ -676,12 +678,12 @@
 	if c.over {
 		return
 	}
-	if d.now >= c.cutOff-2*d.set.Tick {
+	if d.now >= d.lastLook(c) {
 		c.answer = scrap
 		d.differ = append(d.differ, c)
 		return
 	}
-	c.due = d.queue.Add(c.cutOff-2*d.set.Tick, c)
+	c.due = d.queue.Add(d.lastLook(c), c)
 	if c.out == 1 && d.set.Copies && d.pressure < 0.5 && d.mayRepeat(c, false) && d.now < c.contract &&
 		d.again.take() {
 		if h := d.pick(c); h != nil && !c.met(h) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -85,10 +85,10 @@
 	build, stage int
 }
 
-// sample is what one tick saw of a build: outcomes and their badness.
 // mean is a sum and of how many.
 type mean struct{ n, bad float64 }
 
+// sample is what one tick saw of a build: outcomes, their badness and its squares.
 type sample struct{ n, bad, square [kinds]float64 }
 
 // What the states count.
@@ -128,11 +128,11 @@
 	trial, earlier     sample         // this tick's
 	past               [kinds]mean    // the earlier build's outcomes
 	beside             [kinds]float64 // how many of them stand beside the trial's
+	pastAt             int64          // when the latest of them that has ended was sent
 	total              float64        // what all hosts can do now
 	warm               float64        // how many hosts of the build on trial are warm
 	newest             int64          // the last start of a host of the build on trial, or of its stage
 	got                float64        // part of the hand-offs that went to the trial
-	pastAt             int64          // when the last of them came
 	doubtful           int            // ticks in a row in which the build looked bad
 	condemned          bool           // it looked bad for long enough, on enough outcomes
 	proof              float64        // gossiped: in how far tests found it to slow all hosts
