Cold hosts' budgets add up over hundreds of routers

Now the first comes at a time of each router's own, and what all routers give without proof is two a second. Should also hold for wholesale restarts.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -188,7 +188,6 @@
 		if h.health == Ready {
 			d.total += h.size * d.warmth(h)
 		}
-		h.budget.add(0.05)                                       // so that a fleet that is all cold can start
 		if d.set.Probes && h.aside > d.now && d.chance() < 0.2 { // asked about twice a second if it is back
 			d.out.Probe(h.id)
 		}
@@ -413,8 +412,7 @@
 	return d.told && build == d.news.Build && build > d.base && d.news.Standing != Withdrawn
 }
 
-// alongside is how long ago a hand-off to the earlier build, now ended, may have been sent to compare with:
-// what an overload or a host's end bring once the earlier hosts have left is no fault of the build.
+// alongside is the most between two hand-offs that are compared: later overloads are no fault of the build.
 const alongside = second
 
 // weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for
@@ -490,6 +488,9 @@
 		}
 	}
 	d.pace, d.done = d.pace+0.1*(d.done*float64(second/tickLen)-d.pace), 0
+	for _, h := range d.fleet {
+		h.budget.add(0.2 / float64(d.set.Routers)) // two a second of all routers: a fleet that is all cold starts
+	}
 	d.judge()
 }
 
@@ -512,8 +513,7 @@
 	}
 }
 
-// threshold is the common one for each state over the measured share, that of slow answers being the coarser
-// measure; enough is the pooled count it needs, and so many standard errors must the state clear it by.
+// threshold is the common one for each state over the measured share; enough is the pooled count it needs.
 var threshold = [kinds]float64{failing: 0.015, lagging: 0.12}
 
 var sure = [kinds]float64{failing: 1.4, lagging: 1.7} // three reported answers are enough, two are not
@@ -646,7 +646,7 @@
 		if h.listed = d.now; e.Started == 0 { // it has run for long
 			h.listed = 1
 		}
-		h.budget = bucket{0.5, 1}
+		h.budget = bucket{d.chance(), 1} // routers, however many, come to their first at times of their own
 		h.slow, h.strikes, h.aside = 1, 0, 0
 	}
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -322,3 +322,24 @@
 		t.Fatalf("sent by host: %v", sent)
 	}
 }
+
+// Hundreds of quiet routers each gave hosts that had all just started one command, and they fell over.
+func TestColdHostsOfMany(t *testing.T) {
+	sent, set := 0, plain()
+	set.Routers = 300
+	for seed := range uint64(300) {
+		w := newWorld(t, set, seed)
+		w.hear(News{Build: 4, Standing: Released, Cap: 1})
+		for id := range uint32(4) {
+			w.list(Changes, Listed{ID: id, Build: 4, Size: 1, Started: w.now})
+		}
+		for i := range uint32(4) { // a command every half second
+			a := w.take(Command{ID: i, Band: 1, Left: 5000 * ms})
+			w.pass(500 * ms)
+			sent += len(a.sent)
+		}
+	}
+	if sent > 40 || sent < 8 {
+		t.Fatalf("%d sent to four cold hosts in two seconds", sent)
+	}
+}
