Load and company pooled by gossip: shedding and judging work at hundreds of routers

Now each router's load (open, answers, their times, each carrier's commands) is averaged like the states, and messages heard a tick tell how many can be heard. Messages shrink from 38 to about 30 bytes. Should also hold for any load that no router sees alone; could lag a burst.

--- a/rules/door.go
+++ b/rules/door.go
@@ -4,8 +4,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"math"
 	"slices"
 )
 
@@ -354,17 +352,9 @@
 
 // Heard brings a peer's message; one that is not of the right length or holds impossible numbers is ignored.
 func (r *Router) Heard(now int64, peer int, raw []byte) {
-	if len(raw) != gossipLen || peer < 0 || peer >= r.set.Routers || peer == r.set.Rank {
-		return
-	}
-	g := gossip{build: int(binary.BigEndian.Uint16(raw))}
-	for i, f := range g.figures() {
-		*f = float64(math.Float32frombits(binary.BigEndian.Uint32(raw[2+4*i:])))
-		if math.IsNaN(*f) || math.Abs(*f) > 1e6 || i >= kinds && *f < 0 {
-			return
-		}
+	if build, figures, ok := r.decode(raw); ok && peer >= 0 && peer < r.set.Routers && peer != r.set.Rank {
+		r.now = now
+		r.heard(build, figures)
+		r.settle()
 	}
-	r.now = now
-	r.heard(peer, g)
-	r.settle()
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -114,7 +114,7 @@
 }
 
 func (d *decider) take(c *command) {
-	d.taken, d.open = d.taken+1, d.open+1
+	d.own[open]++
 	c.band.exposure.add(d.cap)
 	d.again.add(0.1) // one further hand-off for ten commands bounds what failures add to an overload
 	c.due = d.queue.Add(d.nextLook(c), c)
@@ -322,8 +322,8 @@
 		h.slow, h.slowAt = d.slowness(h)+0.2*(ratio-d.slowness(h)), d.now // about the last five outcomes
 	}
 	if e == Fulfilled && !c.streams {
-		d.done++
-		d.lately += 0.05 * (float64(took) - d.lately) // the last twenty answers
+		d.own[answers]++
+		d.own[times] += float64(took) / float64(second)
 		if !d.judged(o.build) {
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
 			if c.band.hint == 0 {
@@ -466,49 +466,44 @@
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
-	d.rate, d.taken = d.rate+0.1*(d.taken*float64(second/tickLen)-d.rate), 0
-	for i := range d.carriers {
-		d.carriers[i] *= 1 - float64(tickLen)/float64(recent)
+	for i := range d.load { // the page's average again, with memories of one and, for carriers, three seconds
+		fresh := 0.1
+		if i >= carriers {
+			fresh = 0.03
+		}
+		d.load[i] += fresh * (d.own[i] - d.load[i])
+		if i != open {
+			d.own[i] = 0
+		}
 	}
 	if d.set.Peers && d.set.Routers > 1 {
 		peer := int(d.chance() * float64(d.set.Routers-1))
 		if peer >= d.set.Rank {
 			peer++
 		}
-		d.out.Tell(peer, gossip{d.news.Build, d.state, d.spread, d.count, d.rate,
-			min(1e3, float64(d.now-d.dipAt)/float64(second)), d.proof}.encode())
-	}
-	// the pooled count stands for the routers heard of late, where the page has all of them: a router that
-	// is cut off or alone must not take its own few outcomes for many
-	d.company, d.all = 1, max(d.rate, 1)
-	for i, at := range d.heardAt {
-		if at > 0 && d.now-at < recent {
-			d.company++
-			d.all += d.rates[i]
-		}
+		d.out.Tell(peer, d.encode())
 	}
-	d.pace, d.done = d.pace+0.1*(d.done*float64(second/tickLen)-d.pace), 0
+	// Every router tells one a tick, so the messages heard a tick are the part of them that can be heard. The
+	// page has all of them: a router that is cut off or alone must not take its few outcomes for many.
+	d.messages -= 0.03 * d.messages
+	d.company = 1 + float64(d.set.Routers-1)*min(1, d.messages)
 	for _, h := range d.fleet {
 		h.budget.add(0.2 / float64(d.set.Routers)) // two a second of all routers: a fleet that is all cold starts
 	}
 	d.judge()
 }
 
-const recent = 3 * second // how long a peer's figures hold
-
 const gain = 0.5 // the paper's consensus gain
 
-func (d *decider) heard(peer int, g gossip) {
-	d.rates[peer], d.heardAt[peer] = g.own, d.now
-	if g.build == d.news.Build {
-		if g.dip < 1.5 && d.dipAt == 0 && d.calm > 1.1*d.level*d.speed { // join a test that has just begun
-			d.startDip(int64(g.dip * float64(second)))
-		}
-		d.proof += gain * (g.proof - d.proof)
-		for k := range d.state {
-			d.count[k] += gain * (g.count[k] - d.count[k])
-			d.state[k] += gain * (g.state[k] - d.state[k])
-			d.spread[k] += gain * (g.spread[k] - d.spread[k])
+func (d *decider) heard(build int, figures []float64) {
+	d.messages += 0.03
+	dip := figures[len(figures)-1]
+	if build == d.news.Build && dip < 1.5 && d.dipAt == 0 && d.calm > 1.1*d.level*d.speed {
+		d.startDip(int64(dip * float64(second))) // join a test that has just begun
+	}
+	for i, f := range d.shared() {
+		if i >= judging || build == d.news.Build {
+			*f += gain * (figures[i] - *f)
 		}
 	}
 }
@@ -693,18 +688,19 @@
 	}
 }
 
-// beyond tells whether a command is beyond this router's part of its carrier's share.
+// beyond tells whether a command is beyond its carrier's share, by what all routers take of that carrier.
 func (d *decider) beyond(c *command) bool {
-	if c.carrier >= len(d.carriers) {
+	if c.carrier >= len(d.set.Carriers) {
 		return false
 	}
-	d.carriers[c.carrier]++ // forgotten over some seconds, so that it comes to as many times its rate
-	may := d.set.Carriers[c.carrier].PerSecond * d.rate / d.all * float64(recent/second)
-	return d.chance() > may/d.carriers[c.carrier]
+	d.own[carriers+c.carrier]++
+	may := d.set.Carriers[c.carrier].PerSecond * float64(tickLen) / float64(second)
+	return d.chance()*d.load[carriers+c.carrier]*d.company > may
 }
 
 // sheds turns away the commands worth least for their work while answers come too late. By Little's law a
 // time is what is open over the pace of answers; some go past 0.7 of the shortest contract, most past 1.15.
+// All routers' figures together, as a quiet one has next to none of its own.
 func (d *decider) sheds(c *command) bool {
 	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
 	if d.beyond(c) {
@@ -723,9 +719,10 @@
 			}
 		}
 	}
-	took := min(d.open/max(d.pace, 1)*float64(second), 2.5*d.lately) // hosts that hang keep commands open
+	// hosts that hang keep commands open, so no more than what the answers took asks for
+	took := min(d.load[open]*float64(tickLen), 2.5*d.load[times]*float64(second)) / max(d.load[answers], 0.1/d.company)
 	d.pressure = min(0.9, 2*took/contract-1.4)
-	if d.open < 5 || d.now-d.began < 2*second { // the pace is not known at once
+	if d.load[open]*d.company < 5 || d.now-d.began < 2*second { // the pace is not known at once
 		d.pressure = 0
 	}
 	return d.pressure > 0 && d.chance() < (d.pressure*all-below)/c.band.rate[over]
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -72,7 +72,7 @@
 	case p < 95:
 		w.r.Hear(w.now, News{Build: w.build + 9, Reply: true, Ending: CallEnding(1 + w.rnd.IntN(4)), Cap: 1})
 	case p < 97:
-		raw := make([]byte, w.rnd.IntN(2*gossipLen))
+		raw := make([]byte, w.rnd.IntN(2*len(w.r.encode())))
 		for i := range raw {
 			raw[i] = byte(w.rnd.Uint32())
 		}
@@ -125,17 +125,31 @@
 		t.Fatalf("state %v, count %v after an empty tick", d.state, d.count)
 	}
 	state, count := d.state[failing], d.count[failing]
-	w.r.Heard(w.now, 1, gossip{build: 5, state: [kinds]float64{0.25}, count: [kinds]float64{8}}.encode())
-	if !near(d.state[failing], (1-gain)*state+gain*0.25) || !near(d.count[failing], (1-gain)*count+gain*8) {
-		t.Fatalf("state %v, count %v after gossip", d.state, d.count)
+	peer := still(t, plain(), true).r.decider
+	peer.state[failing], peer.count[failing], peer.load[open] = 0.25, 8, 4
+	w.r.Heard(w.now, 1, peer.encode())
+	if !near(d.state[failing], (1-gain)*state+gain*0.25) || !near(d.count[failing], (1-gain)*count+gain*8) ||
+		!near(d.load[open], gain*4) {
+		t.Fatalf("state %v, count %v, load %v after gossip", d.state[failing], d.count[failing], d.load)
 	}
 	state = d.state[failing]
-	for _, raw := range [][]byte{nil, make([]byte, gossipLen+1), gossip{build: 5, state: [kinds]float64{math.NaN()}}.encode(),
-		gossip{build: 5, count: [kinds]float64{-1}}.encode(), gossip{build: 5, state: [kinds]float64{0, 1e30}}.encode(), gossip{build: 4, state: [kinds]float64{9}}.encode()} {
+	bad := [][]byte{nil, make([]byte, len(peer.encode())+2)}
+	for _, f := range []func(){func() { peer.state[failing] = math.NaN() }, func() { peer.state[failing], peer.count[failing] = 9, -1 },
+		func() { peer.count[failing], peer.state[lagging] = 1, 1e30 }, func() { peer.state[lagging], peer.news.Build = 0, 4 }} {
+		f()
+		bad = append(bad, peer.encode())
+	}
+	for _, raw := range bad {
 		if w.r.Heard(w.now, 1, raw); d.state[failing] != state {
 			t.Fatalf("the message %x moved the state", raw)
 		}
 	}
+	for range 60 { // a router that is cut off knows in some seconds that it is alone
+		d.tick()
+	}
+	if d.company > 1.2 {
+		t.Fatalf("%v routers though none is heard", d.company)
+	}
 }
 
 func TestSingleUseAfterDoubt(t *testing.T) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -146,19 +146,12 @@
 
 	began    int64
 	watchAt  int64
-	taken    float64         // this tick's
 	mean     float64         // mean time of an answer
-	lately   float64         // and of the latest ones
-	company  float64         // routers heard of late, and this one
-	all      float64         // commands a second that they take
 	models   map[int]float64 // by kind of machine: how long it takes, over what all take
-	rate     float64         // commands taken a second
-	rates    []float64       // of each router
-	heardAt  []int64         // when each was last heard
-	carriers []float64       // rate of each carrier
-	open     float64         // commands that are held or out
-	done     float64         // this tick's answers
-	pace     float64         // answers a second
+	own      []float64       // this tick's load
+	load     []float64       // gossiped: the mean load of a router
+	messages float64         // messages heard a tick
+	company  float64         // routers that can be heard, and this one
 	pressure float64         // part of the commands to turn away
 }
 
@@ -194,29 +187,52 @@
 	return slices.ContainsFunc(c.handOffs, func(x *handOff) bool { return x.host == h })
 }
 
-// gossip is what one router tells another.
-type gossip struct {
-	build                int
-	state, spread, count [kinds]float64
-	own, dip, proof      float64 // dip: for how many seconds the trial has been kept back
-}
+// What gossip averages over the routers: judging figures of one build, then what each carries a tick.
+const (
+	open     = iota // commands that are held or out
+	answers         // answers to commands
+	times           // how long they took, in seconds
+	carriers        // commands of each carrier
 
-const gossipLen = 2 + (3*kinds+3)*4
+	judging = 3*kinds + 1
+)
 
-func (g *gossip) figures() []*float64 {
-	return []*float64{&g.state[failing], &g.state[lagging], &g.spread[failing], &g.spread[lagging],
-		&g.count[failing],
-		&g.count[lagging], &g.own, &g.dip, &g.proof}
+// shared are the figures that gossip averages.
+func (d *decider) shared() []*float64 {
+	all := []*float64{&d.state[failing], &d.state[lagging], &d.spread[failing], &d.spread[lagging],
+		&d.count[failing], &d.count[lagging], &d.proof}
+	for i := range d.load {
+		all = append(all, &d.load[i])
+	}
+	return all
 }
 
-func (g gossip) encode() []byte {
-	raw := binary.BigEndian.AppendUint16(nil, uint16(g.build))
-	for _, f := range g.figures() {
-		raw = binary.BigEndian.AppendUint32(raw, math.Float32bits(float32(*f)))
+// encode is a message: the build judged, for how many seconds the trial has been kept back, and the shared
+// figures, each as the upper half of a float32, as every byte has its price.
+func (d *decider) encode() []byte {
+	raw := binary.BigEndian.AppendUint16(nil, uint16(d.news.Build))
+	dip := min(1e3, float64(d.now-d.dipAt)/float64(second))
+	for _, f := range append(d.shared(), &dip) {
+		raw = binary.BigEndian.AppendUint16(raw, uint16((math.Float32bits(float32(*f))+1<<15)>>16))
 	}
 	return raw
 }
 
+// decode tells the build and the figures of a message that is of the right length and holds possible numbers.
+func (d *decider) decode(raw []byte) (build int, figures []float64, ok bool) {
+	if len(raw) != 2*(2+judging+len(d.load)) {
+		return 0, nil, false
+	}
+	for i := 2; i < len(raw); i += 2 {
+		f := float64(math.Float32frombits(uint32(binary.BigEndian.Uint16(raw[i:])) << 16))
+		if math.IsNaN(f) || math.Abs(f) > 1e6 || i >= 2+2*kinds && f < 0 {
+			return 0, nil, false
+		}
+		figures = append(figures, f)
+	}
+	return int(binary.BigEndian.Uint16(raw)), figures, true
+}
+
 // chance draws from [0, 1).
 func (d *decider) chance() float64 {
 	d.draws++
@@ -230,14 +246,14 @@
 
 func blank(s Settings, seed uint64, out Effects) *decider {
 	return &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{},
-		models: map[int]float64{}, rates: make([]float64, s.Routers), heardAt: make([]int64, s.Routers),
-		carriers: make([]float64, len(s.Carriers))}
+		models: map[int]float64{}, own: make([]float64, carriers+len(s.Carriers)),
+		load: make([]float64, carriers+len(s.Carriers))}
 }
 
 // close marks that nothing more is owed.
 func (d *decider) close(c *command) {
 	if !c.over {
-		d.open--
+		d.own[open]--
 	}
 	c.over, c.next = true, nil
 	d.queue.Remove(c.due)
