--- a/rules/rules.go
+++ b/rules/rules.go
@@ -472,6 +472,7 @@
 			fresh = 0.03
 		}
 		d.load[i] += fresh * (d.own[i] - d.load[i])
+		d.mine[i] += fresh * (d.own[i] - d.mine[i])
 		if i != open {
 			d.own[i] = 0
 		}
@@ -700,7 +701,7 @@
 
 // sheds turns away the commands worth least for their work while answers come too late. By Little's law a
 // time is what is open over the pace of answers; some go past 0.7 of the shortest contract, most past 1.15.
-// All routers' figures together, as a quiet one has next to none of its own.
+// A quiet router goes by all routers' figures, as it has next to none of its own; a busy one's own are newer.
 func (d *decider) sheds(c *command) bool {
 	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
 	if d.beyond(c) {
@@ -719,10 +720,14 @@
 			}
 		}
 	}
+	is, routers, waiting := d.load, d.company, d.load[open]
+	if d.own[open] >= 5 {
+		is, routers, waiting = d.mine, 1, d.own[open]
+	}
 	// hosts that hang keep commands open, so no more than what the answers took asks for
-	took := min(d.load[open]*float64(tickLen), 2.5*d.load[times]*float64(second)) / max(d.load[answers], 0.1/d.company)
+	took := min(waiting*float64(tickLen), 2.5*is[times]*float64(second)) / max(is[answers], 0.1/routers)
 	d.pressure = min(0.9, 2*took/contract-1.4)
-	if d.load[open]*d.company < 5 || d.now-d.began < 2*second { // the pace is not known at once
+	if waiting*routers < 5 || d.now-d.began < 2*second { // the pace is not known at once
 		d.pressure = 0
 	}
 	return d.pressure > 0 && d.chance() < (d.pressure*all-below)/c.band.rate[over]
--- a/rules/state.go
+++ b/rules/state.go
@@ -149,6 +149,7 @@
 	mean     float64         // mean time of an answer
 	models   map[int]float64 // by kind of machine: how long it takes, over what all take
 	own      []float64       // this tick's load
+	mine     []float64       // its mean over some ticks
 	load     []float64       // gossiped: the mean load of a router
 	messages float64         // messages heard a tick
 	company  float64         // routers that can be heard, and this one
@@ -247,7 +248,7 @@
 func blank(s Settings, seed uint64, out Effects) *decider {
 	return &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{},
 		models: map[int]float64{}, own: make([]float64, carriers+len(s.Carriers)),
-		load: make([]float64, carriers+len(s.Carriers))}
+		mine: make([]float64, carriers+len(s.Carriers)), load: make([]float64, carriers+len(s.Carriers))}
 }
 
 // close marks that nothing more is owed.
