Every n-th host, states evened before the test, the trial's share kept by pooled hand-offs

Now hand-offs to the trial are pooled like the load, states are evened over 8 ticks and doubt must last 8, what one router holds counts for fifty at most, the earlier build's share is pooled, and a router uses every n-th host of each build by its number, two random draws each; no pass over all hosts for a command. Cold hosts' credit is settled when they are looked at.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -6,6 +6,7 @@
 package rules
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -65,8 +66,8 @@
 		}
 	}
 	d.differ = d.differ[:0]
-	if d.set.Subscribe && d.watchAt != 0 && d.now >= d.watchAt {
-		d.watchAt = 0
+	if d.set.Subscribe && d.now >= d.watchAt {
+		d.watchAt = math.MaxInt64
 		d.out.Watch(true)
 	}
 	d.settleVote()
@@ -80,11 +81,9 @@
 	}
 }
 
-// retryVote keeps the voters' calls far below what platforms take, and is short beside a stage.
-const retryVote = second / 4
+const retryVote = second / 4 // short beside a stage, and the voters' calls stay far below what platforms take
 
-// settleVote casts the wanted vote where it differs from the one that stands, and renews it in time. A call
-// that gets no answer must not end the voting.
+// settleVote casts the wanted vote where another or none stands, and renews it.
 func (d *decider) settleVote() {
 	stands := d.cast.verdict != NoVote && d.now-d.castAt < d.set.VoteLife
 	fresh := d.want == d.cast && d.now-d.castAt < d.set.VoteLife/2
@@ -94,17 +93,16 @@
 	}
 	d.calling, d.callAt, d.cast, d.castAt = true, d.now, d.want, d.now
 	d.out.Vote(d.want.verdict, d.want.build, d.want.stage)
-	if d.want != d.noted {
+	if d.want != d.noted && d.set.Rank < 2 {
 		d.noted = d.want
-		d.out.Note(fmt.Sprintf("vote %v %v: states %.4f, squares %.4f, counts %.0f, test %.2f",
-			d.want.verdict, d.want, d.state, d.spread, d.count, d.proof))
+		d.out.Note(fmt.Sprint("vote ", d.want.verdict, d.want, d.state, d.spread, d.count, d.proof, d.company))
 	}
 }
 
 func (d *decider) lastLook(c *command) int64 { return c.cutOff - 2*d.set.Tick }
 
 // nextLook is when a command wants another look: for a second copy after 2.5 expected times, longer than
-// almost every healthy answer takes, or for its last answer, before the client gives up.
+// almost every healthy answer takes, or for its last answer.
 func (d *decider) nextLook(c *command) int64 {
 	last := d.lastLook(c)
 	if !d.set.Copies || c.band.Repeat == SingleUse || len(c.handOffs) != 1 {
@@ -123,16 +121,13 @@
 	} else {
 		d.place(c)
 	}
-	if c.key != 0 {
-		d.seenKey[c.key] = d.now
-	}
+	d.seenKey[c.key] = d.now
 }
 
 // place wants a hand-off to the best host, or holds the command for a short time.
 func (d *decider) place(c *command) {
 	h := d.pick(c)
-	d.differ = append(d.differ, c)
-	if h == nil {
+	if d.differ = append(d.differ, c); h == nil {
 		if d.now-c.at > c.band.Contract/4 { // what can't be placed by then has little hope; say so at once
 			d.give(c)
 		} else {
@@ -174,28 +169,43 @@
 // survey marks the hosts that this router must count as on trial: those of a build that its news does not
 // name yet, and of one that is not released. The cap is the lowest that any of them has.
 func (d *decider) survey() {
-	d.cap = 1
-	if d.news.Standing != Released {
-		d.cap = d.news.Cap
-	}
+	d.cap = [...]float64{OnTrial: d.news.Cap, GoingBack: d.news.Cap, Released: 1, Withdrawn: 0}[d.news.Standing]
 	d.total, d.newest, d.warm = 0, d.stageAt, 0.1
+	d.reach, d.part, d.up = [2][]*host{}, [2]float64{}, 0
+	var ready [2]int
 	for _, h := range d.fleet {
 		if h.build == d.news.Build {
 			if d.newest = max(d.newest, h.started); d.warmth(h) == 1 && h.health == Ready {
 				d.warm++
 			}
 		}
-		if h.health == Ready {
-			d.total += h.size * d.warmth(h)
-		}
-		if d.set.Probes && h.aside > d.now && d.chance() < 0.2 { // asked about twice a second if it is back
-			d.out.Probe(h.id)
-		}
 		h.stage, h.trial = d.news.Stage, h.build == d.news.Build && d.news.Standing != Released
 		if h.build > d.news.Build || !d.told {
 			h.stage, h.trial = 0, true
 			d.cap = min(d.cap, d.set.FirstCap)
 		}
+		if h.health == Ready {
+			ready[h.side()]++
+			d.total += h.size * d.warmth(h)
+			if h.aside <= d.now {
+				d.up++
+				d.part[h.side()] += h.size * d.warmth(h)
+			}
+		}
+	}
+	// A router that needs few hosts takes every n-th of each build's sorted list from a start of its own, which
+	// covers all alike. n is a power of two, so that some stay when it changes.
+	need, place := max(12, d.mine[answers]*float64(second/tickLen)), [2]int{d.set.Rank, d.set.Rank}
+	for _, h := range d.fleet {
+		if side := h.side(); h.health == Ready {
+			n := 1
+			for float64(len(d.fleet)) >= need*2*float64(n) && ready[side] >= 2*n {
+				n *= 2
+			}
+			if place[side]++; place[side]%n == 0 {
+				d.reach[side] = append(d.reach[side], h)
+			}
+		}
 	}
 	held := d.held
 	d.held = nil
@@ -216,9 +226,15 @@
 
 // usable tells whether the rules allow a hand-off of c to h.
 func (d *decider) usable(c *command, h *host, stuck int) bool {
-	if h.health != Ready || h.build < stuck || d.warmth(h) < 1 && h.budget.have < 1 {
+	if h.health != Ready || h.build < stuck {
 		return false
 	}
+	if w := d.warmth(h); w < 1 {
+		h.budget.add((d.credit - h.credited) * h.size * w)
+		if h.credited = d.credit; h.budget.have < 1 {
+			return false
+		}
+	}
 	if h.trial && (c.band.exposure.have < 1 || d.cap <= 0 ||
 		h.stage < d.set.Guarded && c.band.Repeat != Replayable) {
 		return false
@@ -230,36 +246,42 @@
 	return true
 }
 
-// pick chooses the build by its share, then the better of two random hosts inside it.
-func (d *decider) pick(c *command) *host {
-	stuck := d.stuck[c.key] // no command without a key is ever in there
-	var pools [2][]*host
-	var sizes [2]float64
-	waits := false
-	for _, strict := range []bool{true, false} {
-		for _, h := range d.fleet {
-			fine := h.aside <= d.now && !c.met(h)
-			if waits = waits || fine && h.health == Ready; !d.usable(c, h, stuck) || strict && !fine {
-				continue
-			}
-			side := 0
-			if h.trial {
-				side = 1
-			}
-			pools[side] = append(pools[side], h)
-			sizes[side] += h.size * d.warmth(h)
+// fine tells whether h shows no sign of being down and has not had c yet, as far as there are others.
+func (d *decider) fine(c *command, h *host) bool {
+	return (h.aside <= d.now || d.up == 0) && (!c.met(h) || len(c.handOffs) >= len(d.fleet))
+}
+
+// better is the better of two random hosts of a build, or the first to be found where few are fine.
+func (d *decider) better(c *command, side, stuck int) (best *host) {
+	pool, found, from := d.reach[side], 0, int(d.chance()*float64(len(d.fleet)))
+	for i := 0; found < 2 && (i < 8 || found == 0 && i < 8+len(d.fleet)); i++ {
+		h := best
+		if i >= 8 {
+			h = d.fleet[(from+i)%len(d.fleet)]
+		} else if len(pool) > 0 {
+			h = pool[int(d.chance()*float64(len(pool)))]
 		}
-		if len(pools[0])+len(pools[1]) > 0 || waits { // rather wait for a host than try one that is down
-			break
+		if h != best && h.side() == side && d.fine(c, h) && d.usable(c, h, stuck) {
+			if found++; best == nil || d.cost(h) < d.cost(best) {
+				best = h
+			}
 		}
 	}
-	pool := pools[0]
-	if len(pools[1]) > 0 {
-		share := sizes[1] / (sizes[0] + sizes[1]) // its hosts' part of the capacity
-		if d.set.KeysStay {                       // commands whose keys are kept there can go nowhere else
-			share = (share - d.got) / (1.01 - d.got)
+	return best
+}
+
+// pick chooses the build by its share, then the better of two random hosts inside it.
+func (d *decider) pick(c *command) *host {
+	stuck := d.stuck[c.key] // no command without a key is ever in there
+	best, trial := d.better(c, 0, stuck), d.better(c, 1, stuck)
+	only := best == nil
+	if trial != nil {
+		share := d.part[1] / max(d.part[0]+d.part[1], 1e-3) // its hosts' part of the capacity
+		got := d.load[trials] / max(d.load[sent], 1e-3)     // of all routers, as a quiet one sends too little
+		if d.set.KeysStay {                                 // commands of kept keys can go nowhere else
+			share = (share - got) / max(1-got, 0.01)
 		} else { // made up for commands that may not go there
-			share += 4 * (share - d.got)
+			share += 4 * (share - got)
 		}
 		if d.dipAt > 0 && d.now < d.dipAt+dipFor {
 			share = 0
@@ -268,39 +290,31 @@
 		} else if c.key != 0 && d.set.KeysStay && stuck < d.news.Build && d.now-d.seenKey[c.key] < 3*second {
 			share = 0 // a key that comes often would tie more commands to the trial than the cap lets through
 		}
-		if len(pools[0]) == 0 || d.chance() < share {
-			pool = pools[1]
+		if only || d.chance() < share {
+			best = trial
 		}
 	}
-	if len(pool) == 0 {
+	if best == nil { // rather wait for a host than try one that is down
 		return nil
 	}
-	a, b := pool[int(d.chance()*float64(len(pool)))], pool[int(d.chance()*float64(len(pool)))]
-	if d.cost(b) < d.cost(a) {
-		a = b
-	}
-	if d.warmth(a) < 1 {
-		a.budget.take()
-	}
-	d.got -= 0.01 * d.got
-	if a.trial {
-		c.band.exposure.take()
+	if d.warmth(best) < 1 {
+		best.budget.take()
 	}
-	if a.trial && (len(pools[0]) == 0 || !d.set.KeysStay) {
-		d.got += 0.01
+	d.own[sent]++
+	if best.trial {
+		if c.band.exposure.take(); only || !d.set.KeysStay {
+			d.own[trials]++
+		}
 	}
-	return a
+	return best
 }
 
 // cost is how long a command would take at h: what is there, over what it can do, times how slow it has been.
 func (d *decider) cost(h *host) float64 {
 	// a report says less the older it is
 	there := 1 + float64(h.out) + h.queue*math.Exp(-float64(d.now-h.queuedAt)/float64(second))
-	cost := there / (h.size * d.warmth(h)) * d.slowness(h)
-	if h.out > 0 { // owing a sign of life for long: paused, stalled or silent
-		cost *= 1 + float64(d.now-h.waiting)/d.mean
-	}
-	return cost
+	owing := float64(min(h.out, 1)) * float64(d.now-h.waiting) // a sign of life: paused, stalled or silent
+	return there / (h.size * d.warmth(h)) * d.slowness(h) * (1 + owing/d.mean)
 }
 
 // slowness is a host's mean time over the typical one; it is forgotten over some seconds.
@@ -326,9 +340,7 @@
 		d.own[times] += float64(took) / float64(second)
 		if !d.judged(o.build) {
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
-			if c.band.hint == 0 {
-				c.band.hint = float64(c.hint)
-			}
+			c.band.hint = cmp.Or(c.band.hint, float64(c.hint))
 			c.band.hint += 0.01 * (float64(c.hint) - c.band.hint)
 			d.models[h.kind] += 0.01 * (ratio - 1 - d.models[h.kind])
 			d.mean += 0.01 * (float64(took) - d.mean)
@@ -342,7 +354,9 @@
 				}
 			}
 		}
-		d.warmed()
+		// what fulfilled commands show that a fleet of this capacity carries, cold hosts may have by their part of
+		// it: all routers' sum stays at this multiple, however much clients ask for, well under every stated one
+		d.credit += 1.2 / max(d.total, 1e-3)
 		if o.build >= d.news.Build && d.set.KeysStay && c.key != 0 { // also in a router started after the release
 			d.stuck[c.key] = max(d.stuck[c.key], o.build)
 		}
@@ -374,16 +388,6 @@
 	return c.band.typical * min(4, max(0.25, float64(c.hint)/c.band.hint))
 }
 
-// warmed lets cold hosts have what fulfilled commands show that a fleet of this capacity carries: the sum
-// over all routers then stays at this multiple of what a cold host can do, however much clients ask for.
-func (d *decider) warmed() {
-	for _, h := range d.fleet {
-		if w := d.warmth(h); w < 1 {
-			h.budget.add(1.2 * h.size * w / d.total) // room to even out chance, well under every stated multiple
-		}
-	}
-}
-
 // health sets a host aside after signs that it is down, longer each time, and takes it back after an answer.
 func (d *decider) health(h *host, e Ending) {
 	switch e {
@@ -415,11 +419,12 @@
 // alongside is the most between two hand-offs that are compared: later overloads are no fault of the build.
 const alongside = second
 
-// weigh counts an outcome for the readings of this tick: failing is the page's; lagging is the exception for
-// builds that are slow within their time-outs, by how many times the expected time an answer took. It takes
-// hosts that are warm and not draining, as others have queues of their own, and ends with the trial.
+// weigh counts an outcome for this tick's readings: failing is the page's, lagging for builds that are slow
+// within their time-outs, by times over the expected, on trial, at hosts without queues of their own.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
-	beside, side := o.at-d.pastAt < alongside, d.side(o.build)
+	// a quiet router has few hand-offs of its own within that time, and goes by all routers' of the last second
+	beside := o.at-d.pastAt < alongside || d.past[lagging].n > max(d.load[answers], 5/d.company)
+	side := d.side(o.build)
 	if side == &d.earlier {
 		d.pastAt = max(d.pastAt, o.at)
 	} else if o.at-o.host.listed < second { // the page: trial machines listed a short while ago are skipped
@@ -450,16 +455,16 @@
 	d.side(h.build).put(failing, 0, 1/max(d.set.FlagShare, 0.05))
 }
 
-// forgetting is the factor a tick: a memory of 10 s, so that the first stage's few commands add up.
-const forgetting = 0.99
+const forgetting = 0.99 // the factor a tick: a memory of 10 s, so that the first stage's few commands add up
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
 	for k := range d.state {
 		keep := [kinds]float64{0.95, 0.9}[k] // the last seconds: what breaks both is no build's fault
 		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n[k], keep*d.past[k].bad+d.earlier.bad[k]
-		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten
-		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, 1)
+		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten; the earlier
+		// build's share is pooled, as a quiet router has hardly an outcome of it in the same seconds
+		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, min(1, 5/d.company))
 		d.count[k] = forgetting*d.count[k] + d.trial.n[k]
 		d.beside[k] = forgetting*d.beside[k] + d.earlier.n[k]
 		d.state[k] = forgetting*d.state[k] + (1-forgetting)*x
@@ -478,11 +483,7 @@
 		}
 	}
 	if d.set.Peers && d.set.Routers > 1 {
-		peer := int(d.chance() * float64(d.set.Routers-1))
-		if peer >= d.set.Rank {
-			peer++
-		}
-		d.out.Tell(peer, d.encode())
+		d.out.Tell(d.peer(), d.encode())
 	}
 	// Every router tells one a tick, so the messages heard a tick are the part of them that can be heard. The
 	// page has all of them: a router that is cut off or alone must not take its few outcomes for many.
@@ -519,18 +520,18 @@
 // excess is a state for each outcome that it stands for, and its standard error.
 func (d *decider) excess(k int) (mean, err float64) {
 	n := d.count[k] * (1 - forgetting)
-	if n < 1e-6 {
+	if n < 1e-6 || d.even[k].n < 1e-6 {
 		return 0, 1
 	}
-	// failures of the earlier build are few; hosts of one build differ in speed by a quarter (of four times)
-	some := 1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1)
-	return d.state[k] / n, math.Sqrt(d.spread[k]/n/d.company*some + float64(k)*0.0036/d.warm)
+	// failures of the earlier build are few; hosts of one build differ in speed by a quarter (of four times);
+	// however many routers there are, what one holds of the last ticks is that of some fifty
+	some := (1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1)) * max(1, 0.5+0.02*d.company) / d.company
+	return d.even[k].bad / d.even[k].n, math.Sqrt(d.spread[k]/n*some + float64(k)*0.0036/d.warm)
 }
 
 // A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows.
-// Where the earlier hosts stay until the release and are much slower than before the trial, the routers
-// together keep the trial's commands back for a while; if their return makes the earlier hosts slower than
-// that, it is the build. Also for a build that overloads what all share; costs a good build seconds.
+// Where the earlier hosts stay and are much slower than before, the routers keep the trial's commands back;
+// if their return slows the earlier hosts, it is the build. Costs a good build seconds.
 const (
 	dragged = 1.35
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
@@ -560,9 +561,9 @@
 	d.dipAt, d.before, d.times = d.now-age, d.calm/max(d.speed, 1e-3), [2]mean{}
 }
 
-// mixing is twice the ticks that gossip takes to spread what one router saw, that must not pass for many; a
-// host that fails alone is found and spared by then.
-const mixing = 16
+// mixing is the ticks in which gossip spreads what one router saw, which must not pass for many: the state is
+// evened over them, and doubt must last as long. A host that fails alone is found and spared by then.
+const mixing = 8
 
 // judge sets the wanted vote.
 func (d *decider) judge() {
@@ -574,6 +575,8 @@
 	d.dip()
 	doubt, worry := d.proof > proven, false
 	for k := range d.state {
+		d.even[k].n += (d.count[k]*(1-forgetting) - d.even[k].n) / mixing
+		d.even[k].bad += (d.state[k] - d.even[k].bad) / mixing
 		mean, err := d.excess(k)
 		// what is condemned gets few commands, and stays so on fewer outcomes; one slow host is no slow build
 		some := (d.condemned || d.count[k]*d.company >= enough) && (k == failing || d.warm > 2)
@@ -625,15 +628,12 @@
 		}
 		d.proof, d.level = 0, 1
 		d.calm = d.speed
-		d.count, d.state, d.spread = [kinds]float64{}, [kinds]float64{}, [kinds]float64{}
+		d.count, d.state, d.spread, d.even = [kinds]float64{}, [kinds]float64{}, [kinds]float64{}, [kinds]mean{}
 	}
 	d.news, d.told = n, true
 	if n.Standing == GoingBack || n.Standing == Withdrawn {
 		maps.DeleteFunc(d.stuck, func(_ uint64, b int) bool { return b >= n.Build })
 	}
-	if n.Standing == Withdrawn {
-		d.news.Cap = 0
-	}
 	d.survey()
 }
 
@@ -642,7 +642,7 @@
 		if h.listed = d.now; e.Started == 0 { // it has run for long
 			h.listed = 1
 		}
-		h.budget = bucket{d.chance(), 1} // routers, however many, come to their first at times of their own
+		h.budget, h.credited = bucket{d.chance(), 1}, d.credit // however many routers, each starts at its own time
 		h.slow, h.strikes, h.aside = 1, 0, 0
 	}
 }
@@ -652,8 +652,7 @@
 	d.watchAt = d.now + second/2 + int64(d.chance()*float64(second))
 }
 
-// woken takes the latest wake-up as come whatever the clock says: one that comes a little early, or an old
-// one that comes again, must neither stop the chain nor start a second.
+// woken takes the latest wake-up as come whatever the clock says: an early one must not stop the chain.
 func (d *decider) woken(mark uint64) {
 	if mark == d.wakes {
 		d.armed = 0
@@ -675,16 +674,14 @@
 		return
 	}
 	if d.now >= d.lastLook(c) {
-		c.answer = scrap
-		d.differ = append(d.differ, c)
+		c.answer, d.differ = scrap, append(d.differ, c)
 		return
 	}
 	c.due = d.queue.Add(d.lastLook(c), c)
 	if c.out == 1 && d.set.Copies && d.pressure < 0.5 && d.mayRepeat(c, false) && d.now < c.contract &&
 		d.again.take() {
 		if h := d.pick(c); h != nil && !c.met(h) {
-			c.next, c.until = h, c.cutOff
-			d.differ = append(d.differ, c)
+			c.next, c.until, d.differ = h, c.cutOff, append(d.differ, c)
 		}
 	}
 }
@@ -699,9 +696,8 @@
 	return d.chance()*d.load[carriers+c.carrier]*d.company > may
 }
 
-// sheds turns away the commands worth least for their work while answers come too late. By Little's law a
-// time is what is open over the pace of answers; some go past 0.7 of the shortest contract, most past 1.15.
-// A quiet router goes by all routers' figures, as it has next to none of its own; a busy one's own are newer.
+// sheds turns away the commands worth least for their work while answers come too late, by Little's law: some
+// past 0.7 of the shortest contract, most past 1.15. A busy router goes by its own figures, which are newer.
 func (d *decider) sheds(c *command) bool {
 	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
 	if d.beyond(c) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -28,10 +28,18 @@
 	strikes  int
 	aside    int64 // set aside until then
 	budget   bucket
+	credited float64 // how much of the credit has gone into it
 	queue    float64
 	queuedAt int64
 }
 
+func (h *host) side() int {
+	if h.trial {
+		return 1
+	}
+	return 0
+}
+
 type handOff struct {
 	host     *host
 	build    int
@@ -125,14 +133,18 @@
 
 	count              [kinds]float64 // gossiped: the decayed trial counts
 	state, spread      [kinds]float64 // gossiped: the states s, and the mean squares of their readings
+	even               [kinds]mean    // count and state, evened over some ticks
 	trial, earlier     sample         // this tick's
 	past               [kinds]mean    // the earlier build's outcomes
 	beside             [kinds]float64 // how many of them stand beside the trial's
 	pastAt             int64          // when the latest of them that has ended was sent
+	reach              [2][]*host     // the hosts that this router uses, of the earlier builds and of those on trial
+	up                 int            // hosts that show no sign of being down
+	part               [2]float64     // what all hosts of them can do now that are up
 	total              float64        // what all hosts can do now
+	credit             float64        // for cold hosts, by each unit of capacity
 	warm               float64        // how many hosts of the build on trial are warm
 	newest             int64          // the last start of a host of the build on trial, or of its stage
-	got                float64        // part of the hand-offs that went to the trial
 	doubtful           int            // ticks in a row in which the build looked bad
 	condemned          bool           // it looked bad for long enough, on enough outcomes
 	proof              float64        // gossiped: in how far tests found it to slow all hosts
@@ -193,21 +205,29 @@
 	open     = iota // commands that are held or out
 	answers         // answers to commands
 	times           // how long they took, in seconds
+	sent            // hand-offs
+	trials          // those of them that went to the trial, and count in its share
 	carriers        // commands of each carrier
 
-	judging = 3*kinds + 1
+	judging = 5*kinds + 1
 )
 
 // shared are the figures that gossip averages.
 func (d *decider) shared() []*float64 {
-	all := []*float64{&d.state[failing], &d.state[lagging], &d.spread[failing], &d.spread[lagging],
-		&d.count[failing], &d.count[lagging], &d.proof}
+	all := []*float64{&d.state[failing], &d.state[lagging], &d.past[lagging].bad, // these may be below zero
+		&d.spread[failing], &d.spread[lagging], &d.count[failing], &d.count[lagging], &d.past[failing].n,
+		&d.past[lagging].n, &d.past[failing].bad, &d.proof}
 	for i := range d.load {
 		all = append(all, &d.load[i])
 	}
 	return all
 }
 
+// peer is a random other router.
+func (d *decider) peer() int {
+	return (d.set.Rank + 1 + int(d.chance()*float64(d.set.Routers-1))) % d.set.Routers
+}
+
 // encode is a message: the build judged, for how many seconds the trial has been kept back, and the shared
 // figures, each as the upper half of a float32, as every byte has its price.
 func (d *decider) encode() []byte {
@@ -226,7 +246,7 @@
 	}
 	for i := 2; i < len(raw); i += 2 {
 		f := float64(math.Float32frombits(uint32(binary.BigEndian.Uint16(raw[i:])) << 16))
-		if math.IsNaN(f) || math.Abs(f) > 1e6 || i >= 2+2*kinds && f < 0 {
+		if math.IsNaN(f) || math.Abs(f) > 1e6 || i >= 2+2*3 && f < 0 {
 			return 0, nil, false
 		}
 		figures = append(figures, f)
