Tests of dragging builds go by all routers' speeds, after sixteen slow ticks in a row

The earlier build's speed is pooled now, over three seconds where routers are quiet, and its calm value over ten. Guards against builds that slow all hosts; could hurt a good build by seconds where an overload sets in during its trial.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -346,13 +346,8 @@
 			d.mean += 0.01 * (float64(took) - d.mean)
 			// the mean of the speeds goes by the quick answers, that did not wait: load moves it little
 			speed := min(5, float64(c.band.Contract)/float64(took)*d.expected(c)/c.band.typical/10)
-			d.speed += 0.03 * (speed - d.speed) // the last thirty answers
-			for i := range d.times {
-				if from := d.dipAt + int64(i)*dipFor; o.at > from+second && d.now < from+dipFor {
-					d.times[i].n++
-					d.times[i].bad += speed
-				}
-			}
+			d.own[earlier]++
+			d.own[speeds] += speed
 		}
 		// what fulfilled commands show that a fleet of this capacity carries, cold hosts may have by their part of
 		// it: all routers' sum stays at this multiple, however much clients ask for, well under every stated one
@@ -471,9 +466,9 @@
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
-	for i := range d.load { // the page's average again, with memories of one and, for carriers, three seconds
+	for i := range d.load { // the page's average again, with a memory of one second, or of three where that is few
 		fresh := 0.1
-		if i >= carriers {
+		if i >= carriers || i >= earlier && d.load[answers] < 1 {
 			fresh = 0.03
 		}
 		d.load[i] += fresh * (d.own[i] - d.load[i])
@@ -482,6 +477,7 @@
 			d.own[i] = 0
 		}
 	}
+	d.usual.n, d.usual.bad = forgetting*d.usual.n+d.load[earlier], forgetting*d.usual.bad+d.load[speeds]
 	if d.set.Peers && d.set.Routers > 1 {
 		d.out.Tell(d.peer(), d.encode())
 	}
@@ -500,7 +496,7 @@
 func (d *decider) heard(build int, figures []float64) {
 	d.messages += 0.03
 	dip := figures[len(figures)-1]
-	if build == d.news.Build && dip < 1.5 && d.dipAt == 0 && d.calm > 1.1*d.level*d.speed {
+	if build == d.news.Build && dip < 1.5 && d.dipAt == 0 && d.calm > 1.1*d.level*d.speed() {
 		d.startDip(int64(dip * float64(second))) // join a test that has just begun
 	}
 	for i, f := range d.shared() {
@@ -540,26 +536,27 @@
 
 // dip starts, ends and reads such a test.
 func (d *decider) dip() {
-	pulse := d.calm / max(d.speed, 1e-3)
+	pulse := d.calm / max(d.speed(), 1e-3)
 	d.level = min(d.level, max(1, pulse)) // what an earlier test found not to be the build's fault
-	without := d.calm * d.times[0].n / max(d.times[0].bad, 1e-3)
-	with := d.calm * d.times[1].n / max(d.times[1].bad, 1e-3)
+	if d.now-d.dipAt < dipFor {
+		d.without = pulse
+	}
+	if d.slowed++; pulse < dragged*d.level {
+		d.slowed = 0
+	}
 	if d.news.Standing != OnTrial {
 		d.dipAt = 0
-	} else if d.dipAt == 0 && pulse > dragged*d.level && d.news.Stage > 0 && d.set.Beside {
+	} else if d.dipAt == 0 && d.slowed > 2*mixing && d.news.Stage > 0 && d.set.Beside {
 		d.startDip(0)
 	} else if d.dipAt > 0 && d.now-d.dipAt > 2*dipFor {
-		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f, then %.2f", d.before, without, with))
-		chance := 0.6 * math.Sqrt(1/max(d.times[0].n, 1)+1/max(d.times[1].n, 1))
-		if d.proof, d.dipAt = 1, 0; with/without-1 < max(0.3, chance) {
+		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f", d.without, pulse))
+		if d.proof, d.dipAt = 1, 0; pulse/d.without < 1.3 {
 			d.proof, d.level = 0, max(d.level, pulse)
 		}
 	}
 }
 
-func (d *decider) startDip(age int64) {
-	d.dipAt, d.before, d.times = d.now-age, d.calm/max(d.speed, 1e-3), [2]mean{}
-}
+func (d *decider) startDip(age int64) { d.dipAt, d.slowed = d.now-age, 0 }
 
 // mixing is the ticks in which gossip spreads what one router saw, which must not pass for many: the state is
 // evened over them, and doubt must last as long. A host that fails alone is found and spared by then.
@@ -627,7 +624,7 @@
 			d.base = d.news.Build
 		}
 		d.proof, d.level = 0, 1
-		d.calm = d.speed
+		d.calm = d.usual.bad / max(d.usual.n, 1e-3)
 		d.count, d.state, d.spread, d.even = [kinds]float64{}, [kinds]float64{}, [kinds]float64{}, [kinds]mean{}
 	}
 	d.news, d.told = n, true
--- a/rules/state.go
+++ b/rules/state.go
@@ -131,30 +131,31 @@
 	seenKey map[uint64]int64 // key: when it last came
 	again   bucket           // further hand-offs
 
-	count              [kinds]float64 // gossiped: the decayed trial counts
-	state, spread      [kinds]float64 // gossiped: the states s, and the mean squares of their readings
-	even               [kinds]mean    // count and state, evened over some ticks
-	trial, earlier     sample         // this tick's
-	past               [kinds]mean    // the earlier build's outcomes
-	beside             [kinds]float64 // how many of them stand beside the trial's
-	pastAt             int64          // when the latest of them that has ended was sent
-	reach              [2][]*host     // the hosts that this router uses, of the earlier builds and of those on trial
-	up                 int            // hosts that show no sign of being down
-	part               [2]float64     // what all hosts of them can do now that are up
-	total              float64        // what all hosts can do now
-	credit             float64        // for cold hosts, by each unit of capacity
-	warm               float64        // how many hosts of the build on trial are warm
-	newest             int64          // the last start of a host of the build on trial, or of its stage
-	doubtful           int            // ticks in a row in which the build looked bad
-	condemned          bool           // it looked bad for long enough, on enough outcomes
-	proof              float64        // gossiped: in how far tests found it to slow all hosts
-	times              [2]mean        // what a test measures, without and with the trial's commands
-	speed, calm, level float64        // the earlier build now, before the trial; loss found no fault of it
-	dipAt              int64          // since when the trial's commands are kept back, 0 for not
-	before             float64        // how much slower than calm before it
-	want, cast, noted  vote
-	castAt, callAt     int64
-	calling            bool
+	count             [kinds]float64 // gossiped: the decayed trial counts
+	state, spread     [kinds]float64 // gossiped: the states s, and the mean squares of their readings
+	even              [kinds]mean    // count and state, evened over some ticks
+	trial, earlier    sample         // this tick's
+	past              [kinds]mean    // the earlier build's outcomes
+	beside            [kinds]float64 // how many of them stand beside the trial's
+	pastAt            int64          // when the latest of them that has ended was sent
+	reach             [2][]*host     // the hosts that this router uses, of the earlier builds and of those on trial
+	up                int            // hosts that show no sign of being down
+	part              [2]float64     // what all hosts of them can do now that are up
+	total             float64        // what all hosts can do now
+	credit            float64        // for cold hosts, by each unit of capacity
+	warm              float64        // how many hosts of the build on trial are warm
+	newest            int64          // the last start of a host of the build on trial, or of its stage
+	doubtful          int            // ticks in a row in which the build looked bad
+	condemned         bool           // it looked bad for long enough, on enough outcomes
+	proof             float64        // gossiped: in how far tests found it to slow all hosts
+	usual             mean           // speed of the earlier build over some seconds
+	slowed            int            // ticks in a row in which it was much slower than before
+	without           float64        // what a test measures without the trial's commands
+	calm, level       float64        // the earlier build's speed before the trial; loss found no fault of it
+	dipAt             int64          // since when the trial's commands are kept back, 0 for not
+	want, cast, noted vote
+	castAt, callAt    int64
+	calling           bool
 
 	began    int64
 	watchAt  int64
@@ -207,6 +208,8 @@
 	times           // how long they took, in seconds
 	sent            // hand-offs
 	trials          // those of them that went to the trial, and count in its share
+	earlier         // answers of the earlier build
+	speeds          // how quick they were
 	carriers        // commands of each carrier
 
 	judging = 5*kinds + 1
@@ -223,6 +226,9 @@
 	return all
 }
 
+// speed is that of the earlier build's answers of late.
+func (d *decider) speed() float64 { return d.load[speeds] / max(d.load[earlier], 1e-3) }
+
 // peer is a random other router.
 func (d *decider) peer() int {
 	return (d.set.Rank + 1 + int(d.chance()*float64(d.set.Routers-1))) % d.set.Routers
