Cold hosts without budget do not count in the trial's part

Told from a slow build by times that grew with each second from the moment that new hosts were listed.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -188,8 +188,9 @@
 			ready[h.side()]++
 			d.total += h.size * d.warmth(h)
 			if h.aside <= d.now {
-				d.up++
-				d.part[h.side()] += h.size * d.warmth(h)
+				if d.up++; d.room(h) { // else the warm ones would get a cold one's part too
+					d.part[h.side()] += h.size * d.warmth(h)
+				}
 			}
 		}
 	}
@@ -224,17 +225,19 @@
 	return d.set.ColdFrom + (1-d.set.ColdFrom)*max(0, float64(d.now-h.started)/float64(d.set.ColdFor))
 }
 
+// room tells whether a host is warm, or its budget has something left.
+func (d *decider) room(h *host) bool {
+	w := d.warmth(h)
+	h.budget.add((d.credit - h.credited) * h.size * w)
+	h.credited = d.credit
+	return w == 1 || h.budget.have >= 1
+}
+
 // usable tells whether the rules allow a hand-off of c to h.
 func (d *decider) usable(c *command, h *host, stuck int) bool {
-	if h.health != Ready || h.build < stuck {
+	if h.health != Ready || h.build < stuck || !d.room(h) {
 		return false
 	}
-	if w := d.warmth(h); w < 1 {
-		h.budget.add((d.credit - h.credited) * h.size * w)
-		if h.credited = d.credit; h.budget.have < 1 {
-			return false
-		}
-	}
 	if h.trial && (c.band.exposure.have < 1 || d.cap <= 0 ||
 		h.stage < d.set.Guarded && c.band.Repeat != Replayable) {
 		return false
