States are evened over more ticks where there are hundreds of routers

Gossip needs longer to spread there: three ticks for each doubling; in turn a voter's state counts for 150 routers.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -469,7 +469,7 @@
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
-	for i := range d.load { // the page's average again, with a memory of one second, or of three where that is few
+	for i := range d.load { // the page's average again, over one second, or three where that is few
 		fresh := 0.1
 		if i >= carriers || i >= earlier && d.load[answers] < 1 {
 			fresh = 0.03
@@ -523,8 +523,8 @@
 		return 0, 1
 	}
 	// failures of the earlier build are few; hosts of one build differ in speed by a quarter (of four times);
-	// however many routers there are, what one holds of the last ticks is that of some fifty
-	some := (1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1)) * max(1, 0.5+0.02*d.company) / d.company
+	// however many routers there are, what one holds of the last ticks is that of some hundred and fifty
+	some := (1/max(d.count[k], 0.1) + float64(k)/max(d.beside[k], 0.1)) * max(1, 0.5+0.006*d.company) / d.company
 	return d.even[k].bad / d.even[k].n, math.Sqrt(d.spread[k]/n*some + float64(k)*0.0036/d.warm)
 }
 
@@ -561,8 +561,9 @@
 
 func (d *decider) startDip(age int64) { d.dipAt, d.slowed = d.now-age, 0 }
 
-// mixing is the ticks in which gossip spreads what one router saw, which must not pass for many: the state is
-// evened over them, and doubt must last as long. A host that fails alone is found and spared by then.
+// mixing is the ticks in which gossip spreads what one of few routers saw, which must not pass for many: doubt
+// must last as long, and the state is evened over more where there are hundreds. A host that fails alone is
+// found and spared by then.
 const mixing = 8
 
 // judge sets the wanted vote.
@@ -574,9 +575,10 @@
 	}
 	d.dip()
 	doubt, worry := d.proof > proven, false
+	spreading := max(mixing, 3*math.Log2(float64(d.set.Routers)))
 	for k := range d.state {
-		d.even[k].n += (d.count[k]*(1-forgetting) - d.even[k].n) / mixing
-		d.even[k].bad += (d.state[k] - d.even[k].bad) / mixing
+		d.even[k].n += (d.count[k]*(1-forgetting) - d.even[k].n) / spreading
+		d.even[k].bad += (d.state[k] - d.even[k].bad) / spreading
 		mean, err := d.excess(k)
 		// what is condemned gets few commands, and stays so on fewer outcomes; one slow host is no slow build
 		some := (d.condemned || d.count[k]*d.company >= enough) && (k == failing || d.warm > 2)
