Cold hosts' credit goes by what was fulfilled in the last ten seconds

Guards against any move of all load to cold hosts; could give a cold host too much where commands get much dearer within seconds.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -352,9 +352,6 @@
 			d.own[earlier]++
 			d.own[speeds] += speed
 		}
-		// what fulfilled commands show that a fleet of this capacity carries, cold hosts may have by their part of
-		// it: all routers' sum stays at this multiple, however much clients ask for, well under every stated one
-		d.credit += 1.2 / max(d.total, 1e-3)
 		if o.build >= d.news.Build && d.set.KeysStay && c.key != 0 { // also in a router started after the release
 			d.stuck[c.key] = max(d.stuck[c.key], o.build)
 		}
@@ -469,6 +466,10 @@
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
+	// what fulfilled commands of the last 10 s show that a fleet of this capacity carries, cold hosts may have
+	// by their part of it: all routers' sum stays at this multiple, well under every stated one
+	d.carried.n, d.carried.bad = forgetting*d.carried.n+d.total, forgetting*d.carried.bad+d.own[answers]
+	d.credit += 1.2 * d.carried.bad / max(d.carried.n, 1e-3)
 	for i := range d.load { // the page's average again, over one second, or three where that is few
 		fresh := 0.1
 		if i >= carriers || i >= earlier && d.load[answers] < 1 {
@@ -561,9 +562,8 @@
 
 func (d *decider) startDip(age int64) { d.dipAt, d.slowed = d.now-age, 0 }
 
-// mixing is the ticks in which gossip spreads what one of few routers saw, which must not pass for many: doubt
-// must last as long, and the state is evened over more where there are hundreds. A host that fails alone is
-// found and spared by then.
+// mixing is the ticks in which gossip spreads what one of few routers saw, which must not pass for many; the
+// state is evened over more where there are hundreds. A host that fails alone is found and spared by then.
 const mixing = 8
 
 // judge sets the wanted vote.
--- a/rules/state.go
+++ b/rules/state.go
@@ -143,6 +143,7 @@
 	part              [2]float64     // what all hosts of them can do now that are up
 	total             float64        // what all hosts can do now
 	credit            float64        // for cold hosts, by each unit of capacity
+	carried           mean           // the fleet's capacity, and what it fulfilled
 	warm              float64        // how many hosts of the build on trial are warm
 	newest            int64          // the last start of a host of the build on trial, or of its stage
 	doubtful          int            // ticks in a row in which the build looked bad
