--- a/rules/rules.go
+++ b/rules/rules.go
@@ -466,10 +466,10 @@
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
-	// what fulfilled commands of the last 10 s show that a fleet of this capacity carries, cold hosts may have
-	// by their part of it: all routers' sum stays at this multiple, well under every stated one
+	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts may
+	// have by their part of it: all routers' sum stays at this multiple, well under every stated one
 	d.carried.n, d.carried.bad = forgetting*d.carried.n+d.total, forgetting*d.carried.bad+d.own[answers]
-	d.credit += 1.2 * d.carried.bad / max(d.carried.n, 1e-3)
+	d.credit += 1.2 * max(d.carried.bad/max(d.carried.n, 1e-3), d.mine[answers]/max(d.total, 1e-3))
 	for i := range d.load { // the page's average again, over one second, or three where that is few
 		fresh := 0.1
 		if i >= carriers || i >= earlier && d.load[answers] < 1 {
