--- a/rules/rules.go
+++ b/rules/rules.go
@@ -466,8 +466,8 @@
 		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
-	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts may
-	// have by their part of it: all routers' sum stays at this multiple, well under every stated one
+	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts
+	// may have by their part of it: all routers' sum stays at this multiple, well under every stated one
 	d.carried.n, d.carried.bad = forgetting*d.carried.n+d.total, forgetting*d.carried.bad+d.own[answers]
 	d.credit += 1.2 * max(d.carried.bad/max(d.carried.n, 1e-3), d.mine[answers]/max(d.total, 1e-3))
 	for i := range d.load { // the page's average again, over one second, or three where that is few
@@ -550,7 +550,7 @@
 	}
 	if d.news.Standing != OnTrial {
 		d.dipAt = 0
-	} else if d.dipAt == 0 && d.slowed > 2*mixing && d.news.Stage > 0 && d.set.Beside {
+	} else if d.dipAt == 0 && d.slowed > mixing && d.news.Stage > 0 && d.set.Beside {
 		d.startDip(0)
 	} else if d.dipAt > 0 && d.now-d.dipAt > 2*dipFor {
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f", d.without, pulse))
@@ -564,7 +564,7 @@
 
 // mixing is the ticks in which gossip spreads what one of few routers saw, which must not pass for many; the
 // state is evened over more where there are hundreds. A host that fails alone is found and spared by then.
-const mixing = 8
+const mixing = 16
 
 // judge sets the wanted vote.
 func (d *decider) judge() {
@@ -575,7 +575,7 @@
 	}
 	d.dip()
 	doubt, worry := d.proof > proven, false
-	spreading := max(mixing, 3*math.Log2(float64(d.set.Routers)))
+	spreading := max(1, 3*math.Log2(float64(d.set.Routers))-8)
 	for k := range d.state {
 		d.even[k].n += (d.count[k]*(1-forgetting) - d.even[k].n) / spreading
 		d.even[k].bad += (d.state[k] - d.even[k].bad) / spreading
