--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -15,8 +15,8 @@
 		Worth, LateWorth                  float64
 	}
 	Contract struct {
-		ColdFrom float64
-		ColdNs   int64
+		ColdFrom, FallMultiple float64
+		ColdNs                 int64
 	}
 	Discovery  string
 	FamilyInfo struct {
@@ -64,6 +64,7 @@
 		HoldVotes: fam.ToPause, VoteLife: fam.VoteTtlNs, VoteWait: fam.VoteWaitNs, Free: fam.SpareTries,
 		CapByBand: fam.CapScope == "per_lane", Guarded: fam.Shielded, Beside: fam.Layout == "side_by_side", KeysStay: fam.KeysStay,
 		FlagShare: fam.ComplaintShare, ColdFrom: p.Contract.ColdFrom, ColdFor: p.Contract.ColdNs,
+		FallMultiple: p.Contract.FallMultiple,
 	}
 	if lim.RetryAfter {
 		s.MaxAdvice = lim.MaxRetryAfterNs
--- a/rules/door.go
+++ b/rules/door.go
@@ -130,6 +130,7 @@
 	FlagShare     float64 // part of the wrong answers that is reported
 	ColdFrom      float64
 	ColdFor       int64
+	FallMultiple  float64  // what topples a cold host, over what it can do
 	Reports       []Report // what the values of a load report are
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -458,8 +458,9 @@
 		keep := [kinds]float64{0.95, 0.9}[k] // the last seconds: what breaks both is no build's fault
 		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n[k], keep*d.past[k].bad+d.earlier.bad[k]
 		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten; the earlier
-		// build's share is pooled, as a quiet router has hardly an outcome of it in the same seconds
-		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, min(1, 5/d.company))
+		// build's share is pooled, as a quiet router has hardly an outcome of it in the same seconds, and fades
+		// seconds after its last answers: what broke its last hosts excuses no later failures
+		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, min(1, 0.4*d.load[answers]), 1e-3)
 		d.count[k] = forgetting*d.count[k] + d.trial.n[k]
 		d.beside[k] = forgetting*d.beside[k] + d.earlier.n[k]
 		d.state[k] = forgetting*d.state[k] + (1-forgetting)*x
@@ -467,9 +468,9 @@
 	}
 	d.trial, d.earlier = sample{}, sample{}
 	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts
-	// may have by their part of it: all routers' sum stays at this multiple, well under every stated one
+	// may have by their part of it: all routers' sum stays well under the stated multiple
 	d.carried.n, d.carried.bad = forgetting*d.carried.n+d.total, forgetting*d.carried.bad+d.own[answers]
-	d.credit += 1.2 * max(d.carried.bad/max(d.carried.n, 1e-3), d.mine[answers]/max(d.total, 1e-3))
+	d.credit += max(1.2, 0.8*d.set.FallMultiple) * max(d.carried.bad/max(d.carried.n, 1e-3), d.mine[answers]/max(d.total, 1e-3))
 	for i := range d.load { // the page's average again, over one second, or three where that is few
 		fresh := 0.1
 		if i >= carriers || i >= earlier && d.load[answers] < 1 {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -27,6 +27,11 @@
 		for w.step = range 1500 {
 			w.random(&id)
 			w.pass(w.rnd.Int64N(15) * ms)
+			for _, f := range w.r.shared() { // once divided by nothing, and no peer took its messages any more
+				if math.IsNaN(*f) || math.IsInf(*f, 0) {
+					w.fail("shared figures %v %v", w.r.state, w.r.load)
+				}
+			}
 		}
 		w.pass(6000 * ms) // what is still out never ends: all must be answered in time all the same
 	})
--- a/rules/world_test.go
+++ b/rules/world_test.go
@@ -71,7 +71,7 @@
 func plain() Settings {
 	return Settings{Routers: 3, Tick: 5 * ms, MaxHandOffs: 4, Copies: true, Recalls: true, Peers: true,
 		MaxAdvice: 1000 * ms, OnVotes: 2, BackVotes: 1, VoteLife: 4000 * ms, VoteWait: 800 * ms, Gate: Share, Free: 2,
-		FirstCap: 0.1, KeysStay: true, FlagShare: 0.15, ColdFrom: 0.33, ColdFor: 4000 * ms, OverShare: 0.1,
+		FirstCap: 0.1, KeysStay: true, FlagShare: 0.15, ColdFrom: 0.33, ColdFor: 4000 * ms, FallMultiple: 2, OverShare: 0.1,
 		Carriers: []Carrier{{30}, {20}}, Bands: []Band{
 			{Contract: 750 * ms, CutOff: 3000 * ms, Repeat: Referenced, Memory: 2000 * ms, Importance: 5},
 			{Contract: 1500 * ms, CutOff: 5000 * ms, Importance: 1, LateOf: 0.2},
