--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -83,9 +83,7 @@
 		r.Flagged(now, x.Host, x.Band, x.Age)
 	case wire.FromPeer:
 		r.Heard(now, x.From, x.Raw)
-	case wire.ProbeDone:
-		r.Probed(now, x.Host, x.Ending, x.Took, x.Report)
-	case wire.Metrics: // tallies: see docs/design.md
+	case wire.ProbeDone, wire.Metrics: // not asked for, not used: see docs/design.md
 	case wire.Reminder:
 		r.Woken(now, x.Mark)
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -314,7 +314,7 @@
 	codeSurrender = 18
 	codeRecall    = 19
 	codeRemind    = 20
-	codePoll      = 21
+	codeRelease   = 22
 	codeSay       = 23
 	codeDebug     = 24
 	codeListen    = 26
@@ -392,8 +392,8 @@
 	o.Reply.u64(uint64(after))
 	o.Reply.u64(mark)
 }
-func (o Out) Probe(host uint32) {
-	o.Reply.record(codePoll, o.Instance, 4)
+func (o Out) Close(host uint32) {
+	o.Reply.record(codeRelease, o.Instance, 4)
 	o.Reply.u32(host)
 }
 func (o Out) Watch(on bool) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -29,9 +29,9 @@
 		VoteTtlNs, VoteWaitNs         int64
 	}
 	Limits struct {
-		Cancel, ParallelTries, PeerMessages, Probing, RetryAfter bool
-		MaxAttempts                                              int
-		MaxRetryAfterNs                                          int64
+		Cancel, ParallelTries, PeerMessages, RetryAfter bool
+		MaxAttempts                                     int
+		MaxRetryAfterNs                                 int64
 	}
 	OverShareWorth float64
 	Projects       []struct{ AllowancePerS float64 }
@@ -59,7 +59,7 @@
 	s := rules.Settings{
 		Rank: p.Rank, Routers: p.ReplicasOfMe, OverShare: p.OverShareWorth, Tick: p.TickNs,
 		Subscribe: p.Discovery == "subscribe", MaxHandOffs: lim.MaxAttempts, Copies: lim.ParallelTries,
-		Recalls: lim.Cancel, Probes: lim.Probing, Peers: lim.PeerMessages,
+		Recalls: lim.Cancel, Peers: lim.PeerMessages,
 		OnVotes: fam.ToAdvance, BackVotes: fam.BackVotes,
 		HoldVotes: fam.ToPause, VoteLife: fam.VoteTtlNs, VoteWait: fam.VoteWaitNs, Free: fam.SpareTries,
 		CapByBand: fam.CapScope == "per_lane", Guarded: fam.Shielded, Beside: fam.Layout == "side_by_side", KeysStay: fam.KeysStay,
--- a/rules/door.go
+++ b/rules/door.go
@@ -112,7 +112,6 @@
 	MaxHandOffs   int
 	Copies        bool // two hand-offs at once are allowed
 	Recalls       bool
-	Probes        bool
 	Peers         bool
 	MaxAdvice     int64
 	Gate          Gate
@@ -198,7 +197,7 @@
 	Vote(v Verdict, build, stage int)
 	Tell(peer int, message []byte)
 	Wake(after int64, mark uint64)
-	Probe(host uint32)
+	Close(host uint32) // its idle connections
 	Watch(on bool)
 	Note(text string)
 }
@@ -330,16 +329,6 @@
 	}
 }
 
-// Probed tells what a probe found.
-func (r *Router) Probed(now int64, id uint32, e Ending, took int64, report []float64) {
-	if h := r.hosts[id]; h != nil {
-		r.now = now
-		r.report(h, report)
-		r.health(h, e)
-		r.settle()
-	}
-}
-
 // Woken tells that the wake-up of this mark has come.
 func (r *Router) Woken(now int64, mark uint64) {
 	r.now = now
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -65,7 +65,10 @@
 			}
 		}
 	}
-	d.differ = d.differ[:0]
+	for _, h := range d.idle {
+		d.out.Close(h.id)
+	}
+	d.differ, d.idle = d.differ[:0], d.idle[:0]
 	if d.set.Subscribe && d.now >= d.watchAt {
 		d.watchAt = math.MaxInt64
 		d.out.Watch(true)
@@ -101,8 +104,7 @@
 
 func (d *decider) lastLook(c *command) int64 { return c.cutOff - 2*d.set.Tick }
 
-// nextLook is when a command wants another look: for a second copy after 2.5 expected times, longer than
-// almost every healthy answer takes, or for its last answer.
+// nextLook is when a command wants another look: for a second copy, later than most answers, or its last.
 func (d *decider) nextLook(c *command) int64 {
 	last := d.lastLook(c)
 	if !d.set.Copies || c.band.Repeat == SingleUse || len(c.handOffs) != 1 {
@@ -184,6 +186,7 @@
 			h.stage, h.trial = 0, true
 			d.cap = min(d.cap, d.set.FirstCap)
 		}
+		h.budget.add(0.2 / float64(d.set.Routers)) // two a second of all routers: a fleet that is all cold starts
 		if h.health == Ready {
 			ready[h.side()]++
 			d.total += h.size * d.warmth(h)
@@ -330,7 +333,13 @@
 	h.out, h.waiting = h.out-1, d.now
 	o.unrun = e == TurnedAway || e == NoConnect || e == Unsent
 	d.report(h, report)
-	d.health(h, e)
+	// Hosts may take few connections: after one that fails, the next thirty answers' are closed at once, so
+	// that all routers get some in turn. Costs handshakes where it is the host that is down.
+	if d.health(h, e); e == NoConnect {
+		d.scarce = 30
+	} else if d.scarce--; d.scarce > 0 && h.out == 0 {
+		d.idle = append(d.idle, h)
+	}
 	ratio := min(8, float64(took)/d.expected(c))
 	if e == Failed || e == Reset || e == TimedOut || e == NoConnect { // a fast failure is no sign of idleness
 		ratio = 8
@@ -357,17 +366,14 @@
 		}
 	}
 	d.weigh(c, o, e, took)
-	switch {
-	case c.over:
-	case over:
+	if over {
 		d.close(c)
-	case c.out > 0:
-	default: // again where that is allowed and of use
+	} else if !c.over && c.out == 0 { // again where that is allowed and of use
 		worth := c.contract
 		if c.band.LateOf > 0 {
 			worth = c.cutOff
 		}
-		if d.mayRepeat(c, false) && float64(worth-d.now) > c.band.typical/2 && d.again.take() {
+		if d.mayRepeat(c, false) && float64(worth-d.now) > c.band.typical/2 && (e == NoConnect || d.again.take()) {
 			d.place(c)
 		} else {
 			d.give(c)
@@ -470,7 +476,8 @@
 	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts
 	// may have by their part of it: all routers' sum stays well under the stated multiple
 	d.carried.n, d.carried.bad = forgetting*d.carried.n+d.total, forgetting*d.carried.bad+d.own[answers]
-	d.credit += max(1.2, 0.8*d.set.FallMultiple) * max(d.carried.bad/max(d.carried.n, 1e-3), d.mine[answers]/max(d.total, 1e-3))
+	shown := max(d.carried.bad/max(d.carried.n, 1e-3), d.mine[answers]/max(d.total, 1e-3))
+	d.credit += max(1.2, 0.8*d.set.FallMultiple) * shown
 	for i := range d.load { // the page's average again, over one second, or three where that is few
 		fresh := 0.1
 		if i >= carriers || i >= earlier && d.load[answers] < 1 {
@@ -490,9 +497,6 @@
 	// page has all of them: a router that is cut off or alone must not take its few outcomes for many.
 	d.messages -= 0.03 * d.messages
 	d.company = 1 + float64(d.set.Routers-1)*min(1, d.messages)
-	for _, h := range d.fleet {
-		h.budget.add(0.2 / float64(d.set.Routers)) // two a second of all routers: a fleet that is all cold starts
-	}
 	d.judge()
 }
 
@@ -530,9 +534,8 @@
 	return d.even[k].bad / d.even[k].n, math.Sqrt(d.spread[k]/n*some + float64(k)*0.0036/d.warm)
 }
 
-// A build may slow old and new hosts alike, in step with its traffic, which no comparison of the two shows.
-// Where the earlier hosts stay and are much slower than before, the routers keep the trial's commands back;
-// if their return slows the earlier hosts, it is the build. Costs a good build seconds.
+// A build may slow all hosts, in step with its traffic. Where the earlier ones stay and are much slower than
+// before, the trial's commands are kept back; if their return slows them, it is the build. Costs seconds.
 const (
 	dragged = 1.35
 	dipFor  = 3 * second // a second for the backlog to go, and two to measure
@@ -563,9 +566,7 @@
 
 func (d *decider) startDip(age int64) { d.dipAt, d.slowed = d.now-age, 0 }
 
-// mixing is the ticks in which gossip spreads what one of few routers saw, which must not pass for many; the
-// state is evened over more where there are hundreds. A host that fails alone is found and spared by then.
-const mixing = 16
+const mixing = 16 // the ticks that doubt must last, as a host that fails alone is found and spared by then
 
 // judge sets the wanted vote.
 func (d *decider) judge() {
@@ -576,6 +577,7 @@
 	}
 	d.dip()
 	doubt, worry := d.proof > proven, false
+	// what one router saw must not pass for many: gossip takes longer to spread it among hundreds
 	spreading := max(1, 3*math.Log2(float64(d.set.Routers))-8)
 	for k := range d.state {
 		d.even[k].n += (d.count[k]*(1-forgetting) - d.even[k].n) / spreading
@@ -605,9 +607,7 @@
 	case d.set.Gate != Clock && ready && d.doubtful == 0 && d.dipAt == 0:
 		verdict = On
 	}
-	if verdict != NoVote {
-		d.want = vote{verdict, d.news.Build, d.news.Stage}
-	}
+	d.want = vote{verdict, d.news.Build, d.news.Stage}
 }
 
 func (d *decider) hear(n News) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -117,6 +117,7 @@
 	queue  due.Queue[*command]
 	held   []*command
 	gone   []*command // ended outside their own events
+	idle   []*host    // their connections are to be closed unless hand-offs are out
 	differ []*command // their wanted state may differ from the present one
 	armed  int64      // when the latest wake-up is to come, 0 for none
 	wakes  uint64     // how many have been asked for
@@ -140,6 +141,7 @@
 	pastAt            int64          // when the latest of them that has ended was sent
 	reach             [2][]*host     // the hosts that this router uses, of the earlier builds and of those on trial
 	up                int            // hosts that show no sign of being down
+	scarce            int            // so many answers more it is short of connections
 	part              [2]float64     // what all hosts of them can do now that are up
 	total             float64        // what all hosts can do now
 	credit            float64        // for cold hosts, by each unit of capacity
