--- a/rules/rules.go
+++ b/rules/rules.go
@@ -545,7 +545,6 @@
 // dip starts, ends and reads such a test.
 func (d *decider) dip() {
 	pulse := d.calm / max(d.speed(), 1e-3)
-	d.level = min(d.level, max(1, pulse)) // what an earlier test found not to be the build's fault
 	if d.now-d.dipAt < dipFor {
 		d.without = pulse
 	}
