--- a/rules/rules.go
+++ b/rules/rules.go
@@ -702,7 +702,7 @@
 // past 0.7 of the shortest contract, most past 1.15. A busy router goes by its own figures, which are newer.
 func (d *decider) sheds(c *command) bool {
 	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
-	if d.beyond(c) {
+	if d.beyond(c) || c.cutOff < c.contract { // clients that give up early have their work done for nothing
 		over = 1
 	}
 	c.band.rate[over]++
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -278,7 +278,8 @@
 	}
 }
 
-// Answers once came after the contract time of the band that is worth most, long before any was turned away.
+// Answers once came after the contract time of the band that is worth most, long before any was turned away, and
+// hosts worked for clients that give up early and ask again.
 func TestOverload(t *testing.T) {
 	w := still(t, plain(), false)
 	dismissed := [3]int{}
@@ -296,6 +297,17 @@
 	if dismissed[1] < 200 || dismissed[1] < dismissed[0] {
 		t.Fatalf("dismissed by band: %v", dismissed)
 	}
+	d, shed := w.r.decider, [2]int{}
+	d.own[open], d.mine[answers], d.mine[times] = 100, 14.8, 1e3 // nine tenths of the shortest contract time
+	for i := range 1200 {
+		if b := d.bands[i%3]; d.sheds(&command{band: b, carrier: 9, contract: d.now + b.Contract,
+			cutOff: d.now + b.Contract/2 + int64(i%2)*b.Contract}) {
+			shed[i%2]++
+		}
+	}
+	if shed[0] < 2*shed[1] {
+		t.Fatalf("%d of those that give up early turned away, and %d others", shed[0], shed[1])
+	}
 }
 
 func TestReferencedWindowAndDrain(t *testing.T) {
