--- a/rules/rules.go
+++ b/rules/rules.go
@@ -496,7 +496,7 @@
 	// Every router tells one a tick, so the messages heard a tick are the part of them that can be heard. The
 	// page has all of them: a router that is cut off or alone must not take its few outcomes for many.
 	d.messages -= 0.03 * d.messages
-	d.company = 1 + float64(d.set.Routers-1)*min(1, d.messages)
+	d.company = 1 + float64(d.set.Routers-1)*min(1, 1.3*d.messages) // few are missed by chance
 	d.judge()
 }
 
