--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -28,9 +28,7 @@
 			w.random(&id)
 			w.pass(w.rnd.Int64N(15) * ms)
 			for _, f := range w.r.shared() { // once divided by nothing, and no peer took its messages any more
-				if math.IsNaN(*f) || math.IsInf(*f, 0) {
-					w.fail("shared figures %v %v", w.r.state, w.r.load)
-				}
+				w.failIf(math.IsNaN(*f) || math.IsInf(*f, 0), "shared figures %v %v", w.r.state, w.r.load)
 			}
 		}
 		w.pass(6000 * ms) // what is still out never ends: all must be answered in time all the same
@@ -151,22 +149,16 @@
 	for range 60 { // a router that is cut off knows in some seconds that it is alone
 		d.tick()
 	}
-	if d.company > 1.2 {
-		t.Fatalf("%v routers though none is heard", d.company)
-	}
+	w.failIf(d.company > 1.2, "%v routers though none is heard", d.company)
 }
 
 func TestSingleUseAfterDoubt(t *testing.T) {
 	w := still(t, plain(), false)
 	a := w.take(Command{ID: 1, Band: 2, Left: 4000 * ms})
 	w.finish(a.sent[0], NoConnect)
-	if len(a.sent) != 2 {
-		t.Fatal("not handed off again though it never ran")
-	}
+	w.failIf(len(a.sent) != 2, "not handed off again though it never ran")
 	w.finish(a.sent[1], Reset)
-	if len(a.sent) != 2 || !a.over {
-		t.Fatalf("%d hand-offs, over %v: it may have run", len(a.sent), a.over)
-	}
+	w.failIf(len(a.sent) != 2 || !a.over, "%d hand-offs, over %v: it may have run", len(a.sent), a.over)
 }
 
 func TestGuardedStageAndKeys(t *testing.T) {
@@ -174,15 +166,13 @@
 	set.Guarded = 1
 	w := still(t, set, true)
 	w.four(Gone)
-	if a := w.take(Command{ID: 1, Band: 0, Left: 3000 * ms}); len(a.sent) != 0 {
-		t.Fatal("a command with an effect went to a guarded stage")
-	}
+	a := w.take(Command{ID: 1, Band: 0, Left: 3000 * ms})
+	w.failIf(len(a.sent) != 0, "a command with an effect went to a guarded stage")
 	w.hear(News{Build: 5})
-	if a := w.take(Command{ID: 3, Band: 1, Left: 3000 * ms}); len(a.sent) != 0 {
-		t.Fatal("sent to the trial at cap 0")
-	}
+	a = w.take(Command{ID: 3, Band: 1, Left: 3000 * ms})
+	w.failIf(len(a.sent) != 0, "sent to the trial at cap 0")
 	w.hear(News{Build: 5, Cap: 1})
-	a := w.take(Command{ID: 2, Band: 1, Key: 77, Left: 5000 * ms})
+	a = w.take(Command{ID: 2, Band: 1, Key: 77, Left: 5000 * ms})
 	w.finish(a.sent[0], Fulfilled)
 	w.four(Ready)
 	w.hear(News{Build: 5, Standing: Released, Cap: 1}) // a released build keeps its keys too
@@ -294,9 +284,7 @@
 			w.outs = w.outs[1:]
 		}
 	}
-	if dismissed[1] < 200 || dismissed[1] < dismissed[0] {
-		t.Fatalf("dismissed by band: %v", dismissed)
-	}
+	w.failIf(dismissed[1] < 200 || dismissed[1] < dismissed[0], "dismissed by band: %v", dismissed)
 	d, shed := w.r.decider, [2]int{}
 	d.own[open], d.mine[answers], d.mine[times] = 100, 14.8, 1e3 // nine tenths of the shortest contract time
 	for i := range 1200 {
@@ -305,9 +293,7 @@
 			shed[i%2]++
 		}
 	}
-	if shed[0] < 2*shed[1] {
-		t.Fatalf("%d of those that give up early turned away, and %d others", shed[0], shed[1])
-	}
+	w.failIf(shed[0] < 2*shed[1], "%d of those that give up early turned away, and %d others", shed[0], shed[1])
 }
 
 func TestReferencedWindowAndDrain(t *testing.T) {
@@ -320,17 +306,13 @@
 	for _, s := range a.sent {
 		w.finish(s, Reset)
 	}
-	if len(a.sent) != sent || !a.over {
-		t.Fatal("handed off again after its repeats are known")
-	}
+	w.failIf(len(a.sent) != sent || !a.over, "handed off again after its repeats are known")
 	w.four(Draining)
 	if b := w.take(Command{ID: 2, Band: 1, Left: 5000 * ms}); len(b.sent) != 0 {
 		t.Fatal("sent to a host that drains")
 	}
 	w.pass(1000 * ms)
-	if !w.commands[2].over {
-		t.Fatal("what is given up must be answered at once")
-	}
+	w.failIf(!w.commands[2].over, "what is given up must be answered at once")
 }
 
 // A host that failed at once held nothing, and so looked the best of any two.
@@ -348,9 +330,7 @@
 			w.finish(s, Fulfilled)
 		}
 	}
-	if sent[2] > sent[0]/2 {
-		t.Fatalf("sent by host: %v", sent)
-	}
+	w.failIf(sent[2] > sent[0]/2, "sent by host: %v", sent)
 }
 
 // Hundreds of quiet routers each gave hosts that had all just started one command, and they fell over.
--- a/rules/world_test.go
+++ b/rules/world_test.go
@@ -83,6 +83,12 @@
 	w.t.Fatalf("step %d: "+format, append([]any{w.step}, args...)...)
 }
 
+func (w *world) failIf(wrong bool, format string, args ...any) {
+	if w.t.Helper(); wrong {
+		w.fail(format, args...)
+	}
+}
+
 func (w *world) onTrial(build int) (stage int, cap float64, yes bool) {
 	if build > w.news.Build {
 		return 0, w.set.FirstCap, true
@@ -92,12 +98,8 @@
 
 func (w *world) HandOff(id, hostID uint32, until int64) {
 	c, h := w.commands[id], w.listed[hostID]
-	if c == nil || c.over || h == nil {
-		w.fail("hand-off of %d to %d: ended, or a host that was not listed", id, hostID)
-	}
-	if h.Health != Ready && w.now-h.told > grace {
-		w.fail("rule 3: hand-off to a host that was told to drain")
-	}
+	w.failIf(c == nil || c.over || h == nil, "hand-off of %d to %d: ended, or a host that was not listed", id, hostID)
+	w.failIf(h.Health != Ready && w.now-h.told > grace, "rule 3: hand-off to a host that was told to drain")
 	b := w.set.Bands[c.Band]
 	for _, s := range c.sent {
 		switch {
@@ -110,9 +112,7 @@
 			w.fail("rule 2: a referenced command outside its window or group")
 		}
 	}
-	if len(c.sent) >= w.set.MaxHandOffs {
-		w.fail("too many hand-offs")
-	}
+	w.failIf(len(c.sent) >= w.set.MaxHandOffs, "too many hand-offs")
 	s := &sending{c: c, host: h, build: h.Build, at: w.now, number: len(c.sent), out: true}
 	w.sent = append(w.sent, s)
 	w.outs = append(w.outs, s)
@@ -168,18 +168,14 @@
 	for _, x := range w.answers {
 		room += 2 * h.Size * w.present(h) / x.size
 	}
-	if w.present(h) < 1 && sent > room {
-		w.fail("rule 4: %v sent to a cold host that can do %v", sent, room)
-	}
+	w.failIf(w.present(h) < 1 && sent > room, "rule 4: %v sent to a cold host that can do %v", sent, room)
 }
 
 type answered struct{ at, size float64 } // a fulfilled command, and the fleet's capacity at the time
 
 func (w *world) end(id uint32) *asked {
 	c := w.commands[id]
-	if c == nil || c.over {
-		w.fail("rule 1: a second answer to %d", id)
-	}
+	w.failIf(c == nil || c.over, "rule 1: a second answer to %d", id)
 	c.over = true
 	return c
 }
@@ -220,9 +216,7 @@
 			}
 		}
 		for _, c := range w.owed {
-			if !c.over && w.now > c.end+lastWord {
-				w.fail("rule 1: no answer to %d", c.ID)
-			}
+			w.failIf(!c.over && w.now > c.end+lastWord, "rule 1: no answer to %d", c.ID)
 		}
 	}
 	w.owed = slices.DeleteFunc(w.owed, func(c *asked) bool { return c.over })
