--- a/rules/rules.go
+++ b/rules/rules.go
@@ -553,7 +553,8 @@
 	}
 	if d.news.Standing != OnTrial {
 		d.dipAt = 0
-	} else if d.dipAt == 0 && d.slowed > mixing && d.news.Stage > 0 && d.set.Beside {
+	} else if d.dipAt == 0 && d.slowed > mixing && d.news.Stage > 0 && d.set.Beside &&
+		d.set.Rank < 8 { // among hundreds some router is always wrong; eight find it as soon
 		d.startDip(0)
 	} else if d.dipAt > 0 && d.now-d.dipAt > 2*dipFor {
 		d.out.Note(fmt.Sprintf("kept the trial back: times %.2f, then %.2f", d.without, pulse))
