--- a/rules/rules.go
+++ b/rules/rules.go
@@ -566,7 +566,7 @@
 
 func (d *decider) startDip(age int64) { d.dipAt, d.slowed = d.now-age, 0 }
 
-const mixing = 16 // the ticks that doubt must last, as a host that fails alone is found and spared by then
+const mixing = 16 // the ticks that doubt must last and more: a host that fails alone is spared by then
 
 // judge sets the wanted vote.
 func (d *decider) judge() {
@@ -592,7 +592,7 @@
 		d.doubtful = 0
 	}
 	some := d.count[failing]*d.company >= enough
-	d.condemned = d.pastAt > 0 && d.doubtful > mixing
+	d.condemned = d.pastAt > 0 && float64(d.doubtful) > mixing+spreading-1
 	age := d.now - d.newest
 	ready := !worry && (some && age >= 2*second || age >= 7*second/2) || age >= 6*second // the page's on-rule
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1                // as one may be cut off
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -152,6 +152,26 @@
 	w.failIf(d.company > 1.2, "%v routers though none is heard", d.company)
 }
 
+// One voter among hundreds once sent a good build back by a few slow answers of its own that it had just seen.
+func TestOwnOutcomesAmongMany(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
+		set := plain()
+		set.Routers = 385
+		d := still(t, set, true).r.decider
+		d.pastAt, d.company = d.now, 385
+		for i := range 60 {
+			d.count[failing], d.state[failing], d.spread[failing] = 1.9, (1-forgetting)*1.9*0.6, 0.002
+			if !lasts {
+				d.state[failing] *= math.Pow(0.7, float64(i)) // as gossip mixes it away
+			}
+			d.judge()
+		}
+		if d.condemned != lasts {
+			t.Fatalf("condemned %v, though it lasts: %v", d.condemned, lasts)
+		}
+	}
+}
+
 func TestSingleUseAfterDoubt(t *testing.T) {
 	w := still(t, plain(), false)
 	a := w.take(Command{ID: 1, Band: 2, Left: 4000 * ms})
