--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -203,7 +203,13 @@
 	}
 }
 
-type play func(w *world, i, build int) (took int64, e Ending, wrong bool)
+type out struct {
+	took  int64
+	e     Ending
+	wrong bool
+}
+
+type play func(w *world, i, build int) out
 
 // lone plays a build on trial at one router: how long an answer takes, how it ends, whether it is reported wrong.
 // It tells whether the router votes the build back.
@@ -221,11 +227,11 @@
 		a := w.take(Command{ID: uint32(10 + i), Band: 1, Left: 5000 * ms})
 		for _, s := range a.sent {
 			w.trialShare = append(w.trialShare, s.build-4)
-			took, e, wrong := play(w, i, s.build)
-			at := w.now + took
+			o := play(w, i, s.build)
+			at := w.now + o.took
 			due = append(due, func() bool {
 				if at <= w.now && s.out {
-					if w.finish(s, e); wrong {
+					if w.finish(s, o.e); o.wrong {
 						w.r.Flagged(w.now, s.host.ID, 1, 0)
 					}
 				}
@@ -244,42 +250,32 @@
 		back bool
 		play play
 	}{
-		"a good build": {false, func(w *world, i, build int) (int64, Ending, bool) { return usual(i), Fulfilled, false }},
+		"a good build": {false, func(w *world, i, build int) out { return out{usual(i), Fulfilled, false} }},
 		// one report, worth many failures, once sent good builds back before gossip had spread it
-		"a lone report": {false, func(w *world, i, build int) (int64, Ending, bool) {
-			return usual(i), Fulfilled, build == 5 && i/5 == 80
-		}},
-		"wrong answers": {true, func(w *world, i, build int) (int64, Ending, bool) {
-			return usual(i), Fulfilled, build == 5 && i%17 == 0
-		}},
-		"failures": {true, func(w *world, i, build int) (int64, Ending, bool) {
-			return usual(i), Ending(1 - min(1, (5-build)+i%8)), false
-		}},
-		"slow answers": {true, func(w *world, i, build int) (int64, Ending, bool) {
-			return usual(i) * int64(1+2*(build-4)), Fulfilled, false
-		}},
+		"a lone report": {false, func(w *world, i, build int) out { return out{usual(i), Fulfilled, build == 5 && i/5 == 80} }},
+		"wrong answers": {true, func(w *world, i, build int) out { return out{usual(i), Fulfilled, build == 5 && i%17 == 0} }},
+		"failures":      {true, func(w *world, i, build int) out { return out{usual(i), Ending(1 - min(1, (5-build)+i%8)), false} }},
+		"slow answers":  {true, func(w *world, i, build int) out { return out{usual(i) * int64(1+2*(build-4)), Fulfilled, false} }},
 		// a shared slowdown and its time-outs once passed for the build's fault
-		"all slow after the release": {false, func(w *world, i, build int) (int64, Ending, bool) {
+		"all slow after the release": {false, func(w *world, i, build int) out {
 			if i == 700 {
 				w.hear(News{Build: 5, Standing: Released, Cap: 1})
 				w.four(Gone)
 			}
-			return usual(i) * int64(1+3*min(1, i/800)), Fulfilled, false
-		}},
-		"all slow at once": {false, func(w *world, i, build int) (int64, Ending, bool) {
-			return usual(i) * int64(1+min(1, i/800)), Fulfilled, false
+			return out{usual(i) * int64(1+3*min(1, i/800)), Fulfilled, false}
 		}},
+		"all slow at once": {false, func(w *world, i, build int) out { return out{usual(i) * int64(1+min(1, i/800)), Fulfilled, false} }},
 		// resets on all hosts once passed for the build's, beside an earlier build's share of a minute
-		"breaks on both builds": {false, func(w *world, i, build int) (int64, Ending, bool) {
-			return usual(i), Reset * Ending(min(1, i/800)*max(0, 1-i%8)), false
+		"breaks on both builds": {false, func(w *world, i, build int) out {
+			return out{usual(i), Reset * Ending(min(1, i/800)*max(0, 1-i%8)), false}
 		}},
 		// no comparison of the builds shows this one
-		"slows all with its traffic": {true, func(w *world, i, build int) (int64, Ending, bool) {
+		"slows all with its traffic": {true, func(w *world, i, build int) out {
 			sum := 0
 			for _, x := range w.trialShare[max(0, len(w.trialShare)-60):] {
 				sum += x
 			}
-			return usual(i) * int64(60+6*sum) / 60, Fulfilled, false
+			return out{usual(i) * int64(60+6*sum) / 60, Fulfilled, false}
 		}},
 	} {
 		if got := lone(t, c.play); got != c.back {
