--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -156,7 +156,8 @@
 	for _, lasts := range []bool{false, true} {
 		set := plain()
 		set.Routers = 385
-		d := still(t, set, true).r.decider
+		w := still(t, set, true)
+		d := w.r.decider
 		back := false
 		for i := range 60 {
 			d.pastAt, d.company, d.warm, d.beside[lagging] = d.now, 385, 10, 10
@@ -167,9 +168,7 @@
 			d.judge()
 			back = back || d.condemned
 		}
-		if back != lasts {
-			t.Fatalf("condemned %v, though it lasts: %v", back, lasts)
-		}
+		w.failIf(back != lasts, "condemned %v, though it lasts: %v", back, lasts)
 	}
 }
 
--- a/rules/world_test.go
+++ b/rules/world_test.go
@@ -137,9 +137,7 @@
 			taken++
 		}
 	}
-	if float64(sent) > w.set.Free+cap*float64(taken)+1e-6 {
-		w.fail("rule 5: %d sent to build %d of %d taken, cap %v", sent, s.build, taken, cap)
-	}
+	w.failIf(float64(sent) > w.set.Free+cap*float64(taken)+1e-6, "rule 5: %d sent of %d taken, cap %v", sent, taken, cap)
 }
 
 func (w *world) present(h *shown) float64 {
@@ -178,16 +176,13 @@
 	c := w.end(id)
 	b := w.set.Bands[c.Band]
 	for _, s := range c.sent {
-		if !s.unrun && (b.Repeat == SingleUse || b.Repeat == Referenced && b.Group != AllHosts) {
-			w.fail("rule 2: dismissed though it may have run")
-		}
+		w.failIf(!s.unrun && (b.Repeat == SingleUse || b.Repeat == Referenced && b.Group != AllHosts),
+			"rule 2: dismissed though it may have run")
 	}
 }
 func (w *world) Scrap(id uint32) { w.end(id) }
 func (w *world) Recall(id uint32, number int) {
-	if c := w.commands[id]; c == nil || number >= len(c.sent) {
-		w.fail("recall of nothing")
-	}
+	w.failIf(w.commands[id] == nil || number >= len(w.commands[id].sent), "recall of nothing")
 }
 func (w *world) Vote(v Verdict, build, stage int) { w.votes = append(w.votes, vote{v, build, stage}) }
 func (w *world) Tell(peer int, message []byte)    {}
@@ -221,16 +216,15 @@
 
 func (w *world) list(form Form, entries ...Listed) {
 	for _, e := range entries {
-		old := w.listed[e.ID]
-		h := &shown{Listed: e, told: w.now}
-		if old != nil && old.Health != Ready && e.Health != Ready {
-			h.told = old.told
-		}
-		if old != nil {
-			*old = *h
-		} else {
+		h := w.listed[e.ID]
+		if h == nil {
+			h = &shown{}
 			w.listed[e.ID] = h
 		}
+		if h.Health == Ready || e.Health == Ready {
+			h.told = w.now
+		}
+		h.Listed = e
 	}
 	w.r.List(w.now, form, entries)
 }
@@ -240,11 +234,7 @@
 		w.capSince = w.now
 	}
 	if n.Standing == GoingBack || n.Standing == Withdrawn {
-		for k, b := range w.keys {
-			if b >= n.Build {
-				delete(w.keys, k)
-			}
-		}
+		maps.DeleteFunc(w.keys, func(_ uint64, b int) bool { return b >= n.Build })
 	}
 	w.news = n
 	w.r.Hear(w.now, n)
