Tidy: every n-th host taken by its step, one fading mean for three, warmth once a host

n is worked out once for each build in place of once for each host, the lists of hosts used keep their memory, three means that fade by the same rule share it, the errors to clear a threshold by are named again, and the comment says that the fixed budget of cold hosts grows with news of the list too.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -173,11 +173,12 @@
 func (d *decider) survey() {
 	d.cap = [...]float64{OnTrial: d.news.Cap, GoingBack: d.news.Cap, Released: 1, Withdrawn: 0}[d.news.Standing]
 	d.total, d.newest, d.warm = 0, d.stageAt, 0.1
-	d.reach, d.part, d.up = [2][]*host{}, [2]float64{}, 0
-	var ready [2]int
+	d.part, d.up = [2]float64{}, 0
+	var ready [2][]*host
 	for _, h := range d.fleet {
+		w := d.warmth(h)
 		if h.build == d.news.Build {
-			if d.newest = max(d.newest, h.started); d.warmth(h) == 1 && h.health == Ready {
+			if d.newest = max(d.newest, h.started); w == 1 && h.health == Ready {
 				d.warm++
 			}
 		}
@@ -186,29 +187,28 @@
 			h.stage, h.trial = 0, true
 			d.cap = min(d.cap, d.set.FirstCap)
 		}
-		h.budget.add(0.2 / float64(d.set.Routers)) // two a second of all routers: a fleet that is all cold starts
-		if h.health == Ready {
-			ready[h.side()]++
-			d.total += h.size * d.warmth(h)
+		h.budget.add(0.2 / float64(d.set.Routers)) // of all, two a second and more with news: a cold fleet starts
+		if side := h.side(); h.health == Ready {
+			ready[side] = append(ready[side], h)
+			d.total += h.size * w
 			if h.aside <= d.now {
 				if d.up++; d.room(h) { // else the warm ones would get a cold one's part too
-					d.part[h.side()] += h.size * d.warmth(h)
+					d.part[side] += h.size * w
 				}
 			}
 		}
 	}
 	// A router that needs few hosts takes every n-th of each build's sorted list from a start of its own, which
 	// covers all alike. n is a power of two, so that some stay when it changes.
-	need, place := max(12, d.mine[answers]*float64(second/tickLen)), [2]int{d.set.Rank, d.set.Rank}
-	for _, h := range d.fleet {
-		if side := h.side(); h.health == Ready {
-			n := 1
-			for float64(len(d.fleet)) >= need*2*float64(n) && ready[side] >= 2*n {
-				n *= 2
-			}
-			if place[side]++; place[side]%n == 0 {
-				d.reach[side] = append(d.reach[side], h)
-			}
+	need := max(12, d.mine[answers]*float64(second/tickLen))
+	for side, all := range ready {
+		n := 1
+		for float64(len(d.fleet)) >= need*2*float64(n) && len(all) >= 2*n {
+			n *= 2
+		}
+		d.reach[side] = d.reach[side][:0]
+		for i := n - 1 - d.set.Rank%n; i < len(all); i += n {
+			d.reach[side] = append(d.reach[side], all[i])
 		}
 	}
 	held := d.held
@@ -462,7 +462,7 @@
 func (d *decider) tick() {
 	for k := range d.state {
 		keep := [kinds]float64{0.95, 0.9}[k] // the last seconds: what breaks both is no build's fault
-		d.past[k].n, d.past[k].bad = keep*d.past[k].n+d.earlier.n[k], keep*d.past[k].bad+d.earlier.bad[k]
+		d.past[k].fade(keep, d.earlier.n[k], d.earlier.bad[k])
 		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten; the earlier
 		// build's share is pooled, as a quiet router has hardly an outcome of it in the same seconds, and fades
 		// seconds after its last answers: what broke its last hosts excuses no later failures
@@ -475,8 +475,8 @@
 	d.trial, d.earlier = sample{}, sample{}
 	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts
 	// may have by their part of it: all routers' sum stays well under the stated multiple
-	d.carried.n, d.carried.bad = forgetting*d.carried.n+d.total, forgetting*d.carried.bad+d.own[answers]
-	shown := max(d.carried.bad/max(d.carried.n, 1e-3), d.mine[answers]/max(d.total, 1e-3))
+	d.carried.fade(forgetting, d.total, d.own[answers])
+	shown := max(d.carried.share(), d.mine[answers]/max(d.total, 1e-3))
 	d.credit += max(1.2, 0.8*d.set.FallMultiple) * shown
 	for i := range d.load { // the page's average again, over one second, or three where that is few
 		fresh := 0.1
@@ -489,7 +489,7 @@
 			d.own[i] = 0
 		}
 	}
-	d.usual.n, d.usual.bad = forgetting*d.usual.n+d.load[earlier], forgetting*d.usual.bad+d.load[speeds]
+	d.usual.fade(forgetting, d.load[earlier], d.load[speeds])
 	if d.set.Peers && d.set.Routers > 1 {
 		d.out.Tell(d.peer(), d.encode())
 	}
@@ -518,7 +518,7 @@
 // threshold is the common one for each state over the measured share; enough is the pooled count it needs.
 var threshold = [kinds]float64{failing: 0.015, lagging: 0.12}
 
-var sure = [kinds]float64{failing: 1.4, lagging: 1.7} // three reported answers are enough, two are not
+var sure = [kinds]float64{failing: 1.4, lagging: 1.7} // errors to clear it by: three reports do, not two
 
 const enough = 20
 
@@ -630,7 +630,7 @@
 			d.base = d.news.Build
 		}
 		d.proof, d.level = 0, 1
-		d.calm = d.usual.bad / max(d.usual.n, 1e-3)
+		d.calm = d.usual.share()
 		d.count, d.state, d.spread, d.even = [kinds]float64{}, [kinds]float64{}, [kinds]float64{}, [kinds]mean{}
 	}
 	d.news, d.told = n, true
--- a/rules/state.go
+++ b/rules/state.go
@@ -93,9 +93,12 @@
 	build, stage int
 }
 
-// mean is a sum and of how many.
+// mean is a sum and of how many, both forgotten over some ticks.
 type mean struct{ n, bad float64 }
 
+func (m *mean) fade(keep, n, bad float64) { m.n, m.bad = keep*m.n+n, keep*m.bad+bad }
+func (m mean) share() float64             { return m.bad / max(m.n, 1e-3) }
+
 // sample is what one tick saw of a build: outcomes, their badness and its squares.
 type sample struct{ n, bad, square [kinds]float64 }
 
@@ -117,7 +120,7 @@
 	queue  due.Queue[*command]
 	held   []*command
 	gone   []*command // ended outside their own events
-	idle   []*host    // their connections are to be closed unless hand-offs are out
+	idle   []*host    // their idle connections are to be closed
 	differ []*command // their wanted state may differ from the present one
 	armed  int64      // when the latest wake-up is to come, 0 for none
 	wakes  uint64     // how many have been asked for
@@ -230,7 +233,7 @@
 }
 
 // speed is that of the earlier build's answers of late.
-func (d *decider) speed() float64 { return d.load[speeds] / max(d.load[earlier], 1e-3) }
+func (d *decider) speed() float64 { return mean{d.load[earlier], d.load[speeds]}.share() }
 
 // peer is a random other router.
 func (d *decider) peer() int {
@@ -275,9 +278,9 @@
 }
 
 func blank(s Settings, seed uint64, out Effects) *decider {
+	n := carriers + len(s.Carriers)
 	return &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{},
-		models: map[int]float64{}, own: make([]float64, carriers+len(s.Carriers)),
-		mine: make([]float64, carriers+len(s.Carriers)), load: make([]float64, carriers+len(s.Carriers))}
+		models: map[int]float64{}, own: make([]float64, n), mine: make([]float64, n), load: make([]float64, n)}
 }
 
 // close marks that nothing more is owed.
