--- /dev/null
+++ b/cmd/portflow/serve.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/clients"
+	"portflow/internal/config"
+	"portflow/internal/hosts"
+	"portflow/internal/list"
+	"portflow/internal/peers"
+	"portflow/internal/platform"
+	"portflow/internal/router"
+	"portflow/rules"
+)
+
+// frontDelay is for how long a front may go on sending connections to a router that leaves; fronts take up to 0.4 s.
+const frontDelay = 550 * time.Millisecond
+
+// serve runs a router until SIGTERM or an interrupt, and then until what it took is finished.
+func serve(c config.Config, log zerolog.Logger) error {
+	runtime.GOMAXPROCS(max(1, int(c.Cores)))
+	debug.SetMemoryLimit(c.Memory * 6 / 10) // the rest is for the kernel's buffers and what is not the heap's
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	clock := router.NewClock()
+	r := router.New(clock, log)
+	// hosts may have half of the descriptors, clients come next
+	pool := hosts.New(hosts.Options{ConnectIn: time.Duration(c.Settings.ConnectIn),
+		IdleIn: time.Duration(c.Settings.IdleIn), Most: c.Sockets / 2, Report: c.Settings.ReportFields}, log)
+	watch := list.New(c.Discovery, c.Settings, c.Known, log, r.Post)
+	desk := platform.New(c.Platform, c.Settings.Bands, time.Duration(c.Settings.VoteWait), log, r.Post)
+	out := router.Out{Hosts: pool, Platform: desk, List: watch}
+	if c.Settings.Peers {
+		others, err := peers.Listen(c.PeerListen, c.Peers, log, r.Post)
+		if err != nil {
+			return err
+		}
+		out.Peers = others
+		go others.Run(ctx)
+	}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	known := c.Known.List
+	known.Form = rules.Cached
+	go r.Run(ctx, router.Start{Settings: c.Settings.Settings, Seed: c.Seed, List: known, News: c.News}, out)
+	go watch.Run(ctx)
+	go desk.Run(ctx)
+	server := clients.New(c.Settings, clock, log, r.Post)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	log.Info().Str("listen", c.Listen).Int("hosts", len(c.Known.Hosts)).Int("build", c.News.Build).Msg("serving")
+	select {
+	case err := <-failed:
+		return err
+	case s := <-signals:
+		log.Info().Stringer("signal", s).Msg("leaving")
+	}
+	err = server.Leave(frontDelay)
+	log.Info().Err(err).Msg("left")
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,127 @@
+// Package config reads what a router is told at its start: ROUTER_* and the file that they name.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"portflow/internal/list"
+	"portflow/internal/platform"
+	"portflow/internal/router"
+	"portflow/internal/settings"
+)
+
+// Config is a checked configuration.
+type Config struct {
+	Name       string
+	Listen     string
+	Discovery  string
+	Seed       uint64
+	Cores      float64
+	Memory     int64 // bytes
+	Sockets    int
+	PeerListen netip.AddrPort
+	Peers      []netip.AddrPort // by rank
+	Platform   string
+	Known      list.Message
+	News       router.News
+	Settings   settings.Settings
+}
+
+type file struct {
+	Name, Listen, Discovery, Seed string
+	Limits                        struct {
+		Cores    float64
+		MemoryMB int64 `json:"memory_mb"`
+		Sockets  int
+	}
+	PeerListen string `json:"peer_listen"`
+	Peers      []string
+	Rollouts   struct {
+		Address string
+		News    json.RawMessage
+	}
+	Known    json.RawMessage
+	Settings json.RawMessage
+}
+
+// Load reads the file that ROUTER_CONFIG names. The other variables go before the same fields of the file.
+func Load(env func(string) string) (Config, error) {
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return Config{}, fmt.Errorf("ROUTER_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	c, err := Read(raw, env)
+	if err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Read reads a configuration's text.
+func Read(raw []byte, env func(string) string) (Config, error) {
+	var f file
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Config{}, err
+	}
+	for name, field := range map[string]*string{"ROUTER_NAME": &f.Name, "ROUTER_LISTEN": &f.Listen,
+		"ROUTER_DISCOVERY": &f.Discovery} {
+		if v := env(name); v != "" {
+			*field = v
+		}
+	}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
+		Memory: f.Limits.MemoryMB << 20, Sockets: f.Limits.Sockets, Platform: f.Rollouts.Address}
+	if c.Name == "" {
+		return c, fmt.Errorf("name: missing")
+	}
+	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery},
+		{"rollouts.address", c.Platform}} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return c, fmt.Errorf("%s: %w", a.field, err)
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %w", err)
+	}
+	if !(c.Cores > 0) || c.Memory < 16<<20 || c.Sockets < 64 {
+		return c, fmt.Errorf("limits: %v cores, memory_mb %d (16 at least), %d sockets (64 at least)", c.Cores,
+			f.Limits.MemoryMB, c.Sockets)
+	}
+	if c.Settings, err = settings.Read(f.Settings); err != nil {
+		return c, err
+	}
+	if s := c.Settings; s.ConnectIn < 1 || s.IdleIn < 1 {
+		return c, fmt.Errorf("settings: limits: connectTimeoutNs %d, connIdleNs %d", s.ConnectIn, s.IdleIn)
+	}
+	if c.Settings.Peers {
+		if c.PeerListen, err = netip.ParseAddrPort(f.PeerListen); err != nil {
+			return c, fmt.Errorf("peer_listen: %w", err)
+		}
+		for i, text := range f.Peers {
+			p, err := netip.ParseAddrPort(text)
+			if err != nil {
+				return c, fmt.Errorf("peers[%d]: %w", i, err)
+			}
+			c.Peers = append(c.Peers, p)
+		}
+		if len(c.Peers) != c.Settings.Routers {
+			return c, fmt.Errorf("peers: %d for %d routers", len(c.Peers), c.Settings.Routers)
+		}
+	}
+	if c.Known, err = list.Decode(f.Known, c.Settings); err != nil {
+		return c, fmt.Errorf("known: %w", err)
+	}
+	if c.News, err = platform.DecodeNews(f.Rollouts.News); err != nil {
+		return c, fmt.Errorf("rollouts.news: %w", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/hosts/hosts.go
@@ -0,0 +1,251 @@
+// Package hosts hands commands off to hosts over HTTP. One call is one hand-off: nothing is sent again.
+package hosts
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/router"
+	"portflow/rules"
+)
+
+const largest = 64 << 10 // a body's bytes
+
+// Options say what a Pool may do.
+type Options struct {
+	ConnectIn time.Duration // a hand-off that has no connection by then never gets one
+	IdleIn    time.Duration // hosts close connections that stand idle for so long
+	Most      int           // connections at once
+	Report    []string      // the values of load reports, none where there are none
+}
+
+// Pool holds the connections to all hosts.
+type Pool struct {
+	Options
+	log    zerolog.Logger
+	dialer net.Dialer
+	open   atomic.Int64
+	most   int64
+	mu     sync.Mutex
+	hosts  map[string]*http.Transport // by address, so that one host's connections can be closed
+}
+
+// New makes an empty pool.
+func New(o Options, log zerolog.Logger) *Pool {
+	return &Pool{Options: o, log: log, dialer: net.Dialer{Timeout: o.ConnectIn}, most: int64(o.Most),
+		hosts: map[string]*http.Transport{}}
+}
+
+func (p *Pool) transport(address string) *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.hosts[address]
+	if t == nil {
+		t = &http.Transport{DialContext: p.dial, DisableCompression: true, MaxIdleConnsPerHost: p.Most,
+			IdleConnTimeout: p.IdleIn * 3 / 4, MaxResponseHeaderBytes: largest}
+		p.hosts[address] = t
+	}
+	return t
+}
+
+// Close closes the idle connections to an address.
+func (p *Pool) Close(address string) {
+	p.mu.Lock()
+	t := p.hosts[address]
+	p.mu.Unlock()
+	if t != nil {
+		go t.CloseIdleConnections()
+	}
+}
+
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.hosts {
+		t.CloseIdleConnections()
+	}
+}
+
+// How a hand-off stands: it moves on from waiting once, by what comes first.
+const (
+	waiting int32 = iota
+	writing
+	revoked
+)
+
+var (
+	errRecalled = errors.New("recalled")
+	errTime     = errors.New("time is up")
+	errConnect  = errors.New("no connection in time")
+)
+
+type handOff struct {
+	cancel  context.CancelCauseFunc
+	stands  atomic.Int32
+	written atomic.Bool // its last byte
+	begun   atomic.Bool // its answer
+	gotConn atomic.Bool
+}
+
+// mayWrite settles that the hand-off is sent, unless it was ended before.
+func (h *handOff) mayWrite() bool {
+	return h.stands.CompareAndSwap(waiting, writing) || h.stands.Load() == writing
+}
+
+// Revoke ends the hand-off if nothing of it has been written.
+func (h *handOff) Revoke() { h.end(errRecalled) }
+
+func (h *handOff) end(why error) {
+	if h.stands.CompareAndSwap(waiting, revoked) {
+		h.cancel(why)
+	}
+}
+
+// Recall ends the hand-off.
+func (h *handOff) Recall() { h.cancel(errRecalled) }
+
+// HandOff starts one; done is called with its outcome, once its connection is free again or closed.
+func (p *Pool) HandOff(address string, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	h := &handOff{cancel: cancel}
+	go func() {
+		defer cancel(nil)
+		var o router.Outcome
+		defer func() {
+			if v := recover(); v != nil {
+				p.log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Msg("hand-off")
+				o = router.Outcome{Ending: rules.Reset}
+			}
+			done(o)
+		}()
+		connect := time.AfterFunc(p.ConnectIn, func() { h.end(errConnect) })
+		defer connect.Stop()
+		over := time.AfterFunc(left, func() { cancel(errTime) })
+		defer over.Stop()
+		o = p.send(ctx, h, address, r, left)
+	}()
+	return h
+}
+
+func (p *Pool) send(ctx context.Context, h *handOff, address string, r *router.Request, left time.Duration) router.Outcome {
+	resp, err := p.transport(address).RoundTrip(request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			i.Conn.(*conn).handOff.Store(h)
+			h.gotConn.Store(true)
+		},
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if i.Err == nil {
+				h.written.Store(true)
+			}
+		},
+		GotFirstResponseByte: func() { h.begun.Store(true) },
+	}), address, r, left))
+	if err != nil {
+		return router.Outcome{Ending: h.broken(ctx, err)}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, largest+1))
+	if err == nil && len(body) > largest {
+		err = fmt.Errorf("an answer of more than %d bytes", largest)
+	}
+	if err != nil {
+		return router.Outcome{Ending: h.broken(ctx, err)}
+	}
+	o := router.Outcome{Ending: rules.Failed, Report: p.report(resp.Header.Get("Endpoint-Load-Metrics"))}
+	switch code := resp.StatusCode; {
+	case code == http.StatusOK:
+		o.Ending, o.Body = rules.Fulfilled, body
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Never-Ran") == "1":
+		o.Ending = rules.TurnedAway
+	}
+	return o
+}
+
+// broken is the outcome of a hand-off that got no whole answer.
+func (h *handOff) broken(ctx context.Context, err error) rules.Ending {
+	e := &Error{Reach: NotConnected, Why: err}
+	switch sent := h.stands.Load() == writing; {
+	case h.begun.Load():
+		e.Reach = Answering
+	case h.written.Load():
+		e.Reach = Written
+	case sent: // the last byte may just have gone out
+		e.Reach = Written
+	case h.gotConn.Load():
+		e.Reach = NotWritten
+	}
+	switch cause := context.Cause(ctx); {
+	case cause == nil || cause == errConnect:
+		return e.ending()
+	case e.Reach < Written && cause == errTime:
+		return rules.NoConnect
+	case e.Reach < Written:
+		return rules.Unsent
+	case cause == errTime:
+		return rules.TimedOut
+	}
+	return rules.Recalled
+}
+
+// request is the command on the wire. http.Transport sends again by itself what has a body that it can have anew,
+// and an empty one counts as such: a body that can't be rewound stops that.
+func request(ctx context.Context, address string, r *router.Request, left time.Duration) *http.Request {
+	req := &http.Request{Method: r.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: r.Target}, Host: address,
+		Header: http.Header{"X-Trace-Id": {r.Trace}, "User-Agent": nil,
+			"X-Expires-In": {strconv.FormatInt(max(0, left.Milliseconds()), 10) + "m"}},
+		Body: io.NopCloser(bytes.NewReader(r.Body)), ContentLength: int64(len(r.Body))}
+	if r.Mark != "" {
+		req.Header["idempotency-key"] = []string{r.Mark} // in this spelling it is no leave to send again
+	}
+	if len(r.Body) == 0 && r.Method != http.MethodGet {
+		req.Body = http.NoBody // else it would go out in chunks
+	}
+	return req.WithContext(ctx)
+}
+
+// names are other names of a report's values, as hosts write them.
+var names = map[string]string{"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
+	"tps": "qps", "err_ps": "eps"}
+
+// report reads a load report, "TEXT name=value, name=value"; one that lacks a value says nothing.
+func (p *Pool) report(text string) []float64 {
+	text, ok := strings.CutPrefix(text, "TEXT ")
+	if !ok || len(p.Report) == 0 {
+		return nil
+	}
+	values := map[string]float64{}
+	for _, field := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			values[name] = v
+		}
+	}
+	var all []float64
+	for _, name := range p.Report {
+		v, ok := values[name]
+		if !ok {
+			v, ok = values[names[name]]
+		}
+		if !ok {
+			return nil
+		}
+		all = append(all, v)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/list/list.go
@@ -0,0 +1,188 @@
+// Package list asks discovery for the list of hosts and watches its changes.
+package list
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/retry"
+	"portflow/internal/router"
+	"portflow/internal/settings"
+	"portflow/rules"
+)
+
+// Message is one of discovery's answers.
+type Message struct {
+	Revision uint64
+	router.List
+}
+
+type message struct {
+	Revision *uint64
+	Complete bool
+	Members  []struct {
+		ID       string
+		HostPort string `json:"host_port"`
+		Locality string
+		Flavor   string
+		Cell     int
+		Phase    string
+		Size     float64
+		UpSince  int64 `json:"up_since_ms"`
+		Image    int   `json:"image_id"`
+	}
+}
+
+var phases = map[string]rules.Health{"Ready": rules.Ready, "Terminating": rules.Draining, "Gone": rules.Gone}
+
+// Decode reads an answer; a contradictory one is an error as a whole.
+func Decode(raw []byte, s settings.Settings) (Message, error) {
+	var in message
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return Message{}, err
+	}
+	if in.Revision == nil {
+		return Message{}, fmt.Errorf("revision: missing")
+	}
+	out := Message{Revision: *in.Revision, List: router.List{Form: rules.Changes}}
+	if in.Complete {
+		out.Form = rules.Whole
+		if len(in.Members) == 0 {
+			return out, fmt.Errorf("members: a whole list without any")
+		}
+	}
+	seen := map[string]bool{}
+	for i, m := range in.Members {
+		health, ok := phases[m.Phase]
+		switch {
+		case m.ID == "" || seen[m.ID]:
+			return out, fmt.Errorf("members[%d].id: %q is missing or there twice", i, m.ID)
+		case !ok:
+			return out, fmt.Errorf("members[%d].phase: %q is unknown", i, m.Phase)
+		case m.HostPort == "" && health != rules.Gone:
+			return out, fmt.Errorf("members[%d].host_port: missing", i)
+		case m.UpSince < 0 || m.UpSince > math.MaxInt64/1_000_000:
+			return out, fmt.Errorf("members[%d].up_since_ms: %d is no time", i, m.UpSince)
+		case m.Image < 0 || m.Image > math.MaxUint16:
+			return out, fmt.Errorf("members[%d].image_id: %d is no build", i, m.Image)
+		}
+		seen[m.ID] = true
+		out.Hosts = append(out.Hosts, router.Host{Name: m.ID, Address: m.HostPort, Zone: slices.Index(s.Zones, m.Locality),
+			Kind: slices.Index(s.Kinds, m.Flavor), Cell: m.Cell, Health: health, Build: m.Image, Size: m.Size,
+			Started: m.UpSince * int64(time.Millisecond)})
+	}
+	return out, nil
+}
+
+// Watch keeps the list up to date.
+type Watch struct {
+	url      string
+	settings settings.Settings
+	post     func(router.Event)
+	log      zerolog.Logger
+	client   http.Client
+	revision uint64
+	on       chan bool
+}
+
+const (
+	// a change is answered at once whatever this is; short, so that a connection that went silent is soon found
+	waitFor = 5 * time.Second
+	slack   = time.Second // for the answer after it
+	largest = 4 << 20     // a list of thousands of hosts
+)
+
+// New makes a watch on discovery's address that has the configuration's list.
+func New(address string, s settings.Settings, known Message, log zerolog.Logger, post func(router.Event)) *Watch {
+	return &Watch{url: "http://" + address + "/api/targets", settings: s, post: post, log: log,
+		client: http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2,
+			IdleConnTimeout: time.Second}, Timeout: waitFor + slack},
+		on: make(chan bool, 1)}
+}
+
+// Watch starts or stops the watch where it is the router's to ask for it.
+func (w *Watch) Watch(on bool) {
+	select {
+	case <-w.on:
+	default:
+	}
+	w.on <- on
+}
+
+// Run watches until the context ends: at once, or where it must be asked for, after each time it is. A call
+// that fails is repeated after a wait that grows, or told, so that the router asks again.
+func (w *Watch) Run(ctx context.Context) {
+	whole, failures := true, 0
+	for ctx.Err() == nil {
+		if w.settings.Subscribe && failures > 0 || w.settings.Subscribe && whole {
+			select {
+			case on := <-w.on:
+				if !on {
+					continue
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+		m, err := w.ask(ctx, whole)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if failures++; failures == 1 {
+				w.log.Warn().Err(err).Msg("discovery")
+			}
+			whole = true
+			if w.settings.Subscribe {
+				w.post(router.List{Form: rules.CallFailed})
+				continue
+			}
+			retry.Wait(ctx, failures)
+			continue
+		}
+		failures, whole = 0, false
+		if w.revision = m.Revision; len(m.Hosts) > 0 {
+			w.post(m.List)
+		}
+	}
+}
+
+func (w *Watch) ask(ctx context.Context, whole bool) (Message, error) {
+	url := w.url
+	if !whole {
+		url += "?index=" + strconv.FormatUint(w.revision, 10) + "&wait=" + strconv.FormatInt(waitFor.Milliseconds(), 10)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return Message{}, err
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return Message{}, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, largest))
+	if err != nil {
+		return Message{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return Message{}, fmt.Errorf("status %s", resp.Status)
+	}
+	m, err := Decode(raw, w.settings)
+	if err == nil && m.Revision < w.revision {
+		err = fmt.Errorf("revision %d after %d", m.Revision, w.revision)
+	}
+	if err == nil && whole && m.Form != rules.Whole {
+		err = fmt.Errorf("changes where the whole list was asked for")
+	}
+	return m, err
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,67 @@
+// Package peers carries the routers' messages to each other as UDP datagrams.
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/router"
+)
+
+const longest = 256 // bytes of a datagram
+
+// Peers is this router's socket among the others'.
+type Peers struct {
+	conn      *net.UDPConn
+	addresses []netip.AddrPort // by rank
+	log       zerolog.Logger
+	post      func(router.Event)
+}
+
+// Listen opens the socket.
+func Listen(at netip.AddrPort, peers []netip.AddrPort, log zerolog.Logger, post func(router.Event)) (*Peers, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	return &Peers{conn, peers, log, post}, nil
+}
+
+// Tell sends a message. A datagram that can't go out at once is lost, as any may be.
+func (p *Peers) Tell(peer int, message []byte) {
+	if peer < 0 || peer >= len(p.addresses) || len(message) > longest {
+		return
+	}
+	p.conn.SetWriteDeadline(time.Now().Add(time.Millisecond))
+	if _, err := p.conn.WriteToUDPAddrPort(message, p.addresses[peer]); err != nil {
+		p.log.Debug().Err(err).Int("peer", peer).Msg("tell")
+	}
+}
+
+// Run reads datagrams until the context ends; those of other senders or over the length are dropped.
+func (p *Peers) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
+	defer stop()
+	raw := make([]byte, longest+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(raw)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // what an earlier datagram met
+		}
+		peer := slices.Index(p.addresses, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		if peer < 0 || n > longest {
+			continue
+		}
+		p.post(router.Heard{Peer: peer, Message: slices.Clone(raw[:n])})
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,143 @@
+// Package platform casts votes on builds and follows the platform's news.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/router"
+	"portflow/rules"
+)
+
+type state struct {
+	Release  *int
+	Tranche  int
+	Mode     string
+	Exposure float64
+	OldMs    int64 `json:"old_ms"`
+}
+
+type vote struct {
+	Release int    `json:"release"`
+	Tranche int    `json:"tranche"`
+	Ruling  string `json:"ruling"`
+}
+
+var (
+	modes = map[string]rules.Standing{"canary": rules.OnTrial, "reverting": rules.GoingBack,
+		"stable": rules.Released, "reverted": rules.Withdrawn}
+	rulings = map[rules.Verdict]string{rules.NoVote: "WITHDRAW", rules.On: "PROCEED", rules.Hold: "HOLD",
+		rules.Back: "ROLLBACK"}
+	endings = map[int]rules.CallEnding{http.StatusTooManyRequests: rules.CallsFull, http.StatusConflict: rules.Moot,
+		http.StatusInternalServerError: rules.CallError, http.StatusBadRequest: rules.CallError}
+)
+
+const largest = 64 << 10 // a message's bytes
+
+// DecodeNews reads the state of the newest build.
+func DecodeNews(raw []byte) (router.News, error) {
+	var s state
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return router.News{}, err
+	}
+	standing, ok := modes[s.Mode]
+	switch {
+	case s.Release == nil || *s.Release < 0 || *s.Release > math.MaxUint16:
+		return router.News{}, errors.New("release: missing or no build")
+	case s.Tranche < 0 || s.Tranche > math.MaxUint8:
+		return router.News{}, fmt.Errorf("tranche: %d is no stage", s.Tranche)
+	case !ok:
+		return router.News{}, fmt.Errorf("mode: %q is unknown", s.Mode)
+	case !(s.Exposure >= 0 && s.Exposure <= 1):
+		return router.News{}, fmt.Errorf("exposure: %v is no share", s.Exposure)
+	case s.OldMs < 0 || s.OldMs > math.MaxInt64/1_000_000:
+		return router.News{}, fmt.Errorf("old_ms: %d is no age", s.OldMs)
+	}
+	return router.News{News: rules.News{Build: *s.Release, Stage: s.Tranche, Standing: standing, Cap: s.Exposure,
+		Age: s.OldMs * int64(time.Millisecond)}}, nil
+}
+
+// Platform is the platform at one address.
+type Platform struct {
+	base   string
+	bands  []string
+	post   func(router.Event)
+	log    zerolog.Logger
+	wait   time.Duration
+	client http.Client
+	slots  chan struct{}
+}
+
+// A connection may be closed by the platform after any short rest, and a vote on it would then be in doubt:
+// each call has a connection of its own. Votes come seldom.
+const calls = 8 // at once, far below the 32 connections that the platform holds
+
+// New makes the platform at an address; a vote's answer is waited for so long.
+func New(address string, bands []string, wait time.Duration, log zerolog.Logger, post func(router.Event)) *Platform {
+	return &Platform{base: "http://" + address + "/api/", bands: bands, post: post, log: log, wait: wait,
+		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, ResponseHeaderTimeout: headersIn}},
+		slots: make(chan struct{}, calls)}
+}
+
+// Vote casts a vote; what comes of it is posted as News.
+func (p *Platform) Vote(v rules.Verdict, build, stage int) {
+	select {
+	case p.slots <- struct{}{}:
+	default:
+		go p.post(router.News{News: rules.News{Reply: true, Ending: rules.CallsFull}})
+		return
+	}
+	go func() {
+		n := p.cast(vote{build, stage, rulings[v]})
+		<-p.slots
+		p.post(n)
+	}()
+}
+
+func (p *Platform) cast(v vote) router.News {
+	ctx, cancel := context.WithTimeout(context.Background(), p.wait)
+	defer cancel()
+	silent := router.News{News: rules.News{Reply: true, Ending: rules.CallSilent}}
+	body, _ := json.Marshal(v) // of two numbers and a word
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+"verdicts", bytes.NewReader(body))
+	if err != nil {
+		return silent
+	}
+	req.GetBody = nil // sent once
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := p.client.Do(req)
+	if err != nil {
+		p.log.Debug().Err(err).Msg("vote")
+		return silent
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, largest))
+	if err != nil {
+		return silent
+	}
+	if ending, ok := endings[resp.StatusCode]; ok {
+		return router.News{News: rules.News{Reply: true, Ending: ending}}
+	}
+	n, err := DecodeNews(raw)
+	if resp.StatusCode != http.StatusOK || err != nil {
+		p.log.Warn().Err(err).Int("status", resp.StatusCode).Msg("vote's answer")
+		return silent
+	}
+	n.Reply = true
+	return n
+}
+
+// band is a band's position, -1 for none of that name.
+func (p *Platform) band(name string) int { return slices.Index(p.bands, name) }
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,105 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"portflow/internal/retry"
+	"portflow/internal/router"
+)
+
+const (
+	headersIn = 10 * time.Second // a platform that is silent answers when it comes back: no need to ask often
+	silentFor = 4 * time.Second  // some signs of life, of which one comes every second
+)
+
+type line struct {
+	Type   string
+	Object json.RawMessage
+}
+
+type report struct {
+	Unit, Product string
+	OldMs         int64 `json:"old_ms"`
+}
+
+// Run follows the news until the context ends, on one connection after another.
+func (p *Platform) Run(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; {
+		told, err := p.follow(ctx)
+		if told {
+			failures = 0
+		}
+		if failures++; ctx.Err() == nil && failures == 1 {
+			p.log.Warn().Err(err).Msg("platform's news")
+		}
+		retry.Wait(ctx, failures)
+	}
+}
+
+// follow reads one connection's news; told says that some came.
+func (p *Platform) follow(ctx context.Context) (told bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.base+"watch", nil)
+	if err != nil {
+		return false, err
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("status %s", resp.Status)
+	}
+	silence := time.AfterFunc(silentFor, func() { cancel(fmt.Errorf("silent for %v", silentFor)) })
+	defer silence.Stop()
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, largest)
+	for lines.Scan() {
+		silence.Reset(silentFor)
+		if err := p.tell(lines.Bytes()); err != nil {
+			p.log.Warn().Err(err).Msg("platform's line passed over")
+			continue
+		}
+		told = true
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return told, cause
+	}
+	if err := lines.Err(); err != nil {
+		return told, err
+	}
+	return told, fmt.Errorf("stream ended")
+}
+
+// tell posts what a line says; kinds that are not used are passed over.
+func (p *Platform) tell(raw []byte) error {
+	var l line
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return err
+	}
+	switch l.Type {
+	case "news":
+		n, err := DecodeNews(l.Object)
+		if err != nil {
+			return err
+		}
+		p.post(n)
+	case "report":
+		var r report
+		if err := json.Unmarshal(l.Object, &r); err != nil {
+			return err
+		}
+		if p.band(r.Product) < 0 {
+			return fmt.Errorf("product %q is unknown", r.Product)
+		}
+		p.post(router.Flagged{Host: r.Unit, Band: p.band(r.Product), Age: r.OldMs * int64(time.Millisecond)})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/events.go
@@ -0,0 +1,100 @@
+package router
+
+import (
+	"time"
+
+	"portflow/rules"
+)
+
+// Request is a client's command as it goes on to hosts.
+type Request struct {
+	Method, Target string // the path with its query, as it came
+	Trace, Mark    string // the id of this try, and the reference of a referenced command
+	Body           []byte
+}
+
+// Answer is the final answer to a command.
+type Answer struct {
+	Kind Kind
+	Body []byte        // of a fulfilled command
+	Wait time.Duration // when a dismissed one may come again
+}
+
+// Kind tells the three final answers apart.
+type Kind uint8
+
+const (
+	Fulfilled Kind = iota
+	Dismissed
+	Scrapped
+)
+
+// Command is an open command. Its maker sets the exported fields; the rest is the reducer's.
+type Command struct {
+	Band, Carrier int
+	Key           uint64
+	CutOff        int64 // on the Clock
+	Request       *Request
+	Answer        chan Answer // gets one; it has room for it, so that nobody waits
+
+	id       uint32
+	over     bool
+	handOffs []handOff
+	out      int
+}
+
+type handOff struct {
+	sent HandOff
+	at   int64
+}
+
+// Outcome is how a hand-off ended.
+type Outcome struct {
+	Ending rules.Ending
+	Body   []byte    // of a host's good answer, whole
+	Report []float64 // a load report that came with the answer
+}
+
+// Host is a host as the list shows it.
+type Host struct {
+	Name, Address    string
+	Zone, Kind, Cell int
+	Health           rules.Health
+	Build            int
+	Size             float64
+	Started          int64 // Unix nanoseconds, 0 for long ago
+}
+
+// Event is what the reducer can be told.
+type Event interface{ apply(*Router) }
+
+type (
+	// Taken brings a command that was wholly read.
+	Taken struct{ *Command }
+	// Left tells that a client has gone.
+	Left struct{ *Command }
+	// Ended brings a hand-off's outcome.
+	Ended struct {
+		Command *Command
+		Number  int
+		Outcome Outcome
+	}
+	// List brings the list of hosts or its changes.
+	List struct {
+		Form  rules.Form
+		Hosts []Host
+	}
+	// News brings what the platform says, unasked or in reply to a vote.
+	News struct{ rules.News }
+	// Flagged tells that a host's answer was found wrong.
+	Flagged struct {
+		Host string
+		Band int
+		Age  int64
+	}
+	// Heard brings a peer's datagram.
+	Heard struct {
+		Peer    int
+		Message []byte
+	}
+)
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,247 @@
+// Package router is the reducer of a router on sockets: one goroutine owns the decision module, the ids and the
+// open commands. Typed events come in; the effects that the module asks for are carried out elsewhere and never
+// make it wait.
+package router
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/rules"
+)
+
+// HandOff is one that is on its way.
+type HandOff interface {
+	Recall() // ends it, also where it has been sent
+	Revoke() // ends it where it has not been sent yet
+}
+
+// Hosts carries out hand-offs.
+type Hosts interface {
+	HandOff(address string, r *Request, left time.Duration, done func(Outcome)) HandOff
+	Close(address string) // its idle connections
+}
+
+// Platform takes votes; each gets a News in reply.
+type Platform interface {
+	Vote(v rules.Verdict, build, stage int)
+}
+
+// Peers carries messages between routers.
+type Peers interface {
+	Tell(peer int, message []byte)
+}
+
+// Watcher asks for the list's changes where that is the router's to do.
+type Watcher interface{ Watch(on bool) }
+
+// Out are those who carry out the effects.
+type Out struct {
+	Hosts    Hosts
+	Platform Platform
+	Peers    Peers
+	List     Watcher
+}
+
+// Router is the reducer.
+type Router struct {
+	log    zerolog.Logger
+	clock  Clock
+	out    Out
+	module *rules.Router
+
+	commands map[uint32]*Command
+	lastID   uint32
+	hosts    map[uint32]Host
+	names    map[string]uint32
+
+	ordinary, urgent chan Event
+	wakeAt           int64 // when the latest wake-up is due, 0 for none
+	mark             uint64
+	stopped          chan struct{}
+}
+
+// backlog bounds the events that wait: more than a router's open connections can bring at once.
+const backlog = 4096
+
+// New makes a router that waits for Run; what is posted before then is kept.
+func New(clock Clock, log zerolog.Logger) *Router {
+	return &Router{log: log, clock: clock, commands: map[uint32]*Command{}, hosts: map[uint32]Host{},
+		names: map[string]uint32{}, ordinary: make(chan Event, backlog), urgent: make(chan Event, backlog),
+		stopped: make(chan struct{})}
+}
+
+// Post tells an event. The list, news, reports and peers' messages do not queue behind commands.
+func (r *Router) Post(e Event) {
+	queue := r.ordinary
+	switch e.(type) {
+	case List, News, Flagged, Heard:
+		queue = r.urgent
+	}
+	select {
+	case queue <- e:
+	case <-r.stopped:
+	}
+}
+
+// Start is what a router is told before its first event.
+type Start struct {
+	Settings rules.Settings
+	Seed     uint64
+	List     List
+	News     News
+}
+
+// Run starts the module and applies events until the context ends.
+func (r *Router) Run(ctx context.Context, s Start, out Out) {
+	defer close(r.stopped)
+	r.out = out
+	r.module = rules.New(s.Settings, s.Seed, r.clock(), effects{r})
+	s.List.apply(r)
+	s.News.apply(r)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if r.wakeAt != 0 {
+			now := r.clock()
+			if now >= r.wakeAt {
+				r.wakeAt = 0
+				r.module.Woken(now, r.mark)
+				continue
+			}
+			timer.Reset(time.Duration(r.wakeAt - now))
+		}
+		select {
+		case e := <-r.urgent:
+			e.apply(r)
+			continue
+		default:
+		}
+		select {
+		case e := <-r.urgent:
+			e.apply(r)
+		case e := <-r.ordinary:
+			e.apply(r)
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e Taken) apply(r *Router) {
+	c, now := e.Command, r.clock()
+	if c.over { // its client left before
+		return
+	}
+	r.lastID++
+	c.id = r.lastID
+	r.commands[c.id] = c
+	r.module.Take(now, rules.Command{ID: c.id, Band: c.Band, Carrier: c.Carrier, Key: c.Key, Left: max(0, c.CutOff-now)})
+	r.forget(c)
+}
+
+func (e Left) apply(r *Router) {
+	c := e.Command
+	if c.over {
+		return
+	}
+	c.finish()
+	r.module.Left(r.clock(), c.id)
+	r.forget(c)
+}
+
+func (e Ended) apply(r *Router) {
+	c := e.Command
+	c.out--
+	if e.Outcome.Ending == rules.Fulfilled && !c.over {
+		c.answer(Answer{Kind: Fulfilled, Body: e.Outcome.Body})
+	}
+	now := r.clock()
+	r.module.Ended(now, c.id, e.Number, e.Outcome.Ending, c.over, now-c.handOffs[e.Number].at, e.Outcome.Report)
+	r.forget(c)
+}
+
+// answer gives the final answer; what has not been sent to a host by then never is.
+func (c *Command) answer(a Answer) {
+	c.finish()
+	c.Answer <- a
+}
+
+func (c *Command) finish() {
+	c.over = true
+	for _, h := range c.handOffs {
+		h.sent.Revoke()
+	}
+}
+
+func (r *Router) forget(c *Command) {
+	if c.over && c.out == 0 {
+		delete(r.commands, c.id)
+	}
+}
+
+func (e List) apply(r *Router) {
+	entries := make([]rules.Listed, 0, len(e.Hosts))
+	for _, h := range e.Hosts {
+		id, known := r.names[h.Name]
+		if !known {
+			id = uint32(len(r.names) + 1)
+			r.names[h.Name] = id
+		}
+		if was := r.hosts[id]; known && (h.Health == rules.Gone || was.Address != h.Address || was.Started != h.Started) {
+			r.out.Hosts.Close(was.Address) // connections to what ran there before
+		}
+		r.hosts[id] = h
+		entries = append(entries, rules.Listed{ID: id, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, Health: h.Health,
+			Build: h.Build, Size: h.Size, Started: h.Started})
+	}
+	r.module.List(r.clock(), e.Form, entries)
+}
+
+func (e News) apply(r *Router) { r.module.Hear(r.clock(), e.News) }
+
+func (e Flagged) apply(r *Router) {
+	if id, ok := r.names[e.Host]; ok {
+		r.module.Flagged(r.clock(), id, e.Band, e.Age)
+	}
+}
+
+func (e Heard) apply(r *Router) { r.module.Heard(r.clock(), e.Peer, e.Message) }
+
+// effects are the module's; they are carried out at once where nothing can wait, and else by those in Out.
+type effects struct{ *Router }
+
+func (r effects) HandOff(command, host uint32, until int64) {
+	c, now := r.commands[command], r.clock()
+	number := len(c.handOffs)
+	c.out++
+	c.handOffs = append(c.handOffs, handOff{at: now})
+	c.handOffs[number].sent = r.out.Hosts.HandOff(r.hosts[host].Address, c.Request, time.Duration(until-now),
+		func(o Outcome) { r.Post(Ended{c, number, o}) })
+}
+
+func (r effects) Dismiss(command uint32, wait int64) {
+	r.commands[command].answer(Answer{Kind: Dismissed, Wait: time.Duration(wait)})
+}
+
+func (r effects) Scrap(command uint32) { r.commands[command].answer(Answer{Kind: Scrapped}) }
+
+func (r effects) Recall(command uint32, number int) {
+	r.commands[command].handOffs[number].sent.Recall()
+}
+
+func (r effects) Vote(v rules.Verdict, build, stage int) { r.out.Platform.Vote(v, build, stage) }
+
+func (r effects) Tell(peer int, message []byte) { r.out.Peers.Tell(peer, slices.Clone(message)) }
+
+func (r effects) Wake(after int64, mark uint64) { r.wakeAt, r.mark = r.clock()+after, mark }
+
+func (r effects) Close(host uint32) { r.out.Hosts.Close(r.hosts[host].Address) }
+
+func (r effects) Watch(on bool) { r.out.List.Watch(on) }
+
+func (r effects) Note(text string) { r.log.Info().Msg(text) }
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,5 @@
-package wire
+// Package settings reads the settings' JSON, which the simulator and a real router's configuration share.
+package settings
 
 import (
 	"encoding/json"
@@ -7,9 +8,21 @@
 	"portflow/rules"
 )
 
-// provision is the part of the settings' JSON that is read.
-type provision struct {
+// Settings are those of the rules and what else a router on sockets needs of the JSON.
+type Settings struct {
+	rules.Settings
+	Bands, Carriers   []string // their names, by position
+	Zones, Kinds      []string
+	ReportFields      []string // the values' names in a load report that comes in answers; none where it does not
+	ConnectIn, IdleIn int64    // how long a connection may take to come up, and may then stand idle
+}
+
+// text is the part of the JSON that is read.
+type text struct {
+	Azs     []string
+	Kinds   []string
 	Classes []struct {
+		Name                              string
 		AimNs, HardLimitNs, DedupWindowNs int64
 		Effect, Group                     string
 		Worth, LateWorth                  float64
@@ -31,14 +44,20 @@
 	Limits struct {
 		Cancel, ParallelTries, PeerMessages, RetryAfter bool
 		MaxAttempts                                     int
-		MaxRetryAfterNs                                 int64
+		ConnIdleNs, ConnectTimeoutNs, MaxRetryAfterNs   int64
 	}
 	OverShareWorth float64
-	Projects       []struct{ AllowancePerS float64 }
-	Rank           int
-	ReplicasOfMe   int
-	Report         struct{ Fields []string }
-	TickNs         int64
+	Projects       []struct {
+		AllowancePerS float64
+		Name          string
+	}
+	Rank         int
+	ReplicasOfMe int
+	Report       struct {
+		Fields []string
+		Source string
+	}
+	TickNs int64
 }
 
 var (
@@ -49,14 +68,15 @@
 		"mean_ms": rules.MeanTime}
 )
 
-// Settings reads the settings' JSON; keys that it does not know are skipped.
-func Settings(text []byte) (rules.Settings, error) {
-	var p provision
-	if err := json.Unmarshal(text, &p); err != nil {
-		return rules.Settings{}, fmt.Errorf("settings: %w", err)
+// Read reads the settings' JSON; keys that it does not know are skipped.
+func Read(raw []byte) (Settings, error) {
+	var p text
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	fam, lim := p.FamilyInfo, p.Limits
-	s := rules.Settings{
+	s := Settings{Zones: p.Azs, Kinds: p.Kinds, ConnectIn: lim.ConnectTimeoutNs, IdleIn: lim.ConnIdleNs}
+	s.Settings = rules.Settings{
 		Rank: p.Rank, Routers: p.ReplicasOfMe, OverShare: p.OverShareWorth, Tick: p.TickNs,
 		Subscribe: p.Discovery == "subscribe", MaxHandOffs: lim.MaxAttempts, Copies: lim.ParallelTries,
 		Recalls: lim.Cancel, Peers: lim.PeerMessages,
@@ -88,13 +108,18 @@
 		if b.Group, known = groups[c.Group]; !ok || !known || b.Contract < 1 {
 			return s, fmt.Errorf("settings: class %d: effect %q, group %q, aim %d", i, c.Effect, c.Group, c.AimNs)
 		}
-		s.Bands = append(s.Bands, b)
+		s.Settings.Bands = append(s.Settings.Bands, b)
+		s.Bands = append(s.Bands, c.Name)
 	}
 	for _, t := range p.Projects {
-		s.Carriers = append(s.Carriers, rules.Carrier{PerSecond: t.AllowancePerS})
+		s.Settings.Carriers = append(s.Settings.Carriers, rules.Carrier{PerSecond: t.AllowancePerS})
+		s.Carriers = append(s.Carriers, t.Name)
 	}
 	for _, name := range p.Report.Fields {
 		s.Reports = append(s.Reports, reports[name])
 	}
+	if p.Report.Source == "piggyback" {
+		s.ReportFields = p.Report.Fields
+	}
 	return s, nil
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -1,4 +1,4 @@
-// Package wire reads and writes the iris-438d wire: frames, records and the settings' JSON.
+// Package wire reads and writes the iris-438d wire: frames and records.
 // It turns the wire's words into those of the rules.
 package wire
 
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 
+	"portflow/internal/settings"
 	"portflow/rules"
 )
 
@@ -213,7 +214,9 @@
 		p := Provision{Seed: f.u64("randomSeed")}
 		text := f.bytes(int(f.u32("env")), "env")
 		if f.err == nil {
-			p.Settings, f.err = Settings(text)
+			var all settings.Settings
+			all, f.err = settings.Read(text)
+			p.Settings = all.Settings
 		}
 		e.Body = p
 	case codeLedger:
