Keys are tied from the hand-off on; commands are shed by the room that is left

Recalled and silent hand-offs to the trial may have been answered, which sockets count: the tie now begins with the hand-off and ends where it surely was not answered. Closing idle connections from outside lost 146 commands that had just been read: gone. Open commands bounded by the descriptors; the module sheds by worth from half of that on.

--- a/cmd/portflow/serve.go
+++ b/cmd/portflow/serve.go
@@ -57,12 +57,14 @@
 	if err != nil {
 		return err
 	}
+	settings := c.Settings.Settings
+	settings.Most = most(settings.Most, c.Sockets)
 	known := c.Known.List
 	known.Form = rules.Cached
-	go r.Run(ctx, router.Start{Settings: c.Settings.Settings, Seed: c.Seed, List: known, News: c.News}, out)
+	go r.Run(ctx, router.Start{Settings: settings, Seed: c.Seed, List: known, News: c.News}, out)
 	go watch.Run(ctx)
 	go desk.Run(ctx)
-	server := clients.New(c.Settings, c.Sockets/2, clock, log, r.Post)
+	server := clients.New(c.Settings, c.Sockets/2, settings.Most, clock, log, r.Post)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	log.Info().Str("listen", c.Listen).Int("hosts", len(c.Known.Hosts)).Int("build", c.News.Build).Msg("serving")
@@ -76,3 +78,11 @@
 	log.Info().Err(err).Msg("left")
 	return nil
 }
+
+// most is how many commands may be open: each holds a descriptor on both sides, and a second copy one more.
+func most(stated, sockets int) int {
+	if own := sockets * 2 / 5; stated == 0 || stated > own {
+		return own
+	}
+	return stated
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -42,10 +42,10 @@
 	most     int64
 }
 
-// New makes a server whose commands go to post. It holds at most so many connections, and three quarters as many
-// open commands: further ones are turned away before they reach the router.
-func New(s settings.Settings, most int, clock router.Clock, log zerolog.Logger, post func(router.Event)) *Server {
-	v := &Server{settings: s, clock: clock, post: post, most: int64(most) * 3 / 4, conns: newConnections(most)}
+// New makes a server whose commands go to post. It holds at most so many connections and open commands; further
+// commands are turned away before they reach the router.
+func New(s settings.Settings, conns, most int, clock router.Clock, log zerolog.Logger, post func(router.Event)) *Server {
+	v := &Server{settings: s, clock: clock, post: post, most: int64(most), conns: &connections{room: make(chan struct{}, conns)}}
 	for _, b := range s.Settings.Bands {
 		v.longest = max(v.longest, time.Duration(b.CutOff))
 	}
@@ -54,14 +54,14 @@
 	mux.HandleFunc("/{band}", v.serve)
 	// the write's time runs from the request's head on
 	v.http = http.Server{Handler: mux, ReadHeaderTimeout: headersIn, IdleTimeout: idleIn,
-		WriteTimeout: v.longest + headersIn, MaxHeaderBytes: 16 << 10, ConnState: v.conns.state,
-		ErrorLog: stdlog.New(log, "", 0)}
+		WriteTimeout: v.longest + headersIn, MaxHeaderBytes: 16 << 10, ErrorLog: stdlog.New(log, "", 0)}
 	return v
 }
 
 // Serve takes commands until Leave is done.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(s.conns.listen(l)); !errors.Is(err, http.ErrServerClosed) {
+	s.conns.Listener = l
+	if err := s.http.Serve(s.conns); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,7 +43,7 @@
 	}
 	Limits struct {
 		Cancel, ParallelTries, PeerMessages, RetryAfter bool
-		MaxAttempts                                     int
+		MaxAttempts, OpenCap                            int
 		ConnIdleNs, ConnectTimeoutNs, MaxRetryAfterNs   int64
 	}
 	OverShareWorth float64
@@ -78,7 +78,7 @@
 	s := Settings{Zones: p.Azs, Kinds: p.Kinds, ConnectIn: lim.ConnectTimeoutNs, IdleIn: lim.ConnIdleNs}
 	s.Settings = rules.Settings{
 		Rank: p.Rank, Routers: p.ReplicasOfMe, OverShare: p.OverShareWorth, Tick: p.TickNs,
-		Subscribe: p.Discovery == "subscribe", MaxHandOffs: lim.MaxAttempts, Copies: lim.ParallelTries,
+		Subscribe: p.Discovery == "subscribe", MaxHandOffs: lim.MaxAttempts, Most: lim.OpenCap, Copies: lim.ParallelTries,
 		Recalls: lim.Cancel, Peers: lim.PeerMessages,
 		OnVotes: fam.ToAdvance, BackVotes: fam.BackVotes,
 		HoldVotes: fam.ToPause, VoteLife: fam.VoteTtlNs, VoteWait: fam.VoteWaitNs, Free: fam.SpareTries,
--- a/rules/door.go
+++ b/rules/door.go
@@ -109,6 +109,7 @@
 	OverShare     float64 // what a command beyond its carrier's share is worth
 	Tick          int64   // the shortest time between two calls
 	Subscribe     bool    // the list must be asked for
+	Most          int     // commands that can be open at once, 0 for any number
 	MaxHandOffs   int
 	Copies        bool // two hand-offs at once are allowed
 	Recalls       bool
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,6 +1,5 @@
-// The decision module. A front (the bench's adapter now, a real router later) makes one Router an instance
-// with New, calls its methods in door.go as things happen, each with the time, and carries out the Effects.
-// Every call changes the state, sets what is wanted, and ends in settle, which emits the difference.
+// The decision module. A front makes one Router an instance with New, tells it what happens and carries out
+// the Effects. Every call changes the state, sets what is wanted, and ends in settle, which emits the change.
 // The ordinary path is distributed change detection (see docs/design.md): tick, heard, judge.
 
 package rules
@@ -49,7 +48,7 @@
 		if h := c.next; h != nil {
 			c.next = nil
 			c.handOffs = append(c.handOffs, &handOff{host: h, build: h.build, at: d.now, until: c.until,
-				number: len(c.handOffs)})
+				number: len(c.handOffs), tie: d.tie(c, h.build)})
 			c.out++
 			if h.out++; h.out == 1 {
 				h.waiting = d.now
@@ -198,8 +197,7 @@
 			}
 		}
 	}
-	// A router that needs few hosts takes every n-th of each build's sorted list from a start of its own, which
-	// covers all alike. n is a power of two, so that some stay when it changes.
+	// A router that needs few hosts takes every n-th of each build's; of powers of two some stay when n changes.
 	need := max(12, d.mine[answers]*float64(second/tickLen))
 	for side, all := range ready {
 		n := 1
@@ -278,7 +276,7 @@
 
 // pick chooses the build by its share, then the better of two random hosts inside it.
 func (d *decider) pick(c *command) *host {
-	stuck := d.stuck[c.key] // no command without a key is ever in there
+	stuck := d.stuck.build(c.key) // no command without a key is ever in there
 	best, trial := d.better(c, 0, stuck), d.better(c, 1, stuck)
 	only := best == nil
 	if trial != nil {
@@ -300,10 +298,9 @@
 			best = trial
 		}
 	}
-	if best == nil { // rather wait for a host than try one that is down
-		return nil
-	}
-	if d.warmth(best) < 1 {
+	if best == nil {
+		return nil // rather wait for a host than try one that is down
+	} else if d.warmth(best) < 1 {
 		best.budget.take()
 	}
 	d.own[sent]++
@@ -331,10 +328,11 @@
 func (d *decider) ended(c *command, o *handOff, e Ending, over bool, took int64, report []float64) {
 	h := o.host
 	h.out, h.waiting = h.out-1, d.now
-	o.unrun = e == TurnedAway || e == NoConnect || e == Unsent
+	if o.unrun = e == TurnedAway || e == NoConnect || e == Unsent; o.unrun || e == Failed { // surely no answer
+		d.stuck.drop(c.key, o.tie)
+	}
 	d.report(h, report)
-	// Hosts may take few connections: after one that fails, the next thirty answers' are closed at once, so
-	// that all routers get some in turn. Costs handshakes where it is the host that is down.
+	// Hosts may take few connections: after one that fails, those of the next thirty answers are closed.
 	if d.health(h, e); e == NoConnect {
 		d.scarce = 30
 	} else if d.scarce--; d.scarce > 0 && h.out == 0 {
@@ -350,6 +348,7 @@
 	if e == Fulfilled && !c.streams {
 		d.own[answers]++
 		d.own[times] += float64(took) / float64(second)
+		d.tie(c, o.build) // also where the build was going back meanwhile
 		if !d.judged(o.build) {
 			c.band.typical += 0.01 * (float64(took) - c.band.typical)
 			c.band.hint = cmp.Or(c.band.hint, float64(c.hint))
@@ -361,9 +360,6 @@
 			d.own[earlier]++
 			d.own[speeds] += speed
 		}
-		if o.build >= d.news.Build && d.set.KeysStay && c.key != 0 { // also in a router started after the release
-			d.stuck[c.key] = max(d.stuck[c.key], o.build)
-		}
 	}
 	d.weigh(c, o, e, took)
 	if over {
@@ -381,6 +377,14 @@
 	}
 }
 
+// tie keeps a key on a build from the hand-off on: an answer counts also where it never comes or is not read.
+func (d *decider) tie(c *command, build int) *tie {
+	if build < d.news.Build || !d.set.KeysStay || c.key == 0 {
+		return nil
+	}
+	return d.stuck.add(c.key, build)
+}
+
 // expected is the time that the earlier build takes for such a command, by its band and its hint.
 func (d *decider) expected(c *command) float64 {
 	if c.hint <= 0 || c.band.hint <= 0 {
@@ -397,8 +401,7 @@
 	case TurnedAway:
 		h.aside = max(h.aside, d.now+second/5) // a full queue needs a moment
 	case NoConnect, Reset, TimedOut:
-		h.strikes++
-		if e != TimedOut || h.strikes > 2 { // one slow answer is no sign of a dead host
+		if h.strikes++; e != TimedOut || h.strikes > 2 { // one slow answer is no sign of a dead host
 			h.aside = d.now + second/2<<min(h.strikes, 4)
 		}
 	}
@@ -464,8 +467,7 @@
 		keep := [kinds]float64{0.95, 0.9}[k] // the last seconds: what breaks both is no build's fault
 		d.past[k].fade(keep, d.earlier.n[k], d.earlier.bad[k])
 		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten; the earlier
-		// build's share is pooled, as a quiet router has hardly an outcome of it in the same seconds, and fades
-		// seconds after its last answers: what broke its last hosts excuses no later failures
+		// build's share is pooled, and fades after its last answers: what broke its last hosts excuses none later
 		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, min(1, 0.4*d.load[answers]), 1e-3)
 		d.count[k] = forgetting*d.count[k] + d.trial.n[k]
 		d.beside[k] = forgetting*d.beside[k] + d.earlier.n[k]
@@ -493,8 +495,7 @@
 	if d.set.Peers && d.set.Routers > 1 {
 		d.out.Tell(d.peer(), d.encode())
 	}
-	// Every router tells one a tick, so the messages heard a tick are the part of them that can be heard. The
-	// page has all of them: a router that is cut off or alone must not take its few outcomes for many.
+	// Every router tells one a tick: a router that is cut off must not take its few outcomes for many.
 	d.messages -= 0.03 * d.messages
 	d.company = 1 + float64(d.set.Routers-1)*min(1, 1.3*d.messages) // few are missed by chance
 	d.judge()
@@ -635,7 +636,7 @@
 	}
 	d.news, d.told = n, true
 	if n.Standing == GoingBack || n.Standing == Withdrawn {
-		maps.DeleteFunc(d.stuck, func(_ uint64, b int) bool { return b >= n.Build })
+		d.stuck.forget(n.Build)
 	}
 	d.survey()
 }
@@ -699,8 +700,8 @@
 	return d.chance()*d.load[carriers+c.carrier]*d.company > may
 }
 
-// sheds turns away the commands worth least for their work while answers come too late, by Little's law: some
-// past 0.7 of the shortest contract, most past 1.15. A busy router goes by its own figures, which are newer.
+// sheds turns away the commands worth least for their work while answers come too late, by Little's law (some
+// past 0.7 of the shortest contract, most past 1.15), or half of the room is taken. Own figures are newer.
 func (d *decider) sheds(c *command) bool {
 	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
 	if d.beyond(c) || c.cutOff < c.contract { // clients that give up early have their work done for nothing
@@ -725,9 +726,9 @@
 	}
 	// hosts that hang keep commands open, so no more than what the answers took asks for
 	took := min(waiting*float64(tickLen), 2.5*is[times]*float64(second)) / max(is[answers], 0.1/routers)
-	d.pressure = min(0.9, 2*took/contract-1.4)
-	if waiting*routers < 5 || d.now-d.began < 2*second { // the pace is not known at once
-		d.pressure = 0
+	if d.pressure = 2*took/contract - 1.4; waiting*routers < 5 || d.now-d.began < 2*second {
+		d.pressure = 0 // the pace is not known at once
 	}
+	d.pressure = min(0.9, max(d.pressure, 2*d.own[open]/float64(d.set.Most)-1))
 	return d.pressure > 0 && d.chance() < (d.pressure*all-below)/c.band.rate[over]
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -49,6 +49,7 @@
 	ended    bool
 	unrun    bool // known not to have run
 	recalled bool
+	tie      *tie // what it ties its key to
 }
 
 type command struct {
@@ -99,6 +100,53 @@
 func (m *mean) fade(keep, n, bad float64) { m.n, m.bad = keep*m.n+n, keep*m.bad+bad }
 func (m mean) share() float64             { return m.bad / max(m.n, 1e-3) }
 
+// tie is a build and how many of its answers to a key are there, or may come.
+type tie struct{ build, many int }
+
+// ties are each key's, by build; the last binds.
+type ties map[uint64][]*tie
+
+func (t ties) build(key uint64) int {
+	if all := t[key]; len(all) > 0 {
+		return all[len(all)-1].build
+	}
+	return 0
+}
+
+func (t ties) add(key uint64, build int) *tie {
+	i, ok := slices.BinarySearchFunc(t[key], build, func(x *tie, b int) int { return x.build - b })
+	if !ok {
+		t[key] = slices.Insert(t[key], i, &tie{build: build})
+	}
+	x := t[key][i]
+	x.many++
+	return x
+}
+
+// drop takes back one add.
+func (t ties) drop(key uint64, x *tie) {
+	if x == nil {
+		return
+	}
+	if x.many--; x.many == 0 {
+		t.keep(key, func(y *tie) bool { return y != x })
+	}
+}
+
+// forget drops all ties to a build and later ones.
+func (t ties) forget(build int) {
+	for key := range t {
+		t.keep(key, func(x *tie) bool { return x.build < build })
+	}
+}
+
+func (t ties) keep(key uint64, which func(*tie) bool) {
+	t[key] = slices.DeleteFunc(t[key], func(x *tie) bool { return !which(x) })
+	if len(t[key]) == 0 {
+		delete(t, key)
+	}
+}
+
 // sample is what one tick saw of a build: outcomes, their badness and its squares.
 type sample struct{ n, bad, square [kinds]float64 }
 
@@ -131,7 +179,7 @@
 	told    bool
 	stageAt int64
 	cap     float64          // what the builds on trial may get
-	stuck   map[uint64]int   // key: the build on trial that has answered it
+	stuck   ties             // key: the build on trial that has answered it, as far as can be known
 	seenKey map[uint64]int64 // key: when it last came
 	again   bucket           // further hand-offs
 
@@ -279,7 +327,10 @@
 
 func blank(s Settings, seed uint64, out Effects) *decider {
 	n := carriers + len(s.Carriers)
-	return &decider{set: s, out: out, seed: seed, stuck: map[uint64]int{}, seenKey: map[uint64]int64{},
+	if s.Most == 0 {
+		s.Most = math.MaxInt
+	}
+	return &decider{set: s, out: out, seed: seed, stuck: ties{}, seenKey: map[uint64]int64{},
 		models: map[int]float64{}, own: make([]float64, n), mine: make([]float64, n), load: make([]float64, n)}
 }
 
