--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -35,7 +35,7 @@
 
 // dialling is how many connections to one host may be coming up at once. A burst that finds none idle would else
 // open one for each hand-off, though those that end first serve the rest; each costs both sides work.
-const dialling = 4
+const dialling = 2
 
 // key names the hand-off in a dial's context.
 type key struct{}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -109,7 +109,7 @@
 	if !d.set.Copies || c.band.Repeat == SingleUse || len(c.handOffs) != 1 {
 		return last
 	}
-	return min(last, max(d.now+int64(2.5*d.expected(c)), d.now+1))
+	return min(last, d.now+max(int64(2.5*d.expected(c)), c.band.Contract/8)) // nothing is late before
 }
 
 func (d *decider) take(c *command) {
