Connections to hosts opened ahead, and most descriptors left to clients

Refusing early made it worse, as clients come again. Three connections a host are opened before readiness, one at a time comes up later, and what waits, waits here.

--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -36,45 +37,57 @@
 // Pool holds the connections to all hosts.
 type Pool struct {
 	Options
-	log   zerolog.Logger
-	room  chan struct{} // holds one for each connection
-	mu    sync.Mutex
-	hosts map[string]*http.Transport // by address, so that one host's connections can be closed
+	log    zerolog.Logger
+	dialer net.Dialer
+	room   chan struct{} // holds one for each connection
+	mu     sync.Mutex
+	hosts  map[string]*host // by address, so that one host's connections can be closed
 }
 
 // New makes an empty pool.
 func New(o Options, log zerolog.Logger) *Pool {
-	return &Pool{Options: o, log: log, room: make(chan struct{}, o.Most), hosts: map[string]*http.Transport{}}
+	p := &Pool{Options: o, log: log, room: make(chan struct{}, o.Most), hosts: map[string]*host{}}
+	p.dialer.KeepAlive = -1 // silent hosts are found by hand-offs' time-outs
+	p.dialer.SetMultipathTCP(false)
+	return p
 }
 
-func (p *Pool) transport(address string) *http.Transport {
+func (p *Pool) host(address string) *host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.hosts[address]
-	if t == nil {
-		t = &http.Transport{DialContext: p.dialer(), DisableCompression: true, MaxIdleConnsPerHost: p.Most,
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{pool: p, address: address, coming: make(chan struct{}, dialling), ahead: make(chan *conn, ahead)}
+		h.transport = &http.Transport{DialContext: h.dial, DisableCompression: true, MaxIdleConnsPerHost: p.Most,
 			IdleConnTimeout: p.IdleIn * 3 / 4, MaxResponseHeaderBytes: largest}
-		p.hosts[address] = t
+		p.hosts[address] = h
 	}
-	return t
+	return h
 }
 
 // Close closes the idle connections to an address.
 func (p *Pool) Close(address string) {
 	p.mu.Lock()
-	t := p.hosts[address]
+	h := p.hosts[address]
 	p.mu.Unlock()
-	if t != nil {
-		go t.CloseIdleConnections()
+	if h != nil {
+		go h.closeIdle()
 	}
 }
 
 func (p *Pool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, t := range p.hosts {
-		t.CloseIdleConnections()
+	for _, h := range p.hosts {
+		h.closeIdle()
+	}
+}
+
+func (h *host) closeIdle() {
+	for c := h.take(); c != nil; c = h.take() {
+		c.Close()
 	}
+	h.transport.CloseIdleConnections()
 }
 
 // How a hand-off stands: it moves on from waiting once, by what comes first.
@@ -149,7 +162,7 @@
 }
 
 func (p *Pool) send(ctx context.Context, h *handOff, address string, r *router.Request, left time.Duration) router.Outcome {
-	resp, err := p.transport(address).RoundTrip(request(httptrace.WithClientTrace(context.WithValue(ctx, key{}, h), &httptrace.ClientTrace{
+	resp, err := p.host(address).transport.RoundTrip(request(httptrace.WithClientTrace(context.WithValue(ctx, key{}, h), &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			i.Conn.(*conn).handOff.Store(h)
 			h.gotConn.Store(true)
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -98,3 +98,13 @@
 		Message []byte
 	}
 )
+
+// Ready tells the addresses of the hosts that take commands.
+func (e List) Ready() (addresses []string) {
+	for _, h := range e.Hosts {
+		if h.Health == rules.Ready {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	return addresses
+}
