--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -115,7 +115,7 @@
 	h := w.Header()
 	h["Content-Type"] = []string{"application/octet-stream"}
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
-	if s.leaving.Load() || s.conns.spare() {
+	if s.leaving.Load() {
 		h["Connection"] = []string{"close"}
 	}
 	w.WriteHeader(code)
--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -67,13 +67,8 @@
 	defer func() { <-h.coming }()
 	select {
 	case h.pool.room <- struct{}{}:
-	default:
-		h.pool.closeIdle()
-		select {
-		case h.pool.room <- struct{}{}:
-		case <-o.settled:
-			return nil, errRoom
-		}
+	case <-o.settled:
+		return nil, errRoom
 	}
 	o.dialled.Store(true)
 	return h.open(ctx)
