--- a/cmd/portflow/serve.go
+++ b/cmd/portflow/serve.go
@@ -37,10 +37,10 @@
 
 	clock := router.NewClock()
 	r := router.New(clock, log)
-	// Hosts may have 30 in 100 of the descriptors and clients 65: what waits for a host waits here, as one that
-	// is refused or has its connection closed comes again and costs more.
+	// Hosts may have 46 in 100 of the descriptors and clients 50. What waits for a host waits here: a command that
+	// is refused, or has its connection closed, comes again and costs more.
 	pool := hosts.New(hosts.Options{ConnectIn: time.Duration(c.Settings.ConnectIn),
-		IdleIn: time.Duration(c.Settings.IdleIn), Most: c.Sockets * 30 / 100, Report: c.Settings.ReportFields}, log)
+		IdleIn: time.Duration(c.Settings.IdleIn), Most: c.Sockets * 46 / 100, Report: c.Settings.ReportFields}, log)
 	watch := list.New(c.Discovery, c.Settings, c.Known, log, r.Post)
 	desk := platform.New(c.Platform, c.Settings.Bands, time.Duration(c.Settings.VoteWait), log, r.Post)
 	out := router.Out{Hosts: pool, Platform: desk, List: watch}
@@ -66,7 +66,7 @@
 	go r.Run(ctx, router.Start{Settings: settings, Seed: c.Seed, List: known, News: c.News}, out)
 	go watch.Run(ctx)
 	go desk.Run(ctx)
-	server := clients.New(c.Settings, c.Sockets*65/100, settings.Most, clock, log, r.Post)
+	server := clients.New(c.Settings, c.Sockets/2, settings.Most, clock, log, r.Post)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	log.Info().Str("listen", c.Listen).Int("hosts", len(c.Known.Hosts)).Int("build", c.News.Build).Msg("serving")
@@ -81,9 +81,9 @@
 	return nil
 }
 
-// most is how many commands may be open: each holds a descriptor on both sides, and a second copy one more.
+// most is how many commands may be open: each holds a client's connection.
 func most(stated, sockets int) int {
-	if own := sockets * 6 / 10; stated == 0 || stated > own {
+	if own := sockets / 2; stated == 0 || stated > own {
 		return own
 	}
 	return stated
--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -37,8 +37,9 @@
 }
 
 // dialling is how many connections to one host may be coming up at once. A burst that finds none idle would else
-// open one for each hand-off, though those that end first serve the rest; each costs both sides work.
-const dialling = 1
+// open one for each hand-off, though those that end first serve the rest; each costs both sides work. With one or
+// two, bursts waited for connections that came up one after another at a host that was slow already.
+const dialling = 8
 
 // key names the hand-off in a dial's context.
 type key struct{}
