--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,187 @@
+package clients
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/router"
+	"portflow/internal/settings"
+	"portflow/rules"
+)
+
+// begin starts a server; what it posts comes on the channel.
+func begin(t *testing.T, most int) (string, *Server, chan router.Event) {
+	s := settings.Settings{Bands: []string{"display", "accept"}, Carriers: []string{"rila", "dunav"}}
+	s.Settings.Bands = []rules.Band{{CutOff: int64(5 * time.Second)},
+		{CutOff: int64(3 * time.Second), Repeat: rules.Referenced}}
+	events := make(chan router.Event, 16)
+	v := New(s, 64, most, router.NewClock(), zerolog.Nop(), func(e router.Event) { events <- e })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { v.http.Close() })
+	go v.Serve(l)
+	return l.Addr().String(), v, events
+}
+
+func dial(t *testing.T, address, text string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, text)
+	return c, bufio.NewReader(c)
+}
+
+func status(t *testing.T, in *bufio.Reader) (int, http.Header, string) {
+	r, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil && r.ContentLength >= 0 { // one without a length ends with its connection
+		t.Fatal(err)
+	}
+	if r.Close {
+		r.Header.Set("Connection", "close")
+	}
+	return r.StatusCode, r.Header, string(body)
+}
+
+const good = "POST /accept?obj=7f HTTP/1.1\r\nHost: s\r\nX-Trace-Id: t1\r\nX-Qos: accept\r\nX-Customer: dunav\r\n" +
+	"X-Expires-In: 480m\r\nIdempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody"
+
+func TestCommand(t *testing.T) {
+	address, v, events := begin(t, 8)
+	_, in := dial(t, address, good)
+	c := (<-events).(router.Taken).Command
+	left := time.Duration(c.CutOff - v.clock())
+	if c.Band != 1 || c.Carrier != 1 || c.Key == 0 || left > 480*time.Millisecond || left < 0 ||
+		fmt.Sprint(*c.Request) != fmt.Sprint(router.Request{Method: "POST", Target: "/accept?obj=7f", Trace: "t1", Mark: "k1", Body: []byte("body")}) {
+		t.Fatal(c, c.Request)
+	}
+	c.Answer <- router.Answer{Body: []byte(strings.Repeat("x", 60000))}
+	if code, _, body := status(t, in); code != 200 || len(body) != 60000 {
+		t.Error(code, len(body))
+	}
+	for want, a := range map[int]router.Answer{500: {Kind: router.Scrapped}, 503: {Kind: router.Dismissed, Wait: 250 * time.Millisecond}} {
+		_, in := dial(t, address, good)
+		(<-events).(router.Taken).Command.Answer <- a
+		if code, h, _ := status(t, in); code != want || want == 503 && h.Get("Retry-After") != "0.250" {
+			t.Error(code, h)
+		}
+	}
+}
+
+func TestNoCommand(t *testing.T) {
+	address, _, events := begin(t, 8)
+	swap := func(from, to string) string { return strings.Replace(good, from, to, 1) }
+	for text, want := range map[string]int{
+		swap("/accept", "/else"):                                   404,
+		swap("POST /accept", "POST /display"):                      400, // X-Qos says otherwise
+		swap("X-Customer: dunav", "X-Customer: who"):               400,
+		swap("X-Trace-Id: t1\r\n", ""):                             400,
+		swap("X-Trace-Id: t1", "X-Trace-Id: t1\r\nX-Trace-Id: t2"): 400,
+		swap("Idempotency-Key: k1\r\n", ""):                        400,
+		swap("480m", "soon"):                                       400,
+		swap("480m", "-1m"):                                        400,
+		swap("X-Expires-In: 480m\r\n", ""):                         400,
+		swap("480m", "0m"):                                         504,
+		swap("POST", "PUT"):                                        405,
+		swap("Content-Length: 4", "Content-Length: 70000") + strings.Repeat("x", 70000): 413,
+		swap("Content-Length: 4", "Content-Length: four"):                               400,
+		swap("HTTP/1.1", "HTTP/9"):                                                      400,
+		swap("k1", strings.Repeat("k", 40000)):                                          431,
+	} {
+		_, in := dial(t, address, text)
+		if code, _, _ := status(t, in); code != want && (want != 400 || code != 505) {
+			t.Errorf("%d, wanted %d: %.120q", code, want, text)
+		}
+	}
+	half, _ := dial(t, address, good[:len(good)-2])
+	half.Close()
+	if len(events) != 0 {
+		t.Error("posted", <-events)
+	}
+}
+
+func TestClientLeaves(t *testing.T) {
+	address, _, events := begin(t, 8)
+	for _, text := range []string{good, strings.Replace(strings.ReplaceAll(good, "accept", "display"), "POST", "GET", 1)} {
+		if strings.HasPrefix(text, "GET") {
+			text = strings.Replace(text, "Content-Length: 4\r\n\r\nbody", "\r\n", 1)
+		}
+		conn, _ := dial(t, address, text)
+		c := (<-events).(router.Taken).Command
+		conn.Close()
+		if left := (<-events).(router.Left); left.Command != c {
+			t.Error("another command left")
+		}
+	}
+}
+
+// Further commands than there is room for are turned away, as before a router whose connections are all taken.
+func TestBeyondRoom(t *testing.T) {
+	address, _, events := begin(t, 1)
+	_, first := dial(t, address, good)
+	c := (<-events).(router.Taken).Command
+	_, second := dial(t, address, good)
+	if code, _, _ := status(t, second); code != 503 {
+		t.Error(code)
+	}
+	c.Answer <- router.Answer{}
+	if code, _, _ := status(t, first); code != 200 {
+		t.Error(code)
+	}
+}
+
+// A router that leaves takes new connections for a while, closes each after its answer, and finishes what it has.
+func TestLeave(t *testing.T) {
+	address, v, events := begin(t, 8)
+	_, early := dial(t, address, good)
+	c := (<-events).(router.Taken).Command
+	left := make(chan error)
+	v.leaving.Store(true)
+	_, late := dial(t, address, good)
+	(<-events).(router.Taken).Command.Answer <- router.Answer{}
+	if code, h, _ := status(t, late); code != 200 || h.Get("Connection") != "close" {
+		t.Error(code, h)
+	}
+	go func() { left <- v.Leave(0) }()
+	for { // until the listener is closed
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			break
+		}
+		conn.Close()
+	}
+	c.Answer <- router.Answer{Body: []byte("hi")}
+	if code, _, body := status(t, early); code != 200 || body != "hi" {
+		t.Error(code, body)
+	}
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzExpiry(f *testing.F) {
+	for _, text := range []string{"480m", "7u", "", "m", "99999999999999m"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		if n, err := expiry(text); err == nil && n < 0 {
+			t.Error(n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/hosts/hosts_test.go
@@ -0,0 +1,235 @@
+package hosts
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/router"
+	"portflow/rules"
+)
+
+const never = time.Minute // longer than any test waits
+
+// stand is a host: it runs act for the n-th request that is read whole; act returns whether the connection stays.
+func stand(t *testing.T, act func(n int, c net.Conn, r *http.Request, body string) bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var n atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(r.Body)
+					if err != nil || !act(int(n.Add(1)), c, r, string(body)) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func say(c net.Conn, status, rest string) bool {
+	fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s", status, rest)
+	return true
+}
+
+func pool(most int) *Pool {
+	return New(Options{ConnectIn: time.Second, IdleIn: never, Most: most, Report: []string{"depth", "mean_ms"}}, zerolog.Nop())
+}
+
+func start(p *Pool, address string, r router.Request, left time.Duration) (router.HandOff, chan router.Outcome) {
+	done := make(chan router.Outcome, 1)
+	r.Trace = "t"
+	return p.HandOff(address, &r, left, func(o router.Outcome) { done <- o }), done
+}
+
+var get = router.Request{Method: "GET", Target: "/display?obj=7f"}
+
+func TestOutcomes(t *testing.T) {
+	for name, x := range map[string]struct {
+		status, rest string
+		stay         bool
+		want         rules.Ending
+	}{
+		"answer":         {"200 OK", "Content-Length: 2\r\nEndpoint-Load-Metrics: TEXT queue=3, latency_ms=1.5\r\n\r\nhi", true, rules.Fulfilled},
+		"error":          {"500 no", "Content-Length: 0\r\n\r\n", true, rules.Failed},
+		"turned away":    {"503 no", "X-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", true, rules.TurnedAway},
+		"maybe run":      {"503 no", "Content-Length: 0\r\n\r\n", true, rules.Failed},
+		"redirect":       {"302 no", "Location: /else\r\nContent-Length: 0\r\n\r\n", true, rules.Failed},
+		"cut short":      {"200 OK", "Content-Length: 9\r\n\r\nhi", false, rules.Reset},
+		"wrong framing":  {"200 OK", "Transfer-Encoding: chunked\r\n\r\nzz\r\n", true, rules.Reset},
+		"not HTTP":       {"what", "\r\n\r\n", true, rules.Reset},
+		"closed":         {"", "", false, rules.Reset},
+		"oversized":      {"200 OK", "Content-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), true, rules.Reset},
+		"endless header": {"200 OK", "X: " + strings.Repeat("x", 90000), true, rules.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := stand(t, func(_ int, c net.Conn, _ *http.Request, _ string) bool {
+				return x.status != "" && say(c, x.status, x.rest) && x.stay
+			})
+			_, done := start(pool(4), address, get, never)
+			o := <-done
+			if o.Ending != x.want || (x.want == rules.Fulfilled) != (string(o.Body) == "hi") {
+				t.Errorf("%v %q, wanted %v", o.Ending, o.Body, x.want)
+			}
+			if x.want == rules.Fulfilled && (len(o.Report) != 2 || o.Report[0] != 3 || o.Report[1] != 1.5) {
+				t.Error("report", o.Report)
+			}
+		})
+	}
+}
+
+func TestSilentAndRefused(t *testing.T) {
+	read := make(chan bool, 1)
+	address := stand(t, func(_ int, c net.Conn, _ *http.Request, _ string) bool { read <- true; return true })
+	p := pool(4)
+	if _, done := start(p, address, get, 50*time.Millisecond); (<-done).Ending != rules.TimedOut {
+		t.Error("silence is no time-out")
+	}
+	<-read
+	h, done := start(p, address, get, never)
+	<-read
+	if h.Recall(); (<-done).Ending != rules.Recalled {
+		t.Error("not recalled")
+	}
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	l.Close()
+	if _, done := start(p, l.Addr().String(), get, never); (<-done).Ending != rules.NoConnect {
+		t.Error("refused, and not that")
+	}
+}
+
+// http.Transport sends a GET, and what carries an Idempotency-Key, again when a used connection breaks.
+func TestNothingIsSentAgain(t *testing.T) {
+	for _, r := range []router.Request{get, {Method: "POST", Target: "/accept", Mark: "k", Body: []byte("body")},
+		{Method: "POST", Target: "/accept", Mark: "k"}} {
+		var came atomic.Int64
+		address := stand(t, func(n int, c net.Conn, _ *http.Request, _ string) bool {
+			came.Store(int64(n))
+			return n == 1 && say(c, "200 OK", "Content-Length: 0\r\n\r\n")
+		})
+		p := pool(4)
+		_, first := start(p, address, r, never)
+		if o := <-first; o.Ending != rules.Fulfilled {
+			t.Fatal(o.Ending)
+		}
+		_, second := start(p, address, r, never)
+		if o := <-second; o.Ending != rules.Reset || came.Load() != 2 {
+			t.Errorf("%s: %v, %d came", r.Method, o.Ending, came.Load())
+		}
+	}
+}
+
+func TestPassedOnUnchanged(t *testing.T) {
+	for _, r := range []router.Request{
+		{Method: "GET", Target: "/display?obj=a%2Fb&x=;"},
+		{Method: "POST", Target: "/accept", Mark: "k1", Body: []byte(strings.Repeat("x", 64<<10))},
+		{Method: "POST", Target: "/accept", Mark: "k1"},
+	} {
+		var got router.Request
+		var framing []string
+		address := stand(t, func(_ int, c net.Conn, in *http.Request, body string) bool {
+			got = router.Request{Method: in.Method, Target: in.RequestURI, Trace: in.Header.Get("X-Trace-Id"),
+				Mark: in.Header.Get("Idempotency-Key"), Body: []byte(body)}
+			framing = in.TransferEncoding
+			return say(c, "200 OK", "Content-Length: 0\r\n\r\n")
+		})
+		_, done := start(pool(4), address, r, never)
+		<-done
+		r.Trace = "t"
+		if fmt.Sprint(got) != fmt.Sprint(r) || len(framing) > 0 {
+			t.Errorf("%.200v came as %.200v, %v", r, got, framing)
+		}
+	}
+}
+
+// A hand-off that is revoked while it waits for a connection must not be written, whatever the transport does.
+func TestRevokedIsNeverWritten(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	h := &handOff{cancel: func(error) {}, settled: make(chan struct{})}
+	c := &conn{Conn: near, closed: func() {}}
+	c.handOff.Store(h)
+	h.Revoke()
+	if n, err := c.Write([]byte("x")); n != 0 || err != errRevoked {
+		t.Error("written", n, err)
+	}
+	sent := &handOff{cancel: func(error) { t.Error("ended though it was sent") }, settled: make(chan struct{})}
+	c.handOff.Store(sent)
+	go far.Read(make([]byte, 1))
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+	sent.Revoke()
+}
+
+// The want of connections is the router's own: it ends a hand-off as unsent, and says nothing of the host.
+func TestNoRoom(t *testing.T) {
+	came := make(chan bool, 2)
+	address := stand(t, func(_ int, _ net.Conn, _ *http.Request, _ string) bool { came <- true; return true })
+	p := pool(1)
+	first, done := start(p, address, get, never)
+	<-came
+	p.ConnectIn = 10 * time.Millisecond
+	if _, second := start(p, address, get, never); (<-second).Ending != rules.Unsent {
+		t.Error("not unsent")
+	}
+	first.Recall()
+	<-done
+	if len(came) != 0 {
+		t.Error("a second hand-off was sent")
+	}
+}
+
+func TestOpenedAheadAndClosed(t *testing.T) {
+	address := stand(t, func(_ int, c net.Conn, _ *http.Request, _ string) bool {
+		return say(c, "200 OK", "Content-Length: 0\r\n\r\n")
+	})
+	p := pool(8)
+	p.Open([]string{address})
+	if len(p.room) != ahead {
+		t.Fatal(len(p.room), "opened")
+	}
+	_, done := start(p, address, get, never)
+	if o := <-done; o.Ending != rules.Fulfilled || len(p.room) != ahead {
+		t.Error(o.Ending, len(p.room))
+	}
+	p.closeIdle()
+	for len(p.room) > 0 { // the transport closes in the background
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func FuzzReport(f *testing.F) {
+	f.Add("TEXT queue=3, latency_ms=1.5")
+	f.Add("TEXT queue=,,=")
+	f.Fuzz(func(t *testing.T, text string) {
+		if got := pool(1).report(text); got != nil && len(got) != 2 {
+			t.Error(got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/list/list_test.go
@@ -0,0 +1,89 @@
+package list
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/router"
+	"portflow/internal/settings"
+	"portflow/rules"
+)
+
+const member = `{"id":"s-1","host_port":"10.1.0.18:8081","locality":"b","flavor":"m2","cell":3,"phase":"Ready","size":1.5,"up_since_ms":1000,"image_id":41}`
+
+func whole(revision int, members string) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, revision, members)
+}
+
+var zones = settings.Settings{Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}
+
+func TestDecode(t *testing.T) {
+	m, err := Decode([]byte(whole(41, member)), zones)
+	want := router.Host{Name: "s-1", Address: "10.1.0.18:8081", Zone: 1, Kind: 1, Cell: 3, Health: rules.Ready, Build: 41,
+		Size: 1.5, Started: 1e9}
+	if err != nil || m.Revision != 41 || m.Form != rules.Whole || m.Hosts[0] != want {
+		t.Fatal(m, err)
+	}
+	for _, raw := range []string{"", "{", "[]", whole(1, ""), whole(1, member+","+member), `{"complete":true,"members":[` + member + `]}`,
+		whole(1, strings.Replace(member, "Ready", "Asleep", 1)), whole(1, strings.Replace(member, "s-1", "", 1)),
+		whole(1, strings.Replace(member, "10.1.0.18:8081", "", 1)), whole(1, strings.Replace(member, "1000", "-1", 1)),
+		whole(1, strings.Replace(member, ":41}", ":70000}", 1))} {
+		if m, err := Decode([]byte(raw), zones); err == nil {
+			t.Errorf("%s taken as %v", raw, m)
+		}
+	}
+}
+
+// What can't be used is passed over and asked for again: unreadable text, errors, older and empty lists.
+func TestWatch(t *testing.T) {
+	answers := []string{"{", whole(0, ""), "status", whole(41, member), `{"revision":40,"complete":false,"members":[]}`,
+		whole(42, member), `{"revision":43,"complete":false,"members":[` + strings.Replace(member, "Ready", "Gone", 1) + `]}`}
+	asked := make(chan string, len(answers))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := len(asked)
+		if n == len(answers) {
+			<-r.Context().Done()
+			return
+		}
+		asked <- r.URL.RequestURI()
+		if answers[n] == "status" {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		fmt.Fprint(w, answers[n])
+	}))
+	defer s.Close()
+	events := make(chan router.Event, len(answers))
+	w := New(strings.TrimPrefix(s.URL, "http://"), zones, Message{}, zerolog.Nop(), func(e router.Event) { events <- e })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	for i, health := range []rules.Health{rules.Ready, rules.Ready, rules.Gone} {
+		if l := (<-events).(router.List); l.Hosts[0].Health != health || (i == 2) != (l.Form == rules.Changes) {
+			t.Error(i, l)
+		}
+	}
+	for i, want := range []string{"", "", "", "", "?index=41&wait=5000", "", "?index=42&wait=5000"} {
+		if got := <-asked; got != "/api/targets"+want {
+			t.Errorf("call %d: %s", i, got)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(whole(41, member)))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := Decode(raw, zones)
+		for _, h := range m.Hosts {
+			if err == nil && (h.Name == "" || h.Started < 0 || h.Build < 0) {
+				t.Error(h)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,103 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/router"
+	"portflow/rules"
+)
+
+const news = `{"release":42,"tranche":1,"mode":"canary","exposure":0.28,"old_ms":310}`
+
+var read = rules.News{Build: 42, Stage: 1, Cap: 0.28, Age: 310e6}
+
+func begin(t *testing.T, serve http.HandlerFunc) (*Platform, chan router.Event) {
+	s := httptest.NewServer(serve)
+	t.Cleanup(s.Close)
+	events := make(chan router.Event, 16)
+	return New(strings.TrimPrefix(s.URL, "http://"), []string{"display"}, 200*time.Millisecond, zerolog.Nop(),
+		func(e router.Event) { events <- e }), events
+}
+
+func TestDecodeNews(t *testing.T) {
+	if n, err := DecodeNews([]byte(news)); err != nil || n.News != read {
+		t.Fatal(n, err)
+	}
+	for from, to := range map[string]string{`"release":42,`: "", "42": "70000", "canary": "odd", "0.28": "1.5", "310": "-1", ":1": ":-1", "{": ""} {
+		if n, err := DecodeNews([]byte(strings.Replace(news, from, to, 1))); err == nil {
+			t.Errorf("%s for %s taken as %v", to, from, n)
+		}
+	}
+}
+
+func TestVotes(t *testing.T) {
+	for code, want := range map[int]rules.CallEnding{200: rules.Counts, 429: rules.CallsFull, 409: rules.Moot, 500: rules.CallError,
+		400: rules.CallError, 204: rules.CallSilent, 0: rules.CallSilent, 1: rules.CallSilent} {
+		var asked string
+		calls := 0
+		p, events := begin(t, func(w http.ResponseWriter, r *http.Request) {
+			raw, _ := io.ReadAll(r.Body)
+			calls++
+			switch asked = r.Method + r.URL.Path + string(raw); code {
+			case 0:
+				panic(http.ErrAbortHandler)
+			case 1:
+				<-r.Context().Done()
+			default:
+				w.WriteHeader(code)
+				fmt.Fprint(w, news)
+			}
+		})
+		p.Vote(rules.Back, 42, 1)
+		n := (<-events).(router.News)
+		if !n.Reply || n.Ending != want || want == rules.Counts && (n.Build != 42 || n.Cap != 0.28) {
+			t.Errorf("%d: %+v", code, n)
+		}
+		if asked != `POST/api/verdicts{"release":42,"tranche":1,"ruling":"ROLLBACK"}` || calls != 1 {
+			t.Error(asked, calls)
+		}
+	}
+}
+
+// A stream that ends or breaks is asked for again; lines that can't be used are passed over.
+func TestNewsStream(t *testing.T) {
+	streams := 0
+	p, events := begin(t, func(w http.ResponseWriter, r *http.Request) {
+		if streams++; streams == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprint(w, `{"type":"news","object":`+news+"}\n{}\n???\n"+`{"type":"news","object":{"release":-1}}`+"\n",
+			`{"type":"report","object":{"unit":"s-1","product":"display","old_ms":1200}}`+"\n",
+			`{"type":"report","object":{"unit":"s-1","product":"odd","old_ms":1200}}`+"\n")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.Run(ctx)
+	for range 2 {
+		if n := (<-events).(router.News); n.News != read {
+			t.Error(n)
+		}
+		if r := (<-events).(router.Flagged); r != (router.Flagged{Host: "s-1", Age: 1200e6}) {
+			t.Error(r)
+		}
+	}
+}
+
+func FuzzDecodeNews(f *testing.F) {
+	f.Add([]byte(news))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if n, err := DecodeNews(raw); err == nil && (n.Build < 0 || n.Stage < 0 || n.Age < 0 || !(n.Cap >= 0 && n.Cap <= 1)) {
+			t.Error(n)
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -225,10 +225,17 @@
 }
 
 func (r effects) Dismiss(command uint32, wait int64) {
-	r.commands[command].answer(Answer{Kind: Dismissed, Wait: time.Duration(wait)})
+	r.end(command, Answer{Kind: Dismissed, Wait: time.Duration(wait)})
 }
 
-func (r effects) Scrap(command uint32) { r.commands[command].answer(Answer{Kind: Scrapped}) }
+func (r effects) Scrap(command uint32) { r.end(command, Answer{Kind: Scrapped}) }
+
+// end may come with any event, and not only with the command's own.
+func (r effects) end(command uint32, a Answer) {
+	c := r.commands[command]
+	c.answer(a)
+	r.forget(c)
+}
 
 func (r effects) Recall(command uint32, number int) {
 	r.commands[command].handOffs[number].sent.Recall()
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,175 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/rules"
+)
+
+// field is all that is around a router: it keeps what was asked for.
+type field struct {
+	sent  []*sending
+	votes int
+	asked chan bool // gets one for each hand-off
+}
+
+type sending struct {
+	address           string
+	done              func(Outcome)
+	recalled, revoked bool
+	over              bool
+}
+
+func (s *sending) Recall() { s.recalled = true }
+func (s *sending) Revoke() { s.revoked = true }
+
+func (f *field) HandOff(address string, r *Request, left time.Duration, done func(Outcome)) HandOff {
+	s := &sending{address: address, done: done}
+	f.sent = append(f.sent, s)
+	return s
+}
+func (f *field) Close(string)                 {}
+func (f *field) Vote(rules.Verdict, int, int) { f.votes++ }
+func (f *field) Tell(int, []byte)             {}
+func (f *field) Watch(bool)                   {}
+
+func start() Start {
+	second := int64(time.Second)
+	return Start{Seed: 1, Settings: rules.Settings{Routers: 1, Tick: 1e6, MaxHandOffs: 3, Copies: true, Recalls: true,
+		Bands: []rules.Band{{Contract: second, CutOff: 2 * second, Importance: 1}}, Carriers: []rules.Carrier{{PerSecond: 1e6}},
+		FallMultiple: 4, ColdFor: second, ColdFrom: 0.3, VoteLife: second, Free: 2},
+		List: List{Form: rules.Cached, Hosts: []Host{{Name: "a", Address: "a:1", Size: 1}, {Name: "b", Address: "b:1", Size: 1}}},
+		News: News{rules.News{Standing: rules.Released, Cap: 1}}}
+}
+
+// play runs a router beside the test, in time that only passes where all wait.
+func play(t *testing.T, act func(r *Router, f *field)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &field{}
+		r := New(NewClock(), zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		go r.Run(ctx, start(), Out{Hosts: f, Platform: f, Peers: f, List: f})
+		synctest.Wait()
+		defer synctest.Wait()
+		defer cancel()
+		act(r, f)
+	})
+}
+
+func (r *Router) taken(left time.Duration) *Command {
+	c := &Command{CutOff: r.clock() + int64(left), Request: &Request{}, Answer: make(chan Answer, 1)}
+	r.Post(Taken{c})
+	synctest.Wait()
+	return c
+}
+
+func TestFulfilled(t *testing.T) {
+	play(t, func(r *Router, f *field) {
+		c := r.taken(time.Second)
+		if len(f.sent) != 1 || f.sent[0].address == "" {
+			t.Fatal(f.sent)
+		}
+		f.sent[0].done(Outcome{Ending: rules.Fulfilled, Body: []byte("hi")})
+		if a := <-c.Answer; a.Kind != Fulfilled || string(a.Body) != "hi" {
+			t.Error(a)
+		}
+		synctest.Wait()
+		if len(r.commands) != 0 {
+			t.Error("not forgotten")
+		}
+	})
+}
+
+// What waits for a connection when its command is answered or its client leaves must not be sent any more.
+func TestRevokedWithItsCommand(t *testing.T) {
+	play(t, func(r *Router, f *field) {
+		c := r.taken(time.Second)
+		r.Post(Left{c})
+		synctest.Wait()
+		if !f.sent[0].revoked || !f.sent[0].recalled {
+			t.Error("still on its way")
+		}
+		f.sent[0].done(Outcome{Ending: rules.Recalled})
+		late := r.taken(time.Second)
+		if a := <-late.Answer; a.Kind != Scrapped || !f.sent[1].revoked {
+			t.Error(a.Kind, f.sent[1].revoked)
+		}
+	})
+}
+
+// The list, news and messages must not queue behind commands.
+func TestUrgentFirst(t *testing.T) {
+	r := New(NewClock(), zerolog.Nop())
+	f := &field{}
+	for range 100 {
+		r.Post(Taken{&Command{CutOff: r.clock() + 1e9, Request: &Request{}, Answer: make(chan Answer, 1)}})
+	}
+	r.Post(List{Form: rules.Whole, Hosts: []Host{{Name: "c", Address: "c:1", Size: 1}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() { r.Run(ctx, start(), Out{Hosts: f, Platform: f, Peers: f, List: f}); done <- true }()
+	for len(r.ordinary) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	for _, s := range f.sent {
+		if s.address != "c:1" {
+			t.Fatal("sent to", s.address)
+		}
+	}
+}
+
+// FuzzReducer plays random events: each command that stays gets one answer in time, and no hand-off follows it.
+func FuzzReducer(f *testing.F) {
+	for seed := range uint64(8) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		play(t, func(r *Router, f *field) {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			var open []*Command
+			for range 300 {
+				switch rnd.IntN(6) {
+				case 0, 1:
+					open = append(open, r.taken(time.Duration(rnd.IntN(500))*time.Millisecond))
+				case 2, 3:
+					if len(f.sent) > 0 {
+						if s := f.sent[rnd.IntN(len(f.sent))]; !s.over {
+							s.over = true
+							s.done(Outcome{Ending: rules.Ending(rnd.IntN(8)), Body: []byte{1}})
+						}
+					}
+				case 4:
+					if len(open) > 0 {
+						r.Post(Left{open[rnd.IntN(len(open))]})
+					}
+				case 5:
+					time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
+				}
+				synctest.Wait()
+			}
+			time.Sleep(time.Second)
+			for _, c := range open {
+				if !c.over || len(c.Answer) > 1 {
+					t.Fatal("no answer, or more than one")
+				}
+			}
+			for i := 0; i < len(f.sent); i++ {
+				if !f.sent[i].over {
+					f.sent[i].done(Outcome{Ending: rules.Recalled})
+					synctest.Wait()
+				}
+			}
+			if len(r.commands) != 0 {
+				t.Fatal(len(r.commands), "not forgotten")
+			}
+		})
+	})
+}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -382,3 +382,37 @@
 		}
 	}
 }
+
+// On sockets an answer counts for its key also where it is recalled, times out or breaks: the key must not go back.
+func TestKeyIsTiedFromTheHandOff(t *testing.T) {
+	for _, e := range []Ending{Recalled, TimedOut, Reset, Fulfilled, Failed, NoConnect} {
+		d := newDecider(Settings{Routers: 1, Tick: ms, MaxHandOffs: 3, KeysStay: true, Bands: []Band{{Contract: 1000 * ms}}}, 1, nil)
+		d.told, d.news = true, News{Build: 5}
+		c := &command{band: d.bands[0], key: 7, over: true}
+		o := &handOff{host: &host{build: 5, size: 1}, build: 5, tie: d.tie(c, 5)}
+		if d.stuck.build(7) != 5 {
+			t.Fatal("not tied while the hand-off is out")
+		}
+		d.ended(c, o, e, true, ms, nil)
+		if tied := d.stuck.build(7) == 5; tied == (e == Failed || e == NoConnect) {
+			t.Errorf("ending %d: tied %v", e, tied)
+		}
+	}
+}
+
+// A router once let open commands run up to its last descriptor before it shed any: answers came soon enough.
+func TestShedsByRoom(t *testing.T) {
+	turned := 0
+	for _, open := range []float64{10, 90} {
+		d := newDecider(Settings{Routers: 1, Most: 100, Bands: []Band{{Contract: 1000 * ms, Importance: 1}}}, 1, nil)
+		d.own[0] = open
+		for range 100 {
+			if d.sheds(&command{band: d.bands[0], cutOff: 1000 * ms, contract: 1000 * ms}) {
+				turned++
+			}
+		}
+		if open == 10 && turned > 0 || open == 90 && turned < 50 {
+			t.Errorf("%d turned away with %v of 100 open", turned, open)
+		}
+	}
+}
