--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -40,13 +40,15 @@
 	log    zerolog.Logger
 	dialer net.Dialer
 	room   chan struct{} // holds one for each connection
+	work   chan func()   // for goroutines that are idle
 	mu     sync.Mutex
 	hosts  map[string]*host // by address, so that one host's connections can be closed
 }
 
 // New makes an empty pool.
 func New(o Options, log zerolog.Logger) *Pool {
-	p := &Pool{Options: o, log: log, room: make(chan struct{}, o.Most), hosts: map[string]*host{}}
+	p := &Pool{Options: o, log: log, room: make(chan struct{}, o.Most), work: make(chan func()),
+		hosts: map[string]*host{}}
 	p.dialer.KeepAlive = -1 // silent hosts are found by hand-offs' time-outs
 	p.dialer.SetMultipathTCP(false)
 	return p
@@ -141,7 +143,7 @@
 func (p *Pool) HandOff(address string, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	h := &handOff{cancel: cancel, settled: make(chan struct{})}
-	go func() {
+	p.do(func() {
 		defer cancel(nil)
 		defer h.settle()
 		var o router.Outcome
@@ -157,10 +159,24 @@
 		over := time.AfterFunc(left, func() { cancel(errTime) })
 		defer over.Stop()
 		o = p.send(ctx, h, address, r, left)
-	}()
+	})
 	return h
 }
 
+// do runs f beside its caller, on a goroutine that is idle if there is one: a new one must first grow its stack.
+// There are as many as hand-offs were out at once.
+func (p *Pool) do(f func()) {
+	select {
+	case p.work <- f:
+	default:
+		go func() {
+			for ; ; f = <-p.work {
+				f()
+			}
+		}()
+	}
+}
+
 func (p *Pool) send(ctx context.Context, h *handOff, address string, r *router.Request, left time.Duration) router.Outcome {
 	resp, err := p.host(address).transport.RoundTrip(request(httptrace.WithClientTrace(context.WithValue(ctx, key{}, h), &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
