Bodies are read at once, the build follows a profile of the fullest router

Its profile is flat: 20% system calls, 11% allocating, 3% growing a body's buffer (io.ReadAll), 9% the reducer. The memory limit of the collector goes from 6 to 7.5 tenths: a hundred of 192 MB were in use.

--- a/cmd/portflow/serve.go
+++ b/cmd/portflow/serve.go
@@ -28,8 +28,8 @@
 // serve runs a router until SIGTERM or an interrupt, and then until what it took is finished.
 func serve(c config.Config, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
-	debug.SetMemoryLimit(c.Memory * 6 / 10) // the rest is for the kernel's buffers and what is not the heap's
-	debug.SetGCPercent(400)                 // a live heap is some 10 MB; collecting it seldom saves a tenth of the core
+	debug.SetMemoryLimit(c.Memory * 3 / 4) // the rest is for the kernel's buffers and what is not the heap's
+	debug.SetGCPercent(400)                // a live heap is some 10 MB; collecting it seldom saves a tenth of the core
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"io"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -24,7 +23,6 @@
 )
 
 const (
-	largest   = 64 << 10         // a body's bytes
 	headersIn = 10 * time.Second // for a request's head, once its first byte is there
 	idleIn    = time.Minute      // between commands
 )
@@ -174,10 +172,10 @@
 	if r.ContentLength != 0 {
 		control := http.NewResponseController(w)
 		control.SetReadDeadline(time.Now().Add(time.Duration(left)))
-		c.Request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, largest))
+		c.Request.Body, err = router.ReadBody(r.Body, r.ContentLength)
 		if err != nil {
 			w.Header().Set("Connection", "close")
-			if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+			if errors.Is(err, router.ErrTooLarge) {
 				return nil, http.StatusRequestEntityTooLarge, err
 			}
 			return bad("body: %w", err)
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,7 +23,7 @@
 	"portflow/rules"
 )
 
-const largest = 64 << 10 // a body's bytes
+const largest = 64 << 10 // a head's bytes
 
 // Options say what a Pool may do.
 type Options struct {
@@ -195,10 +194,7 @@
 		return router.Outcome{Ending: h.broken(ctx, err)}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, largest+1))
-	if err == nil && len(body) > largest {
-		err = fmt.Errorf("an answer of more than %d bytes", largest)
-	}
+	body, err := router.ReadBody(resp.Body, resp.ContentLength)
 	if err != nil {
 		return router.Outcome{Ending: h.broken(ctx, err)}
 	}
