Tidy: state, a parameter, a copy and a condition that did nothing are gone

Read again: handOff.written followed from its having begun to write, so its trace changed no outcome; the list's watch never used the configuration's list; a message was copied that nobody keeps; failures > 0 implies a whole list; the units of X-Expires-In were made anew for each command, a report's band looked up twice.

--- a/cmd/portflow/serve.go
+++ b/cmd/portflow/serve.go
@@ -41,7 +41,7 @@
 	// is refused, or has its connection closed, comes again and costs more.
 	pool := hosts.New(hosts.Options{ConnectIn: time.Duration(c.Settings.ConnectIn),
 		IdleIn: time.Duration(c.Settings.IdleIn), Most: c.Sockets * 46 / 100, Report: c.Settings.ReportFields}, log)
-	watch := list.New(c.Discovery, c.Settings, c.Known, log, r.Post)
+	watch := list.New(c.Discovery, c.Settings, log, r.Post)
 	desk := platform.New(c.Platform, c.Settings.Bands, time.Duration(c.Settings.VoteWait), log, r.Post)
 	out := router.Out{Hosts: pool, Platform: desk, List: watch}
 	if c.Settings.Peers {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -186,9 +186,10 @@
 	return c, 0, nil
 }
 
+var units = map[string]time.Duration{"m": time.Millisecond, "u": time.Microsecond}
+
 // expiry reads a time such as 480m (milliseconds) or 480000u (microseconds).
 func expiry(text string) (int64, error) {
-	units := map[string]time.Duration{"m": time.Millisecond, "u": time.Microsecond}
 	if text == "" {
 		return 0, errors.New("missing")
 	}
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -107,7 +107,6 @@
 type handOff struct {
 	cancel  context.CancelCauseFunc
 	stands  atomic.Int32
-	written atomic.Bool   // its last byte
 	begun   atomic.Bool   // its answer
 	dialled atomic.Bool   // a connection was asked for
 	gotConn atomic.Bool   // it has one
@@ -183,11 +182,6 @@
 			h.gotConn.Store(true)
 			h.settle()
 		},
-		WroteRequest: func(i httptrace.WroteRequestInfo) {
-			if i.Err == nil {
-				h.written.Store(true)
-			}
-		},
 		GotFirstResponseByte: func() { h.begun.Store(true) },
 	}), address, r, left))
 	if err != nil {
@@ -212,12 +206,10 @@
 // broken is the outcome of a hand-off that got no whole answer.
 func (h *handOff) broken(ctx context.Context, err error) rules.Ending {
 	e := &Error{Reach: NotConnected, Why: err}
-	switch sent := h.stands.Load() == writing; {
+	switch {
 	case h.begun.Load():
 		e.Reach = Answering
-	case h.written.Load():
-		e.Reach = Written
-	case sent: // the last byte may just have gone out
+	case h.stands.Load() == writing: // the last byte may just have gone out, whatever the transport has told yet
 		e.Reach = Written
 	case h.gotConn.Load():
 		e.Reach = NotWritten
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -101,8 +101,8 @@
 	largest = 4 << 20     // a list of thousands of hosts
 )
 
-// New makes a watch on discovery's address that has the configuration's list.
-func New(address string, s settings.Settings, known Message, log zerolog.Logger, post func(router.Event)) *Watch {
+// New makes a watch on discovery's address.
+func New(address string, s settings.Settings, log zerolog.Logger, post func(router.Event)) *Watch {
 	return &Watch{url: "http://" + address + "/api/targets", settings: s, post: post, log: log,
 		client: http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2,
 			IdleConnTimeout: time.Second}, Timeout: waitFor + slack},
@@ -123,7 +123,7 @@
 func (w *Watch) Run(ctx context.Context) {
 	whole, failures := true, 0
 	for ctx.Err() == nil {
-		if w.settings.Subscribe && failures > 0 || w.settings.Subscribe && whole {
+		if w.settings.Subscribe && whole {
 			select {
 			case on := <-w.on:
 				if !on {
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -60,7 +60,7 @@
 	}))
 	defer s.Close()
 	events := make(chan router.Event, len(answers))
-	w := New(strings.TrimPrefix(s.URL, "http://"), zones, Message{}, zerolog.Nop(), func(e router.Event) { events <- e })
+	w := New(strings.TrimPrefix(s.URL, "http://"), zones, zerolog.Nop(), func(e router.Event) { events <- e })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go w.Run(ctx)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -96,10 +96,11 @@
 		if err := json.Unmarshal(l.Object, &r); err != nil {
 			return err
 		}
-		if p.band(r.Product) < 0 {
+		band := p.band(r.Product)
+		if band < 0 {
 			return fmt.Errorf("product %q is unknown", r.Product)
 		}
-		p.post(router.Flagged{Host: r.Unit, Band: p.band(r.Product), Age: r.OldMs * int64(time.Millisecond)})
+		p.post(router.Flagged{Host: r.Unit, Band: band, Age: r.OldMs * int64(time.Millisecond)})
 	}
 	return nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -243,7 +242,7 @@
 
 func (r effects) Vote(v rules.Verdict, build, stage int) { r.out.Platform.Vote(v, build, stage) }
 
-func (r effects) Tell(peer int, message []byte) { r.out.Peers.Tell(peer, slices.Clone(message)) }
+func (r effects) Tell(peer int, message []byte) { r.out.Peers.Tell(peer, message) }
 
 func (r effects) Wake(after int64, mark uint64) { r.wakeAt, r.mark = r.clock()+after, mark }
 
