Commands' framing is guarded, idle clients make room, SIGHUP takes up new addresses

Excluded: the core (1 to 2.9 s of processor in 60 s) and memory (22 of 48 MB). Now: a connection is closed 2.1 s after its last command, or sooner for one that waits (internal/room), silent ones first; a command has 2 s to come; Transfer-Encoding, HTTP/1.0, lengths there twice, bytes to spare, other methods than the band's, ids that came before are refused; SIGHUP moves discovery and the platform; discovery's and the platform's answers that can't be read end their connection. Real sockets, simulated parties.

--- a/cmd/portflow/serve.go
+++ b/cmd/portflow/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	stdlog "log"
 	"net"
 	"os"
 	"os/signal"
@@ -25,13 +27,15 @@
 // frontDelay is for how long a front may go on sending connections to a router that leaves; fronts take up to 0.4 s.
 const frontDelay = 550 * time.Millisecond
 
-// serve runs a router until SIGTERM or an interrupt, and then until what it took is finished.
-func serve(c config.Config, log zerolog.Logger) error {
+// serve runs a router until SIGTERM or an interrupt, and then until what it took is finished. At SIGHUP it loads the
+// configuration again.
+func serve(c config.Config, load func() (config.Config, error), log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
 	debug.SetMemoryLimit(c.Memory * 3 / 4) // the rest is for the kernel's buffers and what is not the heap's
 	debug.SetGCPercent(400)                // a live heap is some 10 MB; collecting it seldom saves a tenth of the core
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	stdlog.SetOutput(io.Discard) // http.Transport tells there, without a limit, what hosts send unasked
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
@@ -66,15 +70,30 @@
 	go r.Run(ctx, router.Start{Settings: settings, Seed: c.Seed, List: known, News: c.News}, out)
 	go watch.Run(ctx)
 	go desk.Run(ctx)
-	server := clients.New(c.Settings, c.Sockets/2, settings.Most, clock, log, r.Post)
+	server := clients.New(c.Settings, c.Sockets/2, settings.Most, clock, r.Post)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	log.Info().Str("listen", c.Listen).Int("hosts", len(c.Known.Hosts)).Int("build", c.News.Build).Msg("serving")
-	select {
-	case err := <-failed:
-		return err
-	case s := <-signals:
-		log.Info().Stringer("signal", s).Msg("leaving")
+	for leave := false; !leave; {
+		select {
+		case err := <-failed:
+			return err
+		case s := <-signals:
+			log.Info().Stringer("signal", s).Msg("signal")
+			if leave = s != syscall.SIGHUP; leave {
+				break
+			}
+			next, err := load()
+			if err != nil {
+				log.Error().Err(err).Msg("configuration left as it was")
+				break
+			}
+			if fields := c.Differs(next); len(fields) > 0 {
+				log.Warn().Strs("fields", fields).Msg("these need a restart")
+			}
+			watch.Move(next.Discovery)
+			desk.Move(next.Platform)
+		}
 	}
 	err = server.Leave(frontDelay)
 	log.Info().Err(err).Msg("left")
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -6,25 +6,29 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io"
 	stdlog "log"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
+	"portflow/internal/room"
 	"portflow/internal/router"
 	"portflow/internal/settings"
 	"portflow/rules"
 )
 
 const (
-	headersIn = 10 * time.Second // for a request's head, once its first byte is there
-	idleIn    = time.Minute      // between commands
+	// for all of a command, from its connection on or its first byte; unreadable ones are owed an end within 3 s
+	wholeIn = 2 * time.Second
+	idleIn  = 2100 * time.Millisecond // between commands; connections may be closed after 2 s without one
+	writeIn = 10 * time.Second        // for an answer, beside the longest that its command may take
+	longest = 256                     // characters of an id or a mark
 )
 
 // Server serves clients.
@@ -35,31 +39,29 @@
 	post     func(router.Event)
 	longest  time.Duration // that a command may take
 	leaving  atomic.Bool
-	conns    *connections
+	room     *room.Room
 	open     atomic.Int64 // commands
 	most     int64
+	ids      ids
 }
 
 // New makes a server whose commands go to post. It holds at most so many connections and open commands; further
 // commands are turned away before they reach the router.
-func New(s settings.Settings, conns, most int, clock router.Clock, log zerolog.Logger, post func(router.Event)) *Server {
-	v := &Server{settings: s, clock: clock, post: post, most: int64(most), conns: &connections{room: make(chan struct{}, conns)}}
+func New(s settings.Settings, conns, most int, clock router.Clock, post func(router.Event)) *Server {
+	v := &Server{settings: s, clock: clock, post: post, most: int64(most), room: room.New(conns)}
 	for _, b := range s.Settings.Bands {
 		v.longest = max(v.longest, time.Duration(b.CutOff))
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/ready", func(w http.ResponseWriter, _ *http.Request) { v.write(w, http.StatusOK, nil) })
-	mux.HandleFunc("/{band}", v.serve)
-	// the write's time runs from the request's head on
-	v.http = http.Server{Handler: mux, ReadHeaderTimeout: headersIn, IdleTimeout: idleIn,
-		WriteTimeout: v.longest + headersIn, MaxHeaderBytes: 16 << 10, ErrorLog: stdlog.New(log, "", 0)}
+	v.ids.keep = int64(v.longest + wholeIn)
+	// the write's time runs from the request's head on; what clients send wrong is no matter for the log
+	v.http = http.Server{Handler: http.HandlerFunc(v.serve), ReadTimeout: wholeIn, IdleTimeout: idleIn,
+		WriteTimeout: v.longest + writeIn, MaxHeaderBytes: 8 << 10, ConnContext: withConn, ErrorLog: stdlog.New(io.Discard, "", 0)}
 	return v
 }
 
 // Serve takes commands until Leave is done.
 func (s *Server) Serve(l net.Listener) error {
-	s.conns.Listener = l
-	if err := s.http.Serve(s.conns); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(&connections{l, s.room}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -76,20 +78,34 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	c, code, err := s.read(w, r)
+	conn := r.Context().Value(connKey{}).(*clientConn)
+	if r.URL.Path == "/-/ready" && r.Method == http.MethodGet && r.ContentLength == 0 {
+		conn.answer()
+		s.write(w, http.StatusOK, nil)
+		return
+	}
+	c, code, err := s.read(r, conn)
 	if err != nil {
+		w.Header().Set("Connection", "close") // where its bytes end is not sure
 		s.write(w, code, []byte(err.Error()+"\n"))
 		return
 	}
+	http.NewResponseController(w).SetReadDeadline(time.Time{}) // it was for what has been read
 	defer s.open.Add(-1)
 	if s.open.Add(1) > s.most {
+		conn.answer()
 		s.answer(w, router.Answer{Kind: router.Dismissed})
 		return
 	}
 	s.post(router.Taken{Command: c})
 	select {
 	case a := <-c.Answer:
+		conn.answer()
 		s.answer(w, a)
+	case <-conn.more:
+		s.post(router.Left{Command: c})
+		w.Header().Set("Connection", "close")
+		s.write(w, http.StatusBadRequest, []byte("bytes after the command\n"))
 	case <-r.Context().Done():
 		s.post(router.Left{Command: c})
 	}
@@ -113,6 +129,7 @@
 	h := w.Header()
 	h["Content-Type"] = []string{"application/octet-stream"}
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	h["Date"] = nil
 	if s.leaving.Load() {
 		h["Connection"] = []string{"close"}
 	}
@@ -121,39 +138,48 @@
 }
 
 // read takes a command in whole; where it is none, the error says what is wrong, and the status tells the client.
-func (s *Server) read(w http.ResponseWriter, r *http.Request) (*router.Command, int, error) {
+// What could be read in two ways is refused: other framing than a length, fields there twice, bytes to spare.
+func (s *Server) read(r *http.Request, conn *clientConn) (*router.Command, int, error) {
 	bad := func(format string, args ...any) (*router.Command, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
-	name := r.PathValue("band")
+	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+		return bad("%s with transfer encodings %q: HTTP/1.1 and a length are wanted", r.Proto, r.TransferEncoding)
+	}
+	name := strings.TrimPrefix(r.URL.EscapedPath(), "/")
 	c := &router.Command{Band: slices.Index(s.settings.Bands, name), Answer: make(chan router.Answer, 1)}
-	if c.Band < 0 {
+	if c.Band < 0 || !strings.HasPrefix(r.RequestURI, "/"+name) || !plain(r.RequestURI, maxTarget) {
 		return nil, http.StatusNotFound, fmt.Errorf("path: no band %q", name)
 	}
 	band := s.settings.Settings.Bands[c.Band]
-	if r.Method != http.MethodGet && r.Method != http.MethodPost {
+	if safe := band.Repeat == rules.Replayable; safe && r.Method != http.MethodGet || !safe && r.Method != http.MethodPost {
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s", r.Method)
+	} else if safe && r.ContentLength != 0 {
+		return bad("a body of %d bytes with %s", r.ContentLength, r.Method)
 	}
-	for _, h := range []string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key"} {
-		if len(r.Header[h]) > 1 {
+	var fields [5]string
+	for i, h := range [...]string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key"} {
+		if values := r.Header[h]; len(values) > 1 {
 			return bad("%s: there twice", h)
+		} else if len(values) == 1 {
+			fields[i] = values[0]
 		}
 	}
-	trace, mark, customer := r.Header.Get("X-Trace-Id"), r.Header.Get("Idempotency-Key"), r.Header.Get("X-Customer")
-	if trace == "" {
-		return bad("X-Trace-Id: missing")
+	trace, qos, customer, expires, mark := fields[0], fields[1], fields[2], fields[3], fields[4]
+	if trace == "" || !plain(trace, longest) {
+		return bad("X-Trace-Id: missing or no id")
 	}
-	if q := r.Header.Get("X-Qos"); q != "" && q != name {
-		return bad("X-Qos: %q on the path of %q", q, name)
+	if qos != name {
+		return bad("X-Qos: %q on the path of %q", qos, name)
 	}
-	if band.Repeat == rules.Referenced && mark == "" {
-		return bad("Idempotency-Key: missing")
+	if band.Repeat == rules.Referenced && mark == "" || !plain(mark, longest) {
+		return bad("Idempotency-Key: missing or no mark")
 	}
 	if c.Carrier = slices.Index(s.settings.Carriers, customer); c.Carrier < 0 && len(s.settings.Carriers) > 0 {
 		return bad("X-Customer: no carrier %q", customer)
 	}
 	c.Carrier = max(0, c.Carrier)
-	left, err := expiry(r.Header.Get("X-Expires-In"))
+	left, err := expiry(expires)
 	if err != nil {
 		return bad("X-Expires-In: %w", err)
 	}
@@ -170,22 +196,55 @@
 	}
 	c.Request = &router.Request{Method: r.Method, Target: r.RequestURI, Trace: trace, Mark: mark}
 	if r.ContentLength != 0 {
-		control := http.NewResponseController(w)
-		control.SetReadDeadline(time.Now().Add(time.Duration(left)))
 		c.Request.Body, err = router.ReadBody(r.Body, r.ContentLength)
-		if err != nil {
-			w.Header().Set("Connection", "close")
-			if errors.Is(err, router.ErrTooLarge) {
-				return nil, http.StatusRequestEntityTooLarge, err
-			}
+		if errors.Is(err, router.ErrTooLarge) {
+			return nil, http.StatusRequestEntityTooLarge, err
+		} else if err != nil {
 			return bad("body: %w", err)
 		}
-		control.SetReadDeadline(time.Time{})
 	}
-	c.CutOff = s.clock() + left
+	if !conn.take(len(c.Request.Body)) {
+		return bad("a length stated twice, or bytes after the command")
+	}
+	now := s.clock()
+	if c.CutOff = now + left; !s.ids.add(trace, now) {
+		return nil, http.StatusConflict, fmt.Errorf("X-Trace-Id: %q has come before", trace)
+	}
 	return c, 0, nil
 }
 
+const maxTarget = 2048 // characters of a path with its query
+
+// plain tells whether a text is of visible ASCII characters only, and of no more than so many.
+func plain(text string, most int) bool {
+	return len(text) <= most && !strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c > '~' })
+}
+
+// ids are those of the commands that came lately. Each try has a new one: what brings one again is another's, and
+// must get neither that one's answer nor a second hand-off.
+type ids struct {
+	mu          sync.Mutex
+	keep        int64 // for how long at least
+	since       int64
+	now, before map[string]struct{}
+}
+
+// add takes an id in, unless it is there.
+func (i *ids) add(id string, now int64) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if now-i.since > i.keep {
+		i.before, i.now, i.since = i.now, map[string]struct{}{}, now
+	}
+	_, late := i.now[id]
+	_, early := i.before[id]
+	if late || early {
+		return false
+	}
+	i.now[id] = struct{}{}
+	return true
+}
+
 var units = map[string]time.Duration{"m": time.Millisecond, "u": time.Microsecond}
 
 // expiry reads a time such as 480m (milliseconds) or 480000u (microseconds).
@@ -194,7 +253,7 @@
 		return 0, errors.New("missing")
 	}
 	unit, ok := units[text[len(text)-1:]]
-	n, err := strconv.ParseUint(strings.TrimSpace(text[:len(text)-1]), 10, 32)
+	n, err := strconv.ParseUint(text[:len(text)-1], 10, 32)
 	if !ok || err != nil {
 		return 0, fmt.Errorf("%q is no time", text)
 	}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -7,11 +7,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"portflow/internal/router"
 	"portflow/internal/settings"
 	"portflow/rules"
@@ -23,7 +22,7 @@
 	s.Settings.Bands = []rules.Band{{CutOff: int64(5 * time.Second)},
 		{CutOff: int64(3 * time.Second), Repeat: rules.Referenced}}
 	events := make(chan router.Event, 16)
-	v := New(s, 64, most, router.NewClock(), zerolog.Nop(), func(e router.Event) { events <- e })
+	v := New(s, 64, most, router.NewClock(), func(e router.Event) { events <- e })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -33,6 +32,8 @@
 	return l.Addr().String(), v, events
 }
 
+var tries atomic.Int64 // each has an id of its own
+
 func dial(t *testing.T, address, text string) (net.Conn, *bufio.Reader) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
@@ -40,7 +41,7 @@
 	}
 	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(20 * time.Second))
-	io.WriteString(c, text)
+	io.WriteString(c, strings.Replace(text, "X-Trace-Id: t1", fmt.Sprint("X-Trace-Id: t", tries.Add(1)), 1))
 	return c, bufio.NewReader(c)
 }
 
@@ -68,7 +69,7 @@
 	c := (<-events).(router.Taken).Command
 	left := time.Duration(c.CutOff - v.clock())
 	if c.Band != 1 || c.Carrier != 1 || c.Key == 0 || left > 480*time.Millisecond || left < 0 ||
-		fmt.Sprint(*c.Request) != fmt.Sprint(router.Request{Method: "POST", Target: "/accept?obj=7f", Trace: "t1", Mark: "k1", Body: []byte("body")}) {
+		fmt.Sprint(*c.Request) != fmt.Sprint(router.Request{Method: "POST", Target: "/accept?obj=7f", Trace: c.Request.Trace, Mark: "k1", Body: []byte("body")}) {
 		t.Fatal(c, c.Request)
 	}
 	c.Answer <- router.Answer{Body: []byte(strings.Repeat("x", 60000))}
@@ -88,17 +89,29 @@
 	address, _, events := begin(t, 8)
 	swap := func(from, to string) string { return strings.Replace(good, from, to, 1) }
 	for text, want := range map[string]int{
-		swap("/accept", "/else"):                                   404,
-		swap("POST /accept", "POST /display"):                      400, // X-Qos says otherwise
-		swap("X-Customer: dunav", "X-Customer: who"):               400,
-		swap("X-Trace-Id: t1\r\n", ""):                             400,
-		swap("X-Trace-Id: t1", "X-Trace-Id: t1\r\nX-Trace-Id: t2"): 400,
-		swap("Idempotency-Key: k1\r\n", ""):                        400,
-		swap("480m", "soon"):                                       400,
-		swap("480m", "-1m"):                                        400,
-		swap("X-Expires-In: 480m\r\n", ""):                         400,
-		swap("480m", "0m"):                                         504,
-		swap("POST", "PUT"):                                        405,
+		swap("/accept", "/else"):                                            404,
+		swap("X-Qos: accept", "X-Qos: display"):                             400,
+		swap("X-Customer: dunav", "X-Customer: who"):                        400,
+		swap("X-Trace-Id: t1\r\n", ""):                                      400,
+		swap("X-Trace-Id: t1", "X-Trace-Id: t1\r\nX-Trace-Id: t2"):          400,
+		swap("Idempotency-Key: k1\r\n", ""):                                 400,
+		swap("480m", "soon"):                                                400,
+		swap("480m", "-1m"):                                                 400,
+		swap("480m", "4 80m"):                                               400,
+		swap("480m", "99999999999999m"):                                     400,
+		swap("POST", "GET"):                                                 405,
+		swap("HTTP/1.1", "HTTP/1.0"):                                        400,
+		swap("X-Qos: accept\r\n", ""):                                       400,
+		swap("t1", "t 1"):                                                   400,
+		swap("k1", "\xff"):                                                  400,
+		swap("Content-Length: 4", "Content-Length: -4"):                     400,
+		swap("Content-Length: 4", "Content-Length: 4\r\ncontent-length: 4"): 400,
+		swap("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked") + "\r\n0\r\n\r\n":    400,
+		swap("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"): 400,
+		good + "more":                      400,
+		swap("X-Expires-In: 480m\r\n", ""): 400,
+		swap("480m", "0m"):                 504,
+		swap("POST", "PUT"):                405,
 		swap("Content-Length: 4", "Content-Length: 70000") + strings.Repeat("x", 70000): 413,
 		swap("Content-Length: 4", "Content-Length: four"):                               400,
 		swap("HTTP/1.1", "HTTP/9"):                                                      400,
@@ -131,6 +144,91 @@
 	}
 }
 
+// An id that has come before is another client's: it gets neither that one's answer nor a second hand-off.
+func TestIdOfAnother(t *testing.T) {
+	address, v, events := begin(t, 8)
+	_, first := dial(t, address, good)
+	c := (<-events).(router.Taken).Command
+	again := strings.Replace(good, "t1", c.Request.Trace, 1)
+	ask := func() int {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, again)
+		code, _, _ := status(t, bufio.NewReader(conn))
+		return code
+	}
+	if code := ask(); code != 409 {
+		t.Error(code)
+	}
+	c.Answer <- router.Answer{Body: []byte("mine")}
+	if _, _, body := status(t, first); body != "mine" {
+		t.Error(body)
+	}
+	if code := ask(); code != 409 || len(events) > 0 {
+		t.Error(code, len(events))
+	}
+	now := v.ids.since
+	for n := range 1000 { // what is remembered is bounded by time
+		now += v.ids.keep / 10
+		v.ids.add(fmt.Sprint(n), now)
+	}
+	if n := len(v.ids.now) + len(v.ids.before); n > 25 {
+		t.Error(n, "ids held")
+	}
+}
+
+// A client sends one command at a time: what comes before its answer ends the command.
+func TestBytesBeforeTheAnswer(t *testing.T) {
+	address, _, events := begin(t, 8)
+	conn, in := dial(t, address, good)
+	c := (<-events).(router.Taken).Command
+	io.WriteString(conn, "m")
+	if left := (<-events).(router.Left); left.Command != c {
+		t.Error("another command left")
+	}
+	if code, h, _ := status(t, in); code != 400 || h.Get("Connection") != "close" {
+		t.Error(code, h)
+	}
+}
+
+// However many connections say nothing, or half of a command, one that asks gets its answer.
+func TestSilentMakeRoom(t *testing.T) {
+	address, _, events := begin(t, 8)
+	for range 200 {
+		dial(t, address, "")
+	}
+	for range 100 {
+		dial(t, address, good[:50])
+	}
+	_, in := dial(t, address, good)
+	(<-events).(router.Taken).Command.Answer <- router.Answer{Body: []byte("hi")}
+	if code, _, body := status(t, in); code != 200 || body != "hi" {
+		t.Error(code, body)
+	}
+}
+
+// What never ends is ended, also a body, and also a connection after its command.
+func TestEndedInTime(t *testing.T) {
+	address, _, events := begin(t, 8)
+	since := time.Now()
+	for _, text := range []string{"", good[:50], good[:len(good)-1], good} {
+		t.Run(fmt.Sprint(len(text)), func(t *testing.T) {
+			t.Parallel()
+			_, in := dial(t, address, text)
+			if text == good {
+				(<-events).(router.Taken).Command.Answer <- router.Answer{}
+			}
+			io.Copy(io.Discard, in)
+			if took := time.Since(since); took > 2900*time.Millisecond || took < 1900*time.Millisecond {
+				t.Error(took)
+			}
+		})
+	}
+}
+
 // Further commands than there is room for are turned away, as before a router whose connections are all taken.
 func TestBeyondRoom(t *testing.T) {
 	address, _, events := begin(t, 1)
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -1,34 +1,131 @@
 package clients
 
 import (
+	"bytes"
+	"context"
 	"net"
 	"sync"
+
+	"portflow/internal/room"
 )
 
-// connections keeps a server's connections within a number; at it, new ones wait until a client closes one. None is
-// closed to make room: clients open another for it, which costs both sides more than a command does.
+// connections keeps a server's connections within their room; where it is full, one that is of no use is closed for
+// one that comes.
 type connections struct {
 	net.Listener
-	room chan struct{} // holds one for each connection
+	room *room.Room
 }
 
 func (c *connections) Accept() (net.Conn, error) {
-	c.room <- struct{}{}
+	place := c.room.Enter(nil)
 	raw, err := c.Listener.Accept()
 	if err != nil {
-		<-c.room
+		place.Leave()
 		return nil, err
 	}
-	return &clientConn{Conn: raw, room: c.room}, nil
+	v := &clientConn{Conn: raw, place: place, more: make(chan struct{}, 1)}
+	place.Fill(room.Silent, func() { v.Close() })
+	return v, nil
 }
 
+// clientConn sees what net/http does not tell a handler: how the bytes of a command are framed, and what comes
+// after them. Clients send one command at a time, so nothing may come until it is answered.
 type clientConn struct {
 	net.Conn
-	room chan struct{}
-	once sync.Once
+	place *room.Place
+	mu    sync.Mutex
+	head  head
+	taken bool          // a command is whole, and not answered
+	more  chan struct{} // gets one for what comes then
+}
+
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.taken {
+			select {
+			case c.more <- struct{}{}:
+			default:
+			}
+		} else {
+			if c.head.begin() {
+				c.place.Set(room.Begun)
+			}
+			c.head.read(b[:n])
+		}
+	}
+	return n, err
 }
 
 func (c *clientConn) Close() error {
-	defer c.once.Do(func() { <-c.room })
+	defer c.place.Leave()
 	return c.Conn.Close()
 }
+
+// take tells that a command with a body of this length was read, and whether the bytes that came are just that.
+func (c *clientConn) take(body int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken = c.head.after == body && c.head.lengths <= 1
+	if c.taken {
+		c.place.Set(room.Busy)
+	}
+	return c.taken
+}
+
+// answer tells that the answer goes out now: what comes next is another command.
+func (c *clientConn) answer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken, c.head = false, head{}
+	select {
+	case <-c.more:
+	default:
+	}
+	c.place.Set(room.Idle)
+}
+
+// head finds the end of a command's head.
+type head struct {
+	begun, over bool
+	line        []byte // the beginning of the present line, as long as the name below
+	lengths     int    // lines that state a length
+	after       int    // bytes after the head
+}
+
+var length = []byte("content-length")
+
+func (h *head) begin() bool {
+	first := !h.begun
+	h.begun = true
+	return first
+}
+
+func (h *head) read(b []byte) {
+	for !h.over && len(b) > 0 {
+		i := bytes.IndexByte(b, '\n')
+		part := b
+		if i >= 0 {
+			part = b[:i]
+		}
+		h.line = append(h.line, part[:min(len(part), len(length)-len(h.line))]...)
+		if i < 0 {
+			return
+		}
+		if bytes.EqualFold(h.line, length) {
+			h.lengths++
+		}
+		h.over = len(h.line) == 0 || string(h.line) == "\r"
+		h.line = h.line[:0]
+		b = b[i+1:]
+	}
+	h.after += len(b)
+}
+
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"portflow/internal/list"
@@ -31,6 +33,27 @@
 	Settings   settings.Settings
 }
 
+// Differs names the fields in which next has another value that a router can only take up at its start. Discovery's
+// and the platform's addresses it takes up at once; the seed, what is known and the news are for its start anyway.
+func (c Config) Differs(next Config) (fields []string) {
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name},
+		{"listen", c.Listen == next.Listen},
+		{"limits", c.Cores == next.Cores && c.Memory == next.Memory && c.Sockets == next.Sockets},
+		{"peer_listen", c.PeerListen == next.PeerListen},
+		{"peers", slices.Equal(c.Peers, next.Peers)},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
+	} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
+}
+
 type file struct {
 	Name, Listen, Discovery, Seed string
 	Limits                        struct {
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"time"
@@ -85,30 +86,46 @@
 
 // Watch keeps the list up to date.
 type Watch struct {
-	url      string
+	url      string      // where it asks now
+	move     chan string // to another
 	settings settings.Settings
 	post     func(router.Event)
 	log      zerolog.Logger
 	client   http.Client
 	revision uint64
 	on       chan bool
+	asked    bool // the router wants the list, where it must be asked for
 }
 
 const (
 	// a change is answered at once whatever this is; short, so that a connection that went silent is soon found
-	waitFor = 5 * time.Second
-	slack   = time.Second // for the answer after it
-	largest = 4 << 20     // a list of thousands of hosts
+	waitFor = 3 * time.Second
+	slack   = time.Second            // for the answer after it
+	bodyIn  = 500 * time.Millisecond // for the rest of an answer after its first byte: one cut short never comes
+	largest = 4 << 20                // a list of thousands of hosts
 )
 
 // New makes a watch on discovery's address.
 func New(address string, s settings.Settings, log zerolog.Logger, post func(router.Event)) *Watch {
-	return &Watch{url: "http://" + address + "/api/targets", settings: s, post: post, log: log,
+	return &Watch{url: target(address), settings: s, post: post, log: log, move: make(chan string, 1),
 		client: http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2,
-			IdleConnTimeout: time.Second}, Timeout: waitFor + slack},
+			IdleConnTimeout: time.Second, MaxResponseHeaderBytes: 64 << 10}, CheckRedirect: noRedirect},
 		on: make(chan bool, 1)}
 }
 
+func target(address string) string { return "http://" + address + "/api/targets" }
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Move has the list asked for at another address: the whole of it, as that one counts its revisions by itself.
+func (w *Watch) Move(address string) {
+	select {
+	case <-w.move:
+	default:
+	}
+	w.move <- target(address)
+}
+
 // Watch starts or stops the watch where it is the router's to ask for it.
 func (w *Watch) Watch(on bool) {
 	select {
@@ -119,16 +136,36 @@
 }
 
 // Run watches until the context ends: at once, or where it must be asked for, after each time it is. A call
-// that fails is repeated after a wait that grows, or told, so that the router asks again.
+// that fails is repeated after a wait that grows, or told, so that the router asks again. A move ends the call.
 func (w *Watch) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			w.stay(here)
+		}()
+		select {
+		case url := <-w.move:
+			leave()
+			<-ended
+			w.client.CloseIdleConnections()
+			w.url, w.revision = url, 0
+		case <-ctx.Done():
+			<-ended
+		}
+		leave()
+	}
+}
+
+// stay watches at one address.
+func (w *Watch) stay(ctx context.Context) {
 	whole, failures := true, 0
 	for ctx.Err() == nil {
-		if w.settings.Subscribe && whole {
+		if w.settings.Subscribe && whole && !w.asked {
 			select {
-			case on := <-w.on:
-				if !on {
-					continue
-				}
+			case w.asked = <-w.on:
+				continue
 			case <-ctx.Done():
 				return
 			}
@@ -138,11 +175,13 @@
 			return
 		}
 		if err != nil {
+			w.client.CloseIdleConnections() // what can't be read leaves a connection of no use
 			if failures++; failures == 1 {
 				w.log.Warn().Err(err).Msg("discovery")
 			}
 			whole = true
 			if w.settings.Subscribe {
+				w.asked = false
 				w.post(router.List{Form: rules.CallFailed})
 				continue
 			}
@@ -161,7 +200,16 @@
 	if !whole {
 		url += "?index=" + strconv.FormatUint(w.revision, 10) + "&wait=" + strconv.FormatInt(waitFor.Milliseconds(), 10)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	ctx, cancel := context.WithTimeout(ctx, waitFor+slack)
+	defer cancel()
+	var rest *time.Timer
+	defer func() {
+		if rest != nil {
+			rest.Stop()
+		}
+	}()
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { rest = time.AfterFunc(bodyIn, cancel) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, url, nil)
 	if err != nil {
 		return Message{}, err
 	}
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -1,12 +1,15 @@
 package list
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -69,13 +72,97 @@
 			t.Error(i, l)
 		}
 	}
-	for i, want := range []string{"", "", "", "", "?index=41&wait=5000", "", "?index=42&wait=5000"} {
+	for i, want := range []string{"", "", "", "", "?index=41&wait=3000", "", "?index=42&wait=3000"} {
 		if got := <-asked; got != "/api/targets"+want {
 			t.Errorf("call %d: %s", i, got)
 		}
 	}
 }
 
+// stand is a discovery that gives one answer to the first call and is silent to all others.
+func stand(t *testing.T, answer string) (address string, asked chan string) {
+	asked = make(chan string, 16)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if asked <- r.URL.RequestURI(); answer == "" || r.URL.RawQuery != "" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, answer)
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	return strings.TrimPrefix(s.URL, "http://"), asked
+}
+
+// A move ends the call that waits, and the whole list counts at the other address whatever its revision.
+func TestMove(t *testing.T) {
+	for _, subscribe := range []bool{false, true} {
+		old, askedOld := stand(t, whole(41, member))
+		next, askedNext := stand(t, whole(7, strings.Replace(member, "Ready", "Terminating", 1)))
+		events := make(chan router.Event, 16)
+		s := zones
+		s.Subscribe = subscribe
+		w := New(old, s, zerolog.Nop(), func(e router.Event) { events <- e })
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go w.Run(ctx)
+		if subscribe {
+			w.Watch(true)
+		}
+		if l := (<-events).(router.List); l.Hosts[0].Health != rules.Ready {
+			t.Error(l)
+		}
+		<-askedOld
+		<-askedOld // the one that waits
+		w.Move("127.0.0.1:1")
+		w.Move(next)
+		if l := (<-events).(router.List); l.Form != rules.Whole || l.Hosts[0].Health != rules.Draining {
+			t.Error(l)
+		}
+		if first, second := <-askedNext, <-askedNext; strings.Contains(first, "index") || !strings.Contains(second, "index=7") {
+			t.Error(first, second)
+		}
+		if len(askedOld) > 0 {
+			t.Error("asked at the old address", <-askedOld)
+		}
+	}
+}
+
+// An answer that is cut short while its connection stays open is asked for again on another one.
+func TestCutShort(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			go func() {
+				for n == 0 { // each call gets a part
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+						return
+					}
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n{")
+				}
+				http.ReadRequest(bufio.NewReader(c))
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole(1, member)), whole(1, member))
+			}()
+		}
+	}()
+	events := make(chan router.Event, 16)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	since := time.Now()
+	go New(l.Addr().String(), zones, zerolog.Nop(), func(e router.Event) { events <- e }).Run(ctx)
+	if <-events; time.Since(since) > 2*time.Second {
+		t.Error(time.Since(since))
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(whole(41, member)))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -39,10 +40,17 @@
 		"stable": rules.Released, "reverted": rules.Withdrawn}
 	rulings = map[rules.Verdict]string{rules.NoVote: "WITHDRAW", rules.On: "PROCEED", rules.Hold: "HOLD",
 		rules.Back: "ROLLBACK"}
-	endings = map[int]rules.CallEnding{http.StatusTooManyRequests: rules.CallsFull, http.StatusConflict: rules.Moot,
-		http.StatusInternalServerError: rules.CallError, http.StatusBadRequest: rules.CallError}
+	refusals = map[int]refusal{http.StatusTooManyRequests: {"throttled", rules.CallsFull},
+		http.StatusConflict: {"conflict", rules.Moot}, http.StatusInternalServerError: {"internal", rules.CallError},
+		http.StatusBadRequest: {"invalid", rules.CallError}}
 )
 
+// refusal is the word that comes with a status, and what both mean.
+type refusal struct {
+	word   string
+	ending rules.CallEnding
+}
+
 const largest = 64 << 10 // a message's bytes
 
 // DecodeNews reads the state of the newest build.
@@ -70,7 +78,8 @@
 
 // Platform is the platform at one address.
 type Platform struct {
-	base   string
+	base   atomic.Pointer[string] // of the calls' addresses
+	moved  chan struct{}          // gets one when that is another
 	bands  []string
 	post   func(router.Event)
 	log    zerolog.Logger
@@ -81,14 +90,30 @@
 
 // A connection may be closed by the platform after any short rest, and a vote on it would then be in doubt:
 // each call has a connection of its own. Votes come seldom.
-const calls = 8 // at once, far below the 32 connections that the platform holds
+const calls = 4 // at once, far below the 32 connections that the platform holds
 
 // New makes the platform at an address; a vote's answer is waited for so long.
 func New(address string, bands []string, wait time.Duration, log zerolog.Logger, post func(router.Event)) *Platform {
-	return &Platform{base: "http://" + address + "/api/", bands: bands, post: post, log: log, wait: wait,
+	p := &Platform{moved: make(chan struct{}, 1), bands: bands, post: post, log: log, wait: wait,
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, ResponseHeaderTimeout: headersIn}},
+			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, ResponseHeaderTimeout: headersIn,
+			MaxResponseHeaderBytes: largest}, CheckRedirect: noRedirect},
 		slots: make(chan struct{}, calls)}
+	p.Move(address)
+	<-p.moved
+	return p
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Move takes up another address: further votes go there, and the news is followed there from now on.
+func (p *Platform) Move(address string) {
+	base := "http://" + address + "/api/"
+	p.base.Store(&base)
+	select {
+	case p.moved <- struct{}{}:
+	default:
+	}
 }
 
 // Vote casts a vote; what comes of it is posted as News.
@@ -111,7 +136,7 @@
 	defer cancel()
 	silent := router.News{News: rules.News{Reply: true, Ending: rules.CallSilent}}
 	body, _ := json.Marshal(v) // of two numbers and a word
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+"verdicts", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, *p.base.Load()+"verdicts", bytes.NewReader(body))
 	if err != nil {
 		return silent
 	}
@@ -127,12 +152,16 @@
 	if err != nil {
 		return silent
 	}
-	if ending, ok := endings[resp.StatusCode]; ok {
-		return router.News{News: rules.News{Reply: true, Ending: ending}}
+	if r, ok := refusals[resp.StatusCode]; ok { // a status whose answer can't be read may be as wrong as the rest
+		var said struct{ Error string }
+		if json.Unmarshal(raw, &said) != nil || said.Error != r.word {
+			return silent
+		}
+		return router.News{News: rules.News{Reply: true, Ending: r.ending}}
 	}
 	n, err := DecodeNews(raw)
 	if resp.StatusCode != http.StatusOK || err != nil {
-		p.log.Warn().Err(err).Int("status", resp.StatusCode).Msg("vote's answer")
+		p.log.Debug().Err(err).Int("status", resp.StatusCode).Msg("vote's answer")
 		return silent
 	}
 	n.Reply = true
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -41,7 +41,7 @@
 
 func TestVotes(t *testing.T) {
 	for code, want := range map[int]rules.CallEnding{200: rules.Counts, 429: rules.CallsFull, 409: rules.Moot, 500: rules.CallError,
-		400: rules.CallError, 204: rules.CallSilent, 0: rules.CallSilent, 1: rules.CallSilent} {
+		400: rules.CallError, 204: rules.CallSilent, 302: rules.CallSilent, 1429: rules.CallSilent, 0: rules.CallSilent, 1: rules.CallSilent} {
 		var asked string
 		calls := 0
 		p, events := begin(t, func(w http.ResponseWriter, r *http.Request) {
@@ -53,8 +53,13 @@
 			case 1:
 				<-r.Context().Done()
 			default:
-				w.WriteHeader(code)
-				fmt.Fprint(w, news)
+				w.Header().Set("Location", "/else")
+				w.WriteHeader(code % 1000)
+				if r, ok := refusals[code]; ok {
+					fmt.Fprintf(w, `{"error":%q}`, r.word)
+				} else {
+					fmt.Fprint(w, news)
+				}
 			}
 		})
 		p.Vote(rules.Back, 42, 1)
@@ -68,22 +73,26 @@
 	}
 }
 
-// A stream that ends or breaks is asked for again; lines that can't be used are passed over.
+// A stream that ends, breaks or brings what can't be read is asked for again.
 func TestNewsStream(t *testing.T) {
 	streams := 0
 	p, events := begin(t, func(w http.ResponseWriter, r *http.Request) {
+		good := `{"type":"report","object":{"unit":"s-1","product":"display","old_ms":1200}}` + "\n"
+		bad := []string{"", "", "???", `{"type":"news","object":{"release":-1}}`, `{"type":"nxws"}`,
+			`{"type":"report","object":{"unit":"s-1","product":"odd","old_ms":1200}}`}
 		if streams++; streams == 1 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		fmt.Fprint(w, `{"type":"news","object":`+news+"}\n{}\n???\n"+`{"type":"news","object":{"release":-1}}`+"\n",
-			`{"type":"report","object":{"unit":"s-1","product":"display","old_ms":1200}}`+"\n",
-			`{"type":"report","object":{"unit":"s-1","product":"odd","old_ms":1200}}`+"\n")
+		fmt.Fprint(w, `{"type":"news","object":`+news+"}\n{}\n", good, bad[streams%len(bad)]+"\n")
+		if http.NewResponseController(w).Flush(); bad[streams%len(bad)] != "" {
+			<-r.Context().Done() // the reader closes
+		}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go p.Run(ctx)
-	for range 2 {
+	for range 7 {
 		if n := (<-events).(router.News); n.News != read {
 			t.Error(n)
 		}
@@ -93,6 +102,34 @@
 	}
 }
 
+// A move ends the stream that is followed; news and votes are another address's from then on.
+func TestMove(t *testing.T) {
+	stream := func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			fmt.Fprint(w, news)
+			return
+		}
+		fmt.Fprint(w, `{"type":"news","object":`+news+"}\n")
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	left := make(chan bool)
+	p, events := begin(t, func(w http.ResponseWriter, r *http.Request) { stream(w, r); left <- true })
+	other, _ := begin(t, stream)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.Run(ctx)
+	<-events
+	base := *other.base.Load()
+	p.Move(strings.TrimSuffix(strings.TrimPrefix(base, "http://"), "/api/"))
+	<-left
+	<-events
+	p.Vote(rules.On, 42, 1)
+	if n := (<-events).(router.News); n.Ending != rules.Counts {
+		t.Error(n)
+	}
+}
+
 func FuzzDecodeNews(f *testing.F) {
 	f.Add([]byte(news))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -14,7 +14,7 @@
 
 const (
 	headersIn = 10 * time.Second // a platform that is silent answers when it comes back: no need to ask often
-	silentFor = 4 * time.Second  // some signs of life, of which one comes every second
+	silentFor = 2 * time.Second  // two signs of life, of which one comes every second; a line cut short never ends
 )
 
 type line struct {
@@ -27,8 +27,26 @@
 	OldMs         int64 `json:"old_ms"`
 }
 
-// Run follows the news until the context ends, on one connection after another.
+// Run follows the news until the context ends, on one connection after another. A move ends the present one.
 func (p *Platform) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			p.stay(here)
+		}()
+		select {
+		case <-p.moved:
+		case <-ctx.Done():
+		}
+		leave()
+		<-ended
+	}
+}
+
+// stay follows the news at one address.
+func (p *Platform) stay(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
 		told, err := p.follow(ctx)
 		if told {
@@ -45,7 +63,7 @@
 func (p *Platform) follow(ctx context.Context) (told bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.base+"watch", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, *p.base.Load()+"watch", nil)
 	if err != nil {
 		return false, err
 	}
@@ -64,8 +82,7 @@
 	for lines.Scan() {
 		silence.Reset(silentFor)
 		if err := p.tell(lines.Bytes()); err != nil {
-			p.log.Warn().Err(err).Msg("platform's line passed over")
-			continue
+			return told, fmt.Errorf("line that can't be read: %w", err) // nor can what comes after it
 		}
 		told = true
 	}
@@ -78,13 +95,16 @@
 	return told, fmt.Errorf("stream ended")
 }
 
-// tell posts what a line says; kinds that are not used are passed over.
+// tell posts what a line says; one that says nothing is a sign of life.
 func (p *Platform) tell(raw []byte) error {
 	var l line
 	if err := json.Unmarshal(raw, &l); err != nil {
 		return err
 	}
 	switch l.Type {
+	case "":
+	default:
+		return fmt.Errorf("type %q is unknown", l.Type)
 	case "news":
 		n, err := DecodeNews(l.Object)
 		if err != nil {
--- /dev/null
+++ b/internal/room/room.go
@@ -0,0 +1,140 @@
+// Package room keeps a number of connections within a bound. Where it is reached, a connection that is of no use
+// at the moment is closed for one that is wanted.
+package room
+
+import (
+	"container/list"
+	"sync"
+	"time"
+)
+
+// Use is what a connection is doing.
+type Use uint8
+
+const (
+	Silent Use = iota // new, and nothing has come on it
+	Begun             // something has come that is not whole yet
+	Idle              // between two uses
+	Busy              // in use: it is never closed to make room
+)
+
+// rest is how long a connection must have been so before it may be closed to make room. What is new is about to
+// speak, and an idle one about to be used again: a turn of a full core. Who writes slowly gets a little longer.
+var rest = [Busy]time.Duration{Silent: 20 * time.Millisecond, Begun: 250 * time.Millisecond, Idle: 10 * time.Millisecond}
+
+const again = 5 * time.Millisecond // between looks for a connection that may be closed; short beside any rest
+
+// Room is the bound.
+type Room struct {
+	slots chan struct{} // holds one for each connection
+	mu    sync.Mutex
+	uses  [Busy]list.List // of *Place, the longest so first
+}
+
+// New makes room for so many connections.
+func New(most int) *Room { return &Room{slots: make(chan struct{}, most)} }
+
+// Held is how many connections there are.
+func (r *Room) Held() int { return len(r.slots) }
+
+// Place is one connection's.
+type Place struct {
+	room  *Room
+	close func() // the connection, which leaves then
+	use   Use
+	since time.Time
+	at    *list.Element
+	left  bool
+}
+
+// Try takes a place if one is free; the caller must Fill or Leave it.
+func (r *Room) Try() *Place {
+	select {
+	case r.slots <- struct{}{}:
+		return &Place{room: r, use: Busy}
+	default:
+		return nil
+	}
+}
+
+// Enter waits for a place, and closes a connection for it if it must; nil if done comes first.
+func (r *Room) Enter(done <-chan struct{}) *Place {
+	if p := r.Try(); p != nil {
+		return p
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case r.slots <- struct{}{}:
+			return &Place{room: r, use: Busy}
+		case <-done:
+			return nil
+		case <-timer.C:
+			r.makeRoom()
+			timer.Reset(again)
+		}
+	}
+}
+
+// makeRoom closes the connection that has been of no use for longest. Silent ones go first, and are waited for: many
+// that come at once must not push out those that ask.
+func (r *Room) makeRoom() {
+	r.mu.Lock()
+	var spare *Place
+	for use := range r.uses {
+		if first := r.uses[use].Front(); first != nil {
+			if p := first.Value.(*Place); time.Since(p.since) >= rest[use] {
+				spare = p
+				break
+			}
+			if use == int(Silent) {
+				break
+			}
+		}
+	}
+	if spare != nil {
+		spare.take(Busy)
+	}
+	r.mu.Unlock()
+	if spare != nil {
+		spare.close()
+	}
+}
+
+// Fill names the connection's end and use.
+func (p *Place) Fill(use Use, close func()) {
+	p.close = close
+	p.Set(use)
+}
+
+// Set tells what the connection is doing from now on.
+func (p *Place) Set(use Use) {
+	p.room.mu.Lock()
+	defer p.room.mu.Unlock()
+	if !p.left {
+		p.take(use)
+	}
+}
+
+// take moves the place; the room is locked.
+func (p *Place) take(use Use) {
+	if p.at != nil {
+		p.room.uses[p.use].Remove(p.at)
+		p.at = nil
+	}
+	if p.use, p.since = use, time.Now(); use != Busy {
+		p.at = p.room.uses[use].PushBack(p)
+	}
+}
+
+// Leave gives the place up, once however often it is called.
+func (p *Place) Leave() {
+	p.room.mu.Lock()
+	defer p.room.mu.Unlock()
+	if !p.left {
+		p.take(Busy)
+		p.left = true
+		<-p.room.slots
+	}
+}
