A build released shortly before a router's start is still judged and can be sent back

Excluded: reload (no command lost, list and news followed at the new addresses, logs), the core (2.9 s of 43), overload (the next build's hosts serve 99%). Cause: rules.go, hear: a router whose first news is a released build took it for the one before it, and judge asked for outcomes of the earlier build, of which none are left, so nobody voted back.

--- a/rules/door.go
+++ b/rules/door.go
@@ -320,6 +320,9 @@
 
 // loose replaces single ties by one for all keys once a build is released and no host of an earlier one is left.
 func (r *Router) loose() {
+	if r.news.Standing == GoingBack || r.news.Standing == Withdrawn {
+		r.floor = min(r.floor, r.news.Build-1)
+	}
 	if r.news.Standing != Released || !r.set.KeysStay || len(r.fleet) == 0 {
 		return
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -435,9 +435,9 @@
 		return
 	}
 	switch {
-	case e == Failed, e == Spoilt, beside && (e == Reset || e == TimedOut && o.until >= c.cutOff):
+	case e == Failed, beside && (e == Reset || e == Spoilt || e == TimedOut && o.until >= c.cutOff):
 		side.put(failing, 1, 1)
-	case e == Fulfilled || e == TimedOut || e == Reset:
+	case e == Fulfilled || e == TimedOut || e == Reset || e == Spoilt:
 		side.put(failing, 1, 0)
 	}
 	if beside && (e == Fulfilled || e == TimedOut) && d.news.Standing == OnTrial && d.warmth(o.host) == 1 &&
@@ -593,7 +593,7 @@
 		d.doubtful = 0
 	}
 	some := d.count[failing]*d.company >= enough
-	d.condemned = d.pastAt > 0 && float64(d.doubtful) > mixing+spreading-1
+	d.condemned = (d.pastAt > 0 || d.news.Standing == Released) && float64(d.doubtful) > mixing+spreading-1
 	age := d.now - d.newest
 	ready := !worry && (some && age >= 2*second || age >= 7*second/2) || age >= 6*second // the page's on-rule
 	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1                // as one may be cut off
@@ -622,7 +622,7 @@
 	if n.Build != d.news.Build || n.Stage != d.news.Stage || n.Standing != d.news.Standing {
 		d.stageAt = d.now - n.Age
 	}
-	if !d.told && n.Standing == Released {
+	if !d.told && n.Standing == Released && (n.Age > 15*second || !d.young(n.Build)) { // some fail after 11 s
 		d.base = n.Build
 	} else if !d.told {
 		d.base = n.Build - 1
--- a/rules/state.go
+++ b/rules/state.go
@@ -162,6 +162,11 @@
 	return max(d.floor, d.stuck.build(key))
 }
 
+// young tells whether the start of a build's hosts is known, as that of the first ones is not.
+func (d *decider) young(build int) bool {
+	return slices.ContainsFunc(d.fleet, func(h *host) bool { return h.build == build && h.started > 0 })
+}
+
 // sample is what one tick saw of a build: outcomes, their badness and its squares.
 type sample struct{ n, bad, square [kinds]float64 }
 
