--- a/cmd/portflow/serve.go
+++ b/cmd/portflow/serve.go
@@ -31,8 +31,9 @@
 // configuration again.
 func serve(c config.Config, load func() (config.Config, error), log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
-	debug.SetMemoryLimit(c.Memory * 3 / 4) // the rest is for the kernel's buffers and what is not the heap's
-	debug.SetGCPercent(400)                // a live heap is some 10 MB; collecting it seldom saves a tenth of the core
+	// the rest is for the program itself, some 10 MB, and for the kernel's buffers
+	debug.SetMemoryLimit(c.Memory - max(c.Memory/4, min(c.Memory/2, 14<<20)))
+	debug.SetGCPercent(400) // a live heap is some 10 MB; collecting it seldom saves a tenth of the core
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	stdlog.SetOutput(io.Discard) // http.Transport tells there, without a limit, what hosts send unasked
@@ -41,10 +42,11 @@
 
 	clock := router.NewClock()
 	r := router.New(clock, log)
-	// Hosts may have 46 in 100 of the descriptors and clients 50. What waits for a host waits here: a command that
+	// Hosts may have half of the descriptors and clients the other. What waits for a host waits here: a command that
 	// is refused, or has its connection closed, comes again and costs more.
+	half := (c.Sockets - own) / 2
 	pool := hosts.New(hosts.Options{ConnectIn: time.Duration(c.Settings.ConnectIn),
-		IdleIn: time.Duration(c.Settings.IdleIn), Most: c.Sockets * 46 / 100, Report: c.Settings.ReportFields}, log)
+		IdleIn: time.Duration(c.Settings.IdleIn), Most: half, Report: c.Settings.ReportFields}, log)
 	watch := list.New(c.Discovery, c.Settings, log, r.Post)
 	desk := platform.New(c.Platform, c.Settings.Bands, time.Duration(c.Settings.VoteWait), log, r.Post)
 	out := router.Out{Hosts: pool, Platform: desk, List: watch}
@@ -63,14 +65,14 @@
 		return err
 	}
 	settings := c.Settings.Settings
-	settings.Most = most(settings.Most, c.Sockets)
+	settings.Most = most(settings.Most, half)
 	known := c.Known.List
 	known.Form = rules.Cached
 	pool.Open(known.Ready())
 	go r.Run(ctx, router.Start{Settings: settings, Seed: c.Seed, List: known, News: c.News}, out)
 	go watch.Run(ctx)
 	go desk.Run(ctx)
-	server := clients.New(c.Settings, c.Sockets/2, settings.Most, clock, r.Post)
+	server := clients.New(c.Settings, half, settings.Most, clock, r.Post)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	log.Info().Str("listen", c.Listen).Int("hosts", len(c.Known.Hosts)).Int("build", c.News.Build).Msg("serving")
@@ -100,10 +102,14 @@
 	return nil
 }
 
+// own is how many descriptors a router needs beside those of clients and hosts: standard streams, the poller, the
+// listener, peers, four votes, and discovery, the platform's news and the file, twice while a new configuration comes.
+const own = 20
+
 // most is how many commands may be open: each holds a client's connection.
-func most(stated, sockets int) int {
-	if own := sockets / 2; stated == 0 || stated > own {
-		return own
+func most(stated, conns int) int {
+	if stated == 0 || stated > conns {
+		return conns
 	}
 	return stated
 }
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -116,6 +116,7 @@
 type handOff struct {
 	cancel  context.CancelCauseFunc
 	began   time.Time
+	soon    *time.Timer // until it must have a connection, and then the rest of its answer
 	stands  atomic.Int32
 	begun   atomic.Bool          // its answer
 	dialled atomic.Bool          // a connection was asked for
@@ -160,8 +161,13 @@
 			}
 			done(o)
 		}()
-		connect := time.AfterFunc(p.ConnectIn, func() { h.end(errConnect) })
-		defer connect.Stop()
+		h.soon = time.AfterFunc(p.ConnectIn, func() {
+			if h.begun.Load() {
+				cancel(errRest)
+			}
+			h.end(errConnect)
+		})
+		defer h.soon.Stop()
 		over := time.AfterFunc(left, func() { cancel(errTime) })
 		defer over.Stop()
 		o = p.send(ctx, h, address, r, left)
@@ -207,12 +213,6 @@
 func (p *Pool) try(ctx context.Context, h *handOff, address string, r *router.Request, left time.Duration) router.Outcome {
 	wants, has := context.WithCancel(context.WithValue(ctx, key{}, h)) // until it has a connection
 	defer has()
-	var rest *time.Timer
-	defer func() {
-		if rest != nil {
-			rest.Stop()
-		}
-	}()
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			c := i.Conn.(*conn)
@@ -223,8 +223,8 @@
 		},
 		// hosts write an answer at once: one that takes longer than a connection to come up never ends
 		GotFirstResponseByte: func() {
+			h.soon.Reset(p.ConnectIn)
 			h.begun.Store(true)
-			rest = time.AfterFunc(p.ConnectIn, func() { h.cancel(errRest) })
 		},
 	}
 	to := p.host(address)
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -101,7 +101,7 @@
 	// a change is answered at once whatever this is; short, so that a connection that went silent is soon found
 	waitFor = 3 * time.Second
 	slack   = time.Second            // for the answer after it
-	bodyIn  = 500 * time.Millisecond // for the rest of an answer after its first byte: one cut short never comes
+	restIn  = 500 * time.Millisecond // for the rest of an answer after its first byte: one cut short never comes
 	largest = 4 << 20                // a list of thousands of hosts
 )
 
@@ -200,15 +200,11 @@
 	if !whole {
 		url += "?index=" + strconv.FormatUint(w.revision, 10) + "&wait=" + strconv.FormatInt(waitFor.Milliseconds(), 10)
 	}
-	ctx, cancel := context.WithTimeout(ctx, waitFor+slack)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var rest *time.Timer
-	defer func() {
-		if rest != nil {
-			rest.Stop()
-		}
-	}()
-	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { rest = time.AfterFunc(bodyIn, cancel) }}
+	over := time.AfterFunc(waitFor+slack, cancel)
+	defer over.Stop()
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { over.Reset(restIn) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, url, nil)
 	if err != nil {
 		return Message{}, err
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -96,8 +96,7 @@
 func New(address string, bands []string, wait time.Duration, log zerolog.Logger, post func(router.Event)) *Platform {
 	p := &Platform{moved: make(chan struct{}, 1), bands: bands, post: post, log: log, wait: wait,
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, ResponseHeaderTimeout: headersIn,
-			MaxResponseHeaderBytes: largest}, CheckRedirect: noRedirect},
+			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, MaxResponseHeaderBytes: largest}, CheckRedirect: noRedirect},
 		slots: make(chan struct{}, calls)}
 	p.Move(address)
 	<-p.moved
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -102,6 +103,33 @@
 	}
 }
 
+// An answer that is cut short while its connection stays open is asked for again.
+func TestCutShort(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for text := "HTTP/1.1 200 OK\r\nContent-Le"; ; text = "HTTP/1.1 200 OK\r\n\r\n{\"type\":\"news\",\"object\":" + news + "}\n" {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			io.WriteString(c, text)
+		}
+	}()
+	events := make(chan router.Event, 16)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	since := time.Now()
+	go New(l.Addr().String(), nil, time.Second, zerolog.Nop(), func(e router.Event) { events <- e }).Run(ctx)
+	if <-events; time.Since(since) > 2*time.Second {
+		t.Error(time.Since(since))
+	}
+}
+
 // A move ends the stream that is followed; news and votes are another address's from then on.
 func TestMove(t *testing.T) {
 	stream := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"portflow/internal/retry"
@@ -14,9 +16,12 @@
 
 const (
 	headersIn = 10 * time.Second // a platform that is silent answers when it comes back: no need to ask often
+	restIn    = time.Second / 2  // for the rest of an answer's head after its first byte: one cut short never comes
 	silentFor = 2 * time.Second  // two signs of life, of which one comes every second; a line cut short never ends
 )
 
+var errSilent = errors.New("silent for too long")
+
 type line struct {
 	Type   string
 	Object json.RawMessage
@@ -63,7 +68,10 @@
 func (p *Platform) follow(ctx context.Context) (told bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, *p.base.Load()+"watch", nil)
+	silence := time.AfterFunc(headersIn, func() { cancel(errSilent) })
+	defer silence.Stop()
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { silence.Reset(restIn) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, *p.base.Load()+"watch", nil)
 	if err != nil {
 		return false, err
 	}
@@ -72,11 +80,10 @@
 		return false, err
 	}
 	defer resp.Body.Close()
+	silence.Reset(silentFor)
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("status %s", resp.Status)
 	}
-	silence := time.AfterFunc(silentFor, func() { cancel(fmt.Errorf("silent for %v", silentFor)) })
-	defer silence.Stop()
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, largest)
 	for lines.Scan() {
