A busy router remembers 130 outcomes of the trial

Excluded: spoilt answers (the build after it serves), connections, the core. rules.go, tick: a memory of 10 s holds some 1,300 pooled outcomes of a busy build's good time. Test: failures that begin late are not voted back without the bound.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -460,19 +460,21 @@
 }
 
 const forgetting = 0.99 // the factor a tick: a memory of 10 s, so that the first stage's few commands add up
+const longest = 130     // outcomes a router remembers: three see 5% of failures by them, in some 3 s
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
 	for k := range d.state {
-		keep := [kinds]float64{0.95, 0.9}[k] // the last seconds: what breaks both is no build's fault
+		// the last seconds: what breaks both is no build's fault; and a busy build may turn bad late
+		keep, lately := [kinds]float64{0.95, 0.9}[k], forgetting/max(1, d.count[k]/longest)
 		d.past[k].fade(keep, d.earlier.n[k], d.earlier.bad[k])
 		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten; the earlier
 		// build's share is pooled, and fades after its last answers: what broke its last hosts excuses none later
 		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, min(1, 0.4*d.load[answers]), 1e-3)
-		d.count[k] = forgetting*d.count[k] + d.trial.n[k]
+		d.count[k] = lately*d.count[k] + d.trial.n[k]
 		d.beside[k] = forgetting*d.beside[k] + d.earlier.n[k]
-		d.state[k] = forgetting*d.state[k] + (1-forgetting)*x
-		d.spread[k] = forgetting*d.spread[k] + (1-forgetting)*d.trial.square[k]
+		d.state[k] = lately*d.state[k] + (1-forgetting)*x
+		d.spread[k] = lately*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
 	d.trial, d.earlier = sample{}, sample{}
 	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts
@@ -708,9 +710,7 @@
 		over = 1
 	}
 	c.band.rate[over]++
-	value := func(b *band, over int) float64 {
-		return b.Importance / b.typical * [2]float64{1, d.set.OverShare}[over]
-	}
+	value := func(b *band, i int) float64 { return b.Importance / b.typical * [2]float64{1, d.set.OverShare}[i] }
 	for _, b := range d.bands {
 		contract = min(contract, float64(b.Contract))
 		for i := range b.rate {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -255,6 +255,14 @@
 		"wrong answers": {true, func(w *world, i, build int) out { return out{usual(i), Fulfilled, build == 5 && i%17 == 0} }},
 		"failures":      {true, func(w *world, i, build int) out { return out{usual(i), Ending(1 - min(1, (5-build)+i%8)), false} }},
 		"slow answers":  {true, func(w *world, i, build int) out { return out{usual(i) * int64(1+2*(build-4)), Fulfilled, false} }},
+		// what is remembered of a busy build's good time must not hide that it turned bad
+		"failures that begin late": {true, func(w *world, i, build int) out {
+			if i == 700 {
+				w.hear(News{Build: 5, Standing: Released, Cap: 1})
+				w.four(Gone)
+			}
+			return out{usual(i), Ending(min(1, i/1300) * (1 - min(1, i%14))), false}
+		}},
 		// a shared slowdown and its time-outs once passed for the build's fault
 		"all slow after the release": {false, func(w *world, i, build int) out {
 			if i == 700 {
