--- a/rules/rules.go
+++ b/rules/rules.go
@@ -426,8 +426,7 @@
 // weigh counts an outcome for this tick's readings: failing is the page's, lagging for builds that are slow
 // within their time-outs, by times over the expected, on trial, at hosts without queues of their own.
 func (d *decider) weigh(c *command, o *handOff, e Ending, took int64) {
-	// a quiet router has few hand-offs of its own within that time, and goes by all routers' of the last second
-	beside := o.at-d.pastAt < alongside || d.past[lagging].n > max(d.load[answers], 5/d.company)
+	beside := o.at-d.pastAt < alongside || d.compared()
 	side := d.side(o.build)
 	if side == &d.earlier {
 		d.pastAt = max(d.pastAt, o.at)
@@ -464,12 +463,13 @@
 
 // tick makes the reading and tells one random peer.
 func (d *decider) tick() {
+	if !d.compared() { // what broke the earlier build's last hosts excuses none later
+		d.past[failing].bad *= 0.9
+	}
 	for k := range d.state {
-		// the last seconds: what breaks both is no build's fault; and a busy build may turn bad late
-		keep, lately := [kinds]float64{0.95, 0.9}[k], forgetting/max(1, d.count[k]/longest)
+		keep, lately := [kinds]float64{0.95, 0.9}[k], forgetting/max(1, d.count[k]/longest) // the last seconds
 		d.past[k].fade(keep, d.earlier.n[k], d.earlier.bad[k])
-		// the page's reading, weighed by its outcomes, so that a tick of one is not worth one of ten; the earlier
-		// build's share is pooled, and fades after its last answers: what broke its last hosts excuses none later
+		// the page's reading, weighed by its outcomes: a tick of one is not worth one of ten
 		x := d.trial.bad[k] - d.trial.n[k]*d.past[k].bad/max(d.past[k].n, min(1, 0.4*d.load[answers]), 1e-3)
 		d.count[k] = lately*d.count[k] + d.trial.n[k]
 		d.beside[k] = forgetting*d.beside[k] + d.earlier.n[k]
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -263,6 +263,18 @@
 			}
 			return out{usual(i), Ending(min(1, i/1300) * (1 - min(1, i%14))), false}
 		}},
+		// nor may what broke on both builds, beside the earlier one, excuse what fails after the release
+		"failures after resets": {true, func(w *world, i, build int) out {
+			if i == 900 {
+				w.hear(News{Build: 5, Standing: Released, Cap: 1})
+				w.four(Gone)
+			}
+			e := Reset * Ending(max(0, 1-i%8))
+			if i >= 1100 {
+				e = Ending(1 - min(1, i%12))
+			}
+			return out{usual(i), e, false}
+		}},
 		// a shared slowdown and its time-outs once passed for the build's fault
 		"all slow after the release": {false, func(w *world, i, build int) out {
 			if i == 700 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -276,6 +276,12 @@
 	return slices.ContainsFunc(c.handOffs, func(x *handOff) bool { return x.host == h })
 }
 
+// compared tells whether the earlier build has fresh outcomes: a quiet router has few hand-offs of its own within that
+// time, and goes by all routers' of the last second.
+func (d *decider) compared() bool {
+	return d.past[lagging].n > max(d.load[answers], 5/d.company)
+}
+
 // What gossip averages over the routers: judging figures of one build, then what each carries a tick.
 const (
 	open     = iota // commands that are held or out
