A quarter of clients' connections may stand idle, the longest so are closed beyond

Clients hold at most a third of the descriptors, 128 of 384, for commands; those that ask once and stay hold theirs for 2.1 s (clients.go, idleIn), some 80 a second, while the router's own limit of 182 is not reached and nothing makes room.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -27,8 +27,11 @@
 	// for all of a command, from its connection on or its first byte; unreadable ones are owed an end within 3 s
 	wholeIn = 2 * time.Second
 	idleIn  = 2100 * time.Millisecond // between commands; connections may be closed after 2 s without one
-	writeIn = 10 * time.Second        // for an answer, beside the longest that its command may take
-	longest = 256                     // characters of an id or a mark
+	// one of so many connections may stand idle: clients count those against what they may hold, a third of all
+	// descriptors, and some ask once and then keep theirs
+	idleOf  = 4
+	writeIn = 10 * time.Second // for an answer, beside the longest that its command may take
+	longest = 256              // characters of an id or a mark
 )
 
 // Server serves clients.
@@ -48,7 +51,7 @@
 // New makes a server whose commands go to post. It holds at most so many connections and open commands; further
 // commands are turned away before they reach the router.
 func New(s settings.Settings, conns, most int, clock router.Clock, post func(router.Event)) *Server {
-	v := &Server{settings: s, clock: clock, post: post, most: int64(most), room: room.New(conns)}
+	v := &Server{settings: s, clock: clock, post: post, most: int64(most), room: room.New(conns, conns/idleOf)}
 	for _, b := range s.Settings.Bands {
 		v.longest = max(v.longest, time.Duration(b.CutOff))
 	}
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -48,7 +48,7 @@
 
 // New makes an empty pool.
 func New(o Options, log zerolog.Logger) *Pool {
-	p := &Pool{Options: o, log: log, room: room.New(o.Most), work: make(chan func()),
+	p := &Pool{Options: o, log: log, room: room.New(o.Most, o.Most), work: make(chan func()),
 		hosts: map[string]*host{}}
 	p.dialer.KeepAlive = -1 // silent hosts are found by hand-offs' time-outs
 	p.dialer.SetMultipathTCP(false)
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -27,12 +27,13 @@
 // Room is the bound.
 type Room struct {
 	slots chan struct{} // holds one for each connection
+	idle  int           // so many may stand idle
 	mu    sync.Mutex
 	uses  [Busy]list.List // of *Place, the longest so first
 }
 
-// New makes room for so many connections.
-func New(most int) *Room { return &Room{slots: make(chan struct{}, most)} }
+// New makes room for so many connections, of which some may stand idle.
+func New(most, idle int) *Room { return &Room{slots: make(chan struct{}, most), idle: idle} }
 
 // Held is how many connections there are.
 func (r *Room) Held() int { return len(r.slots) }
@@ -111,11 +112,22 @@
 
 // Set tells what the connection is doing from now on.
 func (p *Place) Set(use Use) {
-	p.room.mu.Lock()
-	defer p.room.mu.Unlock()
+	r := p.room
+	r.mu.Lock()
 	if !p.left {
 		p.take(use)
 	}
+	var spare *Place
+	if r.uses[Idle].Len() > r.idle {
+		if first := r.uses[Idle].Front().Value.(*Place); time.Since(first.since) >= rest[Idle] {
+			spare = first
+			spare.take(Busy)
+		}
+	}
+	r.mu.Unlock()
+	if spare != nil {
+		spare.close()
+	}
 }
 
 // take moves the place; the room is locked.
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -11,7 +11,7 @@
 // moment ago is given its time. Where most have not asked yet, they go before those that have.
 func TestMakesRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := New(6)
+		r := New(6, 6)
 		var closed []string
 		add := func(name string, use Use) *Place {
 			p := r.Enter(nil)
@@ -63,3 +63,18 @@
 		}
 	})
 }
+
+// Beyond those that may stand idle, the longest so is closed though there is room.
+func TestIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := New(6, 2)
+		for range 5 {
+			p := r.Enter(nil)
+			p.Fill(Idle, p.Leave)
+			time.Sleep(rest[Idle])
+		}
+		if r.Held() != 2 {
+			t.Error(r.Held(), "stand idle")
+		}
+	})
+}
