--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -99,7 +99,9 @@
 		}
 		f.sent[0].done(Outcome{Ending: rules.Recalled})
 		late := r.taken(time.Second)
-		if a := <-late.Answer; a.Kind != Scrapped || !f.sent[1].revoked {
+		a := <-late.Answer
+		synctest.Wait()
+		if a.Kind != Scrapped || !f.sent[1].revoked {
 			t.Error(a.Kind, f.sent[1].revoked)
 		}
 	})
@@ -184,6 +186,7 @@
 				synctest.Wait()
 			}
 			time.Sleep(time.Second)
+			synctest.Wait()
 			for _, c := range open {
 				if !c.over || len(c.Answer) > 1 {
 					t.Fatal("no answer, or more than one")
