Tidy: one piece follows an address that moves, one takes out what makes room

Read over the whole change; behaviour stays as it is. - list and platform each had their own copy of staying at an address until it moves, and of refusing redirects: internal/address serves both. All tests as they were (one asks the stand-in's address directly in place of cutting it from a URL).

--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -50,7 +50,8 @@
 			default:
 			}
 		} else {
-			if c.head.begin() {
+			if !c.head.begun {
+				c.head.begun = true
 				c.place.Set(room.Begun)
 			}
 			c.head.read(b[:n])
@@ -97,12 +98,6 @@
 
 var length = []byte("content-length")
 
-func (h *head) begin() bool {
-	first := !h.begun
-	h.begun = true
-	return first
-}
-
 func (h *head) read(b []byte) {
 	for !h.over && len(b) > 0 {
 		i := bytes.IndexByte(b, '\n')
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -70,28 +70,26 @@
 
 // Close closes the idle connections to an address.
 func (p *Pool) Close(address string) {
-	if h := p.known(address); h != nil {
+	p.mu.Lock()
+	h := p.hosts[address]
+	p.mu.Unlock()
+	if h != nil {
 		go h.closeIdle()
 	}
 }
 
 // Forget lets an address go: what is out ends by itself, and what is handed off there later goes to another host.
 func (p *Pool) Forget(address string) {
-	if h := p.known(address); h != nil {
-		p.mu.Lock()
-		delete(p.hosts, address)
-		p.mu.Unlock()
+	p.mu.Lock()
+	h := p.hosts[address]
+	delete(p.hosts, address)
+	p.mu.Unlock()
+	if h != nil {
 		h.gone.Store(true)
 		go h.closeIdle()
 	}
 }
 
-func (p *Pool) known(address string) *host {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.hosts[address]
-}
-
 func (h *host) closeIdle() {
 	for c := h.take(); c != nil; c = h.take() {
 		c.Close()
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"portflow/internal/address"
 	"portflow/internal/retry"
 	"portflow/internal/router"
 	"portflow/internal/settings"
@@ -86,8 +87,8 @@
 
 // Watch keeps the list up to date.
 type Watch struct {
-	url      string      // where it asks now
-	move     chan string // to another
+	address  *address.Address
+	url      string // there
 	settings settings.Settings
 	post     func(router.Event)
 	log      zerolog.Logger
@@ -106,25 +107,15 @@
 )
 
 // New makes a watch on discovery's address.
-func New(address string, s settings.Settings, log zerolog.Logger, post func(router.Event)) *Watch {
-	return &Watch{url: target(address), settings: s, post: post, log: log, move: make(chan string, 1),
+func New(at string, s settings.Settings, log zerolog.Logger, post func(router.Event)) *Watch {
+	return &Watch{address: address.New(at), settings: s, post: post, log: log,
 		client: http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2,
-			IdleConnTimeout: time.Second, MaxResponseHeaderBytes: 64 << 10}, CheckRedirect: noRedirect},
+			IdleConnTimeout: time.Second, MaxResponseHeaderBytes: 64 << 10}, CheckRedirect: address.NoRedirect},
 		on: make(chan bool, 1)}
 }
 
-func target(address string) string { return "http://" + address + "/api/targets" }
-
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Move has the list asked for at another address: the whole of it, as that one counts its revisions by itself.
-func (w *Watch) Move(address string) {
-	select {
-	case <-w.move:
-	default:
-	}
-	w.move <- target(address)
-}
+func (w *Watch) Move(address string) { w.address.Move(address) }
 
 // Watch starts or stops the watch where it is the router's to ask for it.
 func (w *Watch) Watch(on bool) {
@@ -137,29 +128,12 @@
 
 // Run watches until the context ends: at once, or where it must be asked for, after each time it is. A call
 // that fails is repeated after a wait that grows, or told, so that the router asks again. A move ends the call.
-func (w *Watch) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		here, leave := context.WithCancel(ctx)
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			w.stay(here)
-		}()
-		select {
-		case url := <-w.move:
-			leave()
-			<-ended
-			w.client.CloseIdleConnections()
-			w.url, w.revision = url, 0
-		case <-ctx.Done():
-			<-ended
-		}
-		leave()
-	}
-}
+func (w *Watch) Run(ctx context.Context) { w.address.Run(ctx, w.stay) }
 
 // stay watches at one address.
-func (w *Watch) stay(ctx context.Context) {
+func (w *Watch) stay(ctx context.Context, at string) {
+	defer w.client.CloseIdleConnections()
+	w.url, w.revision = "http://"+at+"/api/targets", 0
 	whole, failures := true, 0
 	for ctx.Err() == nil {
 		if w.settings.Subscribe && whole && !w.asked {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,11 +12,11 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"portflow/internal/address"
 	"portflow/internal/router"
 	"portflow/rules"
 )
@@ -78,14 +78,13 @@
 
 // Platform is the platform at one address.
 type Platform struct {
-	base   atomic.Pointer[string] // of the calls' addresses
-	moved  chan struct{}          // gets one when that is another
-	bands  []string
-	post   func(router.Event)
-	log    zerolog.Logger
-	wait   time.Duration
-	client http.Client
-	slots  chan struct{}
+	address *address.Address
+	bands   []string
+	post    func(router.Event)
+	log     zerolog.Logger
+	wait    time.Duration
+	client  http.Client
+	slots   chan struct{}
 }
 
 // A connection may be closed by the platform after any short rest, and a vote on it would then be in doubt:
@@ -93,27 +92,18 @@
 const calls = 4 // at once, far below the 32 connections that the platform holds
 
 // New makes the platform at an address; a vote's answer is waited for so long.
-func New(address string, bands []string, wait time.Duration, log zerolog.Logger, post func(router.Event)) *Platform {
-	p := &Platform{moved: make(chan struct{}, 1), bands: bands, post: post, log: log, wait: wait,
+func New(at string, bands []string, wait time.Duration, log zerolog.Logger, post func(router.Event)) *Platform {
+	return &Platform{address: address.New(at), bands: bands, post: post, log: log, wait: wait,
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, MaxResponseHeaderBytes: largest}, CheckRedirect: noRedirect},
+			DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, MaxResponseHeaderBytes: largest},
+			CheckRedirect: address.NoRedirect},
 		slots: make(chan struct{}, calls)}
-	p.Move(address)
-	<-p.moved
-	return p
 }
 
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Move takes up another address: further votes go there, and the news is followed there from now on.
-func (p *Platform) Move(address string) {
-	base := "http://" + address + "/api/"
-	p.base.Store(&base)
-	select {
-	case p.moved <- struct{}{}:
-	default:
-	}
-}
+func (p *Platform) Move(address string) { p.address.Move(address) }
+
+func api(at string) string { return "http://" + at + "/api/" }
 
 // Vote casts a vote; what comes of it is posted as News.
 func (p *Platform) Vote(v rules.Verdict, build, stage int) {
@@ -135,7 +125,7 @@
 	defer cancel()
 	silent := router.News{News: rules.News{Reply: true, Ending: rules.CallSilent}}
 	body, _ := json.Marshal(v) // of two numbers and a word
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, *p.base.Load()+"verdicts", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, api(p.address.Now())+"verdicts", bytes.NewReader(body))
 	if err != nil {
 		return silent
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -147,8 +147,7 @@
 	defer cancel()
 	go p.Run(ctx)
 	<-events
-	base := *other.base.Load()
-	p.Move(strings.TrimSuffix(strings.TrimPrefix(base, "http://"), "/api/"))
+	p.Move(other.address.Now())
 	<-left
 	<-events
 	p.Vote(rules.On, 42, 1)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -33,27 +33,12 @@
 }
 
 // Run follows the news until the context ends, on one connection after another. A move ends the present one.
-func (p *Platform) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		here, leave := context.WithCancel(ctx)
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			p.stay(here)
-		}()
-		select {
-		case <-p.moved:
-		case <-ctx.Done():
-		}
-		leave()
-		<-ended
-	}
-}
+func (p *Platform) Run(ctx context.Context) { p.address.Run(ctx, p.stay) }
 
 // stay follows the news at one address.
-func (p *Platform) stay(ctx context.Context) {
+func (p *Platform) stay(ctx context.Context, at string) {
 	for failures := 0; ctx.Err() == nil; {
-		told, err := p.follow(ctx)
+		told, err := p.follow(ctx, at)
 		if told {
 			failures = 0
 		}
@@ -65,13 +50,13 @@
 }
 
 // follow reads one connection's news; told says that some came.
-func (p *Platform) follow(ctx context.Context) (told bool, err error) {
+func (p *Platform) follow(ctx context.Context, at string) (told bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(headersIn, func() { cancel(errSilent) })
 	defer silence.Stop()
 	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { silence.Reset(restIn) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, *p.base.Load()+"watch", nil)
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, api(at)+"watch", nil)
 	if err != nil {
 		return false, err
 	}
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -87,16 +87,8 @@
 		order = [...]Use{Silent, Begun, Idle}
 	}
 	var spare *Place
-	for _, use := range order {
-		if first := r.uses[use].Front(); first != nil {
-			if p := first.Value.(*Place); time.Since(p.since) >= rest[use] {
-				spare = p
-				break
-			}
-		}
-	}
-	if spare != nil {
-		spare.take(Busy)
+	for i := 0; i < len(order) && spare == nil; i++ {
+		spare = r.spare(order[i])
 	}
 	r.mu.Unlock()
 	if spare != nil {
@@ -104,6 +96,18 @@
 	}
 }
 
+// spare takes the connection that has been so for longest out of the choice, to be closed, if it has had its rest; the
+// room is locked.
+func (r *Room) spare(use Use) *Place {
+	first := r.uses[use].Front()
+	if first == nil || time.Since(first.Value.(*Place).since) < rest[use] {
+		return nil
+	}
+	p := first.Value.(*Place)
+	p.take(Busy)
+	return p
+}
+
 // Fill names the connection's end and use.
 func (p *Place) Fill(use Use, close func()) {
 	p.close = close
@@ -119,10 +123,7 @@
 	}
 	var spare *Place
 	if r.uses[Idle].Len() > r.idle {
-		if first := r.uses[Idle].Front().Value.(*Place); time.Since(first.since) >= rest[Idle] {
-			spare = first
-			spare.take(Busy)
-		}
+		spare = r.spare(Idle)
 	}
 	r.mu.Unlock()
 	if spare != nil {
--- a/rules/door.go
+++ b/rules/door.go
@@ -327,10 +327,14 @@
 		return
 	}
 	oldest := slices.MinFunc(r.fleet, func(a, b *host) int { return cmp.Compare(a.build, b.build) }).build
-	if r.floor = max(r.floor, min(oldest, r.news.Build)); r.news.Build < r.floor { // builds are counted anew
-		r.floor = 0
+	floor := max(r.floor, min(oldest, r.news.Build))
+	if r.news.Build < floor { // builds are counted anew
+		floor = 0
+	}
+	if floor != r.floor { // none is added up to it
+		r.floor = floor
+		r.stuck.untie(floor)
 	}
-	r.stuck.untie(r.floor)
 }
 
 // Hear brings news of the newest build.
