--- a/cmd/portflow/serve_test.go
+++ b/cmd/portflow/serve_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"portflow/internal/config"
+	"portflow/internal/site"
 )
 
 // around is discovery and the platform at one address; asked gets the path of each call.
@@ -69,7 +70,7 @@
 	loads := make(chan error, 4)
 	ended := make(chan error)
 	go func() {
-		ended <- serve(c, func() (config.Config, error) {
+		ended <- serve(c, site.Site{}, func() (config.Config, error) {
 			c, err := config.Reload(env)
 			loads <- err
 			return c, err
--- /dev/null
+++ b/internal/chance/chance.go
@@ -0,0 +1,27 @@
+// Package chance draws numbers that depend on a seed and on how many were drawn before, and on nothing else.
+package chance
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+)
+
+// Source is one instance's chance. It is not safe for use by two goroutines.
+type Source struct {
+	Seed  uint64
+	draws uint64
+}
+
+// Next draws from [0, 1).
+func (s *Source) Next() float64 {
+	s.draws++
+	f := fnv.New64a()
+	var both [16]byte
+	binary.BigEndian.PutUint64(both[:8], s.draws)
+	binary.BigEndian.PutUint64(both[8:], s.Seed)
+	f.Write(both[:])
+	x := f.Sum64()
+	x ^= x >> 32
+	x *= 0x9e3779b97f4a7c15
+	return float64(x>>11) / (1 << 53)
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -102,7 +102,7 @@
 	}
 	s.post(router.Taken{Command: c})
 	select {
-	case a := <-c.Answer:
+	case a := <-c.Answer.(router.Chan):
 		conn.answer()
 		s.answer(w, a)
 	case <-conn.more:
@@ -150,7 +150,8 @@
 		return bad("%s with transfer encodings %q: HTTP/1.1 and a length are wanted", r.Proto, r.TransferEncoding)
 	}
 	name := strings.TrimPrefix(r.URL.EscapedPath(), "/")
-	c := &router.Command{Band: slices.Index(s.settings.Bands, name), Answer: make(chan router.Answer, 1)}
+	answers := make(router.Chan, 1)
+	c := &router.Command{Band: slices.Index(s.settings.Bands, name), Answer: answers}
 	if c.Band < 0 || !strings.HasPrefix(r.RequestURI, "/"+name) || !plain(r.RequestURI, maxTarget) {
 		return nil, http.StatusNotFound, fmt.Errorf("path: no band %q", name)
 	}
@@ -160,8 +161,8 @@
 	} else if safe && r.ContentLength != 0 {
 		return bad("a body of %d bytes with %s", r.ContentLength, r.Method)
 	}
-	var fields [5]string
-	for i, h := range [...]string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key"} {
+	var fields [6]string
+	for i, h := range [...]string{"X-Trace-Id", "X-Qos", "X-Customer", "X-Expires-In", "Idempotency-Key", "X-Second-Try"} {
 		if values := r.Header[h]; len(values) > 1 {
 			return bad("%s: there twice", h)
 		} else if len(values) == 1 {
@@ -182,6 +183,10 @@
 		return bad("X-Customer: no carrier %q", customer)
 	}
 	c.Carrier = max(0, c.Carrier)
+	if again := fields[5]; again != "" && again != "1" {
+		return bad("X-Second-Try: %q is not 1", again)
+	}
+	c.Again = fields[5] == "1"
 	left, err := expiry(expires)
 	if err != nil {
 		return bad("X-Expires-In: %w", err)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -72,13 +72,13 @@
 		fmt.Sprint(*c.Request) != fmt.Sprint(router.Request{Method: "POST", Target: "/accept?obj=7f", Trace: c.Request.Trace, Mark: "k1", Body: []byte("body")}) {
 		t.Fatal(c, c.Request)
 	}
-	c.Answer <- router.Answer{Body: []byte(strings.Repeat("x", 60000))}
+	c.Answer.Give(router.Answer{Body: []byte(strings.Repeat("x", 60000))})
 	if code, _, body := status(t, in); code != 200 || len(body) != 60000 {
 		t.Error(code, len(body))
 	}
 	for want, a := range map[int]router.Answer{500: {Kind: router.Scrapped}, 503: {Kind: router.Dismissed, Wait: 250 * time.Millisecond}} {
 		_, in := dial(t, address, good)
-		(<-events).(router.Taken).Command.Answer <- a
+		(<-events).(router.Taken).Command.Answer.Give(a)
 		if code, h, _ := status(t, in); code != want || want == 503 && h.Get("Retry-After") != "0.250" {
 			t.Error(code, h)
 		}
@@ -163,7 +163,7 @@
 	if code := ask(); code != 409 {
 		t.Error(code)
 	}
-	c.Answer <- router.Answer{Body: []byte("mine")}
+	c.Answer.Give(router.Answer{Body: []byte("mine")})
 	if _, _, body := status(t, first); body != "mine" {
 		t.Error(body)
 	}
@@ -204,7 +204,7 @@
 		dial(t, address, good[:50])
 	}
 	_, in := dial(t, address, good)
-	(<-events).(router.Taken).Command.Answer <- router.Answer{Body: []byte("hi")}
+	(<-events).(router.Taken).Command.Answer.Give(router.Answer{Body: []byte("hi")})
 	if code, _, body := status(t, in); code != 200 || body != "hi" {
 		t.Error(code, body)
 	}
@@ -219,7 +219,7 @@
 			t.Parallel()
 			_, in := dial(t, address, text)
 			if text == good {
-				(<-events).(router.Taken).Command.Answer <- router.Answer{}
+				(<-events).(router.Taken).Command.Answer.Give(router.Answer{})
 			}
 			io.Copy(io.Discard, in)
 			if took := time.Since(since); took > 2900*time.Millisecond || took < 1900*time.Millisecond {
@@ -238,7 +238,7 @@
 	if code, _, _ := status(t, second); code != 503 {
 		t.Error(code)
 	}
-	c.Answer <- router.Answer{}
+	c.Answer.Give(router.Answer{})
 	if code, _, _ := status(t, first); code != 200 {
 		t.Error(code)
 	}
@@ -252,7 +252,7 @@
 	left := make(chan error)
 	v.leaving.Store(true)
 	_, late := dial(t, address, good)
-	(<-events).(router.Taken).Command.Answer <- router.Answer{}
+	(<-events).(router.Taken).Command.Answer.Give(router.Answer{})
 	if code, h, _ := status(t, late); code != 200 || h.Get("Connection") != "close" {
 		t.Error(code, h)
 	}
@@ -264,7 +264,7 @@
 		}
 		conn.Close()
 	}
-	c.Answer <- router.Answer{Body: []byte("hi")}
+	c.Answer.Give(router.Answer{Body: []byte("hi")})
 	if code, _, body := status(t, early); code != 200 || body != "hi" {
 		t.Error(code, body)
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"portflow/internal/storm"
 	"portflow/rules"
 )
 
@@ -29,14 +30,24 @@
 	Scrapped
 )
 
+// Answers takes a command's final answer, and must not make the reducer wait.
+type Answers interface{ Give(Answer) }
+
+// Chan is an Answers with room for one.
+type Chan chan Answer
+
+func (c Chan) Give(a Answer) { c <- a }
+
 // Command is an open command. Its maker sets the exported fields; the rest is the reducer's.
 type Command struct {
 	Band, Carrier int
 	Key           uint64
 	CutOff        int64 // on the Clock
+	Again         bool  // its client says that it has asked before
 	Request       *Request
-	Answer        chan Answer // gets one; it has room for it, so that nobody waits
+	Answer        Answers // gets one
 
+	try      storm.Try
 	id       uint32
 	over     bool
 	handOffs []handOff
@@ -46,6 +57,7 @@
 type handOff struct {
 	sent HandOff
 	at   int64
+	host uint32
 }
 
 // Outcome is how a hand-off ended.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"portflow/internal/storm"
 	"portflow/rules"
 )
 
@@ -52,6 +53,7 @@
 	clock  Clock
 	out    Out
 	module *rules.Router
+	guard  *storm.Guard // nil where that part is off
 
 	commands map[uint32]*Command
 	lastID   uint32
@@ -94,32 +96,56 @@
 	Seed     uint64
 	List     List
 	News     News
+	Storm    *storm.Guard // nil for none
 }
 
-// Run starts the module and applies events until the context ends.
-func (r *Router) Run(ctx context.Context, s Start, out Out) {
-	defer close(r.stopped)
-	r.out = out
+// Begin starts the module. Run does it; who steps a router by hand does so once, before the first Step.
+func (r *Router) Begin(s Start, out Out) {
+	r.out, r.guard = out, s.Storm
 	r.module = rules.New(s.Settings, s.Seed, r.clock(), effects{r})
 	s.List.apply(r)
 	s.News.apply(r)
+}
+
+// Due is when the router wants to be stepped though no event comes, 0 for never.
+func (r *Router) Due() int64 { return r.wakeAt }
+
+// Step plays the wake-up that is due, or else applies one event that waits; false says that there is neither.
+func (r *Router) Step() bool {
+	if now := r.clock(); r.wakeAt != 0 && now >= r.wakeAt {
+		r.wakeAt = 0
+		r.module.Woken(now, r.mark)
+		return true
+	}
+	select {
+	case e := <-r.urgent:
+		e.apply(r)
+		return true
+	default:
+	}
+	select {
+	case e := <-r.urgent:
+		e.apply(r)
+	case e := <-r.ordinary:
+		e.apply(r)
+	default:
+		return false
+	}
+	return true
+}
+
+// Run starts the module and applies events until the context ends.
+func (r *Router) Run(ctx context.Context, s Start, out Out) {
+	defer close(r.stopped)
+	r.Begin(s, out)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
-		if r.wakeAt != 0 {
-			now := r.clock()
-			if now >= r.wakeAt {
-				r.wakeAt = 0
-				r.module.Woken(now, r.mark)
-				continue
-			}
-			timer.Reset(time.Duration(r.wakeAt - now))
-		}
-		select {
-		case e := <-r.urgent:
-			e.apply(r)
+	for ctx.Err() == nil {
+		if r.Step() {
 			continue
-		default:
+		}
+		if r.wakeAt != 0 {
+			timer.Reset(time.Duration(r.wakeAt - r.clock()))
 		}
 		select {
 		case e := <-r.urgent:
@@ -128,7 +154,6 @@
 			e.apply(r)
 		case <-timer.C:
 		case <-ctx.Done():
-			return
 		}
 	}
 }
@@ -138,6 +163,14 @@
 	if c.over { // its client left before
 		return
 	}
+	if r.guard != nil {
+		c.try = storm.Try{Band: c.Band, Carrier: c.Carrier, Marked: c.Again, Left: c.CutOff - now,
+			Print: storm.Print(c.Band, c.Carrier, c.Key, c.Request.Mark)}
+		if in, wait := r.guard.Take(now, &c.try); !in { // the module never hears of it: nothing was handed off
+			c.answer(Answer{Kind: Dismissed, Wait: time.Duration(wait)})
+			return
+		}
+	}
 	r.lastID++
 	c.id = r.lastID
 	r.commands[c.id] = c
@@ -151,7 +184,11 @@
 		return
 	}
 	c.finish()
-	r.module.Left(r.clock(), c.id)
+	now := r.clock()
+	if r.guard != nil && c.id != 0 {
+		r.guard.Unserved(now, &c.try)
+	}
+	r.module.Left(now, c.id)
 	r.forget(c)
 }
 
@@ -161,15 +198,23 @@
 	if e.Outcome.Ending == rules.Fulfilled && !c.over {
 		c.answer(Answer{Kind: Fulfilled, Body: e.Outcome.Body})
 	}
-	now := r.clock()
-	r.module.Ended(now, c.id, e.Number, e.Outcome.Ending, c.over, now-c.handOffs[e.Number].at, e.Outcome.Report)
+	now, h := r.clock(), c.handOffs[e.Number]
+	if r.guard != nil {
+		r.guard.Ended(now, &c.try, h.host, signs[e.Outcome.Ending], e.Outcome.Ending == rules.Fulfilled, now-h.at)
+	}
+	r.module.Ended(now, c.id, e.Number, e.Outcome.Ending, c.over, now-h.at, e.Outcome.Report)
 	r.forget(c)
 }
 
+// signs are what hand-offs' endings say of their hosts.
+var signs = [...]storm.Sign{rules.Fulfilled: storm.Answered, rules.Failed: storm.Answered, rules.Spoilt: storm.Answered,
+	rules.TurnedAway: storm.Refused, rules.NoConnect: storm.Broken, rules.Reset: storm.Broken,
+	rules.TimedOut: storm.Silent, rules.Recalled: storm.Unsent, rules.Unsent: storm.Unsent}
+
 // answer gives the final answer; what has not been sent to a host by then never is.
 func (c *Command) answer(a Answer) {
 	c.finish()
-	c.Answer <- a
+	c.Answer.Give(a)
 }
 
 func (c *Command) finish() {
@@ -217,7 +262,15 @@
 			}
 		}
 	}
-	r.module.List(r.clock(), e.Form, entries)
+	now := r.clock()
+	if r.guard != nil {
+		known := make([]storm.Host, len(entries))
+		for i, x := range entries {
+			known[i] = storm.Host{ID: x.ID, Ready: x.Health == rules.Ready, Size: x.Size, Started: x.Started}
+		}
+		r.guard.List(now, e.Form == rules.Whole, known)
+	}
+	r.module.List(now, e.Form, entries)
 }
 
 // lose forgets a host.
@@ -248,16 +301,24 @@
 	c, now := r.commands[command], r.clock()
 	number := len(c.handOffs)
 	c.out++
-	c.handOffs = append(c.handOffs, handOff{at: now})
+	c.handOffs = append(c.handOffs, handOff{at: now, host: host})
 	c.handOffs[number].sent = r.out.Hosts.HandOff(r.hosts[host].Address, c.Request, time.Duration(until-now),
 		func(o Outcome) { r.Post(Ended{c, number, o}) })
 }
 
 func (r effects) Dismiss(command uint32, wait int64) {
+	if r.guard != nil {
+		wait = r.guard.Dismissed(r.clock(), &r.commands[command].try, wait)
+	}
 	r.end(command, Answer{Kind: Dismissed, Wait: time.Duration(wait)})
 }
 
-func (r effects) Scrap(command uint32) { r.end(command, Answer{Kind: Scrapped}) }
+func (r effects) Scrap(command uint32) {
+	if r.guard != nil {
+		r.guard.Unserved(r.clock(), &r.commands[command].try)
+	}
+	r.end(command, Answer{Kind: Scrapped})
+}
 
 // end may come with any event, and not only with the command's own.
 func (r effects) end(command uint32, a Answer) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 
 // field is all that is around a router: it keeps what was asked for.
 type field struct {
+	mu        sync.Mutex // a wait for the reducer orders its writes before the test's reads, and not the other way
 	sent      []*sending
 	forgotten []string
 	votes     int
@@ -27,11 +30,19 @@
 	over              bool
 }
 
+func (f *field) all() []*sending {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.sent)
+}
+
 func (s *sending) Recall() { s.recalled = true }
 func (s *sending) Revoke() { s.revoked = true }
 
 func (f *field) HandOff(address string, r *Request, left time.Duration, done func(Outcome)) HandOff {
 	s := &sending{address: address, done: done}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.sent = append(f.sent, s)
 	return s
 }
@@ -65,7 +76,7 @@
 }
 
 func (r *Router) taken(left time.Duration) *Command {
-	c := &Command{CutOff: r.clock() + int64(left), Request: &Request{}, Answer: make(chan Answer, 1)}
+	c := &Command{CutOff: r.clock() + int64(left), Request: &Request{}, Answer: make(Chan, 1)}
 	r.Post(Taken{c})
 	synctest.Wait()
 	return c
@@ -74,11 +85,11 @@
 func TestFulfilled(t *testing.T) {
 	play(t, func(r *Router, f *field) {
 		c := r.taken(time.Second)
-		if len(f.sent) != 1 || f.sent[0].address == "" {
-			t.Fatal(f.sent)
+		if len(f.all()) != 1 || f.all()[0].address == "" {
+			t.Fatal(f.all())
 		}
-		f.sent[0].done(Outcome{Ending: rules.Fulfilled, Body: []byte("hi")})
-		if a := <-c.Answer; a.Kind != Fulfilled || string(a.Body) != "hi" {
+		f.all()[0].done(Outcome{Ending: rules.Fulfilled, Body: []byte("hi")})
+		if a := <-c.Answer.(Chan); a.Kind != Fulfilled || string(a.Body) != "hi" {
 			t.Error(a)
 		}
 		synctest.Wait()
@@ -94,15 +105,15 @@
 		c := r.taken(time.Second)
 		r.Post(Left{c})
 		synctest.Wait()
-		if !f.sent[0].revoked || !f.sent[0].recalled {
+		if !f.all()[0].revoked || !f.all()[0].recalled {
 			t.Error("still on its way")
 		}
-		f.sent[0].done(Outcome{Ending: rules.Recalled})
+		f.all()[0].done(Outcome{Ending: rules.Recalled})
 		late := r.taken(time.Second)
-		a := <-late.Answer
+		a := <-late.Answer.(Chan)
 		synctest.Wait()
-		if a.Kind != Scrapped || !f.sent[1].revoked {
-			t.Error(a.Kind, f.sent[1].revoked)
+		if a.Kind != Scrapped || !f.all()[1].revoked {
+			t.Error(a.Kind, f.all()[1].revoked)
 		}
 	})
 }
@@ -112,7 +123,7 @@
 	r := New(NewClock(), zerolog.Nop())
 	f := &field{}
 	for range 100 {
-		r.Post(Taken{&Command{CutOff: r.clock() + 1e9, Request: &Request{}, Answer: make(chan Answer, 1)}})
+		r.Post(Taken{&Command{CutOff: r.clock() + 1e9, Request: &Request{}, Answer: make(Chan, 1)}})
 	}
 	r.Post(List{Form: rules.Whole, Hosts: []Host{{Name: "c", Address: "c:1", Size: 1}}})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -123,7 +134,7 @@
 	}
 	cancel()
 	<-done
-	for _, s := range f.sent {
+	for _, s := range f.all() {
 		if s.address != "c:1" {
 			t.Fatal("sent to", s.address)
 		}
@@ -170,8 +181,8 @@
 				case 0, 1:
 					open = append(open, r.taken(time.Duration(rnd.IntN(500))*time.Millisecond))
 				case 2, 3:
-					if len(f.sent) > 0 {
-						if s := f.sent[rnd.IntN(len(f.sent))]; !s.over {
+					if len(f.all()) > 0 {
+						if s := f.all()[rnd.IntN(len(f.all()))]; !s.over {
 							s.over = true
 							s.done(Outcome{Ending: rules.Ending(rnd.IntN(8)), Body: []byte{1}})
 						}
@@ -188,13 +199,13 @@
 			time.Sleep(time.Second)
 			synctest.Wait()
 			for _, c := range open {
-				if !c.over || len(c.Answer) > 1 {
+				if !c.over || len(c.Answer.(Chan)) > 1 {
 					t.Fatal("no answer, or more than one")
 				}
 			}
-			for i := 0; i < len(f.sent); i++ {
-				if !f.sent[i].over {
-					f.sent[i].done(Outcome{Ending: rules.Recalled})
+			for i := 0; i < len(f.all()); i++ {
+				if !f.all()[i].over {
+					f.all()[i].done(Outcome{Ending: rules.Recalled})
 					synctest.Wait()
 				}
 			}
--- /dev/null
+++ b/internal/site/script.go
@@ -0,0 +1,232 @@
+package site
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+)
+
+// steps bounds a script's run: a file of some thousand lines takes a hundredth of it, a loop without end a second.
+const steps = 10_000_000
+
+// parts are the functions that a script may call to describe a part; the schema says what each takes.
+var parts = []string{"storm"}
+
+// given is what a script handed to site, and where in the script each of its fields stands.
+type given struct {
+	name  string
+	value map[string]any
+	call  syntax.Position
+	lines map[string]map[string]syntax.Position // by part, then by field
+}
+
+// place is where a field stands, or the nearest call around it.
+func (g given) place(path []string) string {
+	at := g.call
+	if len(path) > 0 {
+		fields := g.lines[path[0]]
+		if p, ok := fields[""]; ok {
+			at = p
+		}
+		if len(path) > 1 {
+			if p, ok := fields[path[1]]; ok {
+				at = p
+			}
+		}
+	}
+	return fmt.Sprintf("%s:%d", g.name, at.Line)
+}
+
+// run runs a script and takes what it handed to site.
+func run(name string, text []byte) (given, error) {
+	g := given{name: name, lines: map[string]map[string]syntax.Position{}}
+	options := &syntax.FileOptions{TopLevelControl: true}
+	file, err := options.Parse(name, text, 0)
+	if err != nil {
+		return g, err // names the file, the line and the column
+	}
+	arguments := keywords(file)
+	thread := &starlark.Thread{Name: name, Print: func(*starlark.Thread, string) {}}
+	thread.SetMaxExecutionSteps(steps)
+	about := map[*starlark.Dict]map[string]syntax.Position{}
+	builtins := starlark.StringDict{
+		"ms":      starlark.NewBuiltin("ms", times(1e6)),
+		"seconds": starlark.NewBuiltin("seconds", times(1e9)),
+		"kib":     starlark.NewBuiltin("kib", times(1<<10)),
+	}
+	for _, part := range parts {
+		builtins[part] = starlark.NewBuiltin(part, func(t *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple,
+			named []starlark.Tuple) (starlark.Value, error) {
+			if len(args) > 0 {
+				return nil, errors.New("its settings go by name")
+			}
+			d := starlark.NewDict(len(named))
+			for _, kv := range named {
+				if err := d.SetKey(kv[0], kv[1]); err != nil {
+					return nil, err
+				}
+			}
+			call := t.CallFrame(1).Pos
+			at := map[string]syntax.Position{"": call}
+			for field, p := range arguments[[2]int32{call.Line, call.Col}] {
+				at[field] = p
+			}
+			about[d] = at
+			return d, nil
+		})
+	}
+	builtins["site"] = starlark.NewBuiltin("site", func(t *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple,
+		named []starlark.Tuple) (starlark.Value, error) {
+		if g.value != nil {
+			return nil, fmt.Errorf("called before, in line %d", g.call.Line)
+		}
+		if len(args) > 0 {
+			return nil, errors.New("its parts go by name")
+		}
+		g.call = t.CallFrame(1).Pos
+		g.value = map[string]any{}
+		for _, kv := range named {
+			part := string(kv[0].(starlark.String))
+			value, err := plain(kv[1], 0)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", part, err)
+			}
+			g.value[part] = value
+			if d, ok := kv[1].(*starlark.Dict); ok && about[d] != nil {
+				g.lines[part] = about[d]
+			} else {
+				g.lines[part] = map[string]syntax.Position{"": arguments[[2]int32{g.call.Line, g.call.Col}][part]}
+			}
+		}
+		return starlark.None, nil
+	})
+	program, err := starlark.FileProgram(file, builtins.Has)
+	if err != nil {
+		return g, err
+	}
+	if _, err := program.Init(thread, builtins); err != nil {
+		return g, located(name, err)
+	}
+	if g.value == nil {
+		return g, fmt.Errorf("%s: site is never called", name)
+	}
+	return g, nil
+}
+
+// located puts the script's own place of an error before it.
+func located(name string, err error) error {
+	var failed *starlark.EvalError
+	if errors.As(err, &failed) {
+		for _, frame := range failed.CallStack {
+			if frame.Pos.Filename() == name {
+				return fmt.Errorf("%s:%d: %w", name, frame.Pos.Line, err)
+			}
+		}
+	}
+	return fmt.Errorf("%s: %w", name, err)
+}
+
+// keywords tells where each call's named arguments stand, by the place of its parenthesis.
+func keywords(file *syntax.File) map[[2]int32]map[string]syntax.Position {
+	all := map[[2]int32]map[string]syntax.Position{}
+	syntax.Walk(file, func(n syntax.Node) bool {
+		call, ok := n.(*syntax.CallExpr)
+		if !ok {
+			return true
+		}
+		fields := map[string]syntax.Position{}
+		for _, arg := range call.Args {
+			if named, ok := arg.(*syntax.BinaryExpr); ok && named.Op == syntax.EQ {
+				if id, ok := named.X.(*syntax.Ident); ok {
+					fields[id.Name] = id.NamePos
+				}
+			}
+		}
+		all[[2]int32{call.Lparen.Line, call.Lparen.Col}] = fields
+		return true
+	})
+	return all
+}
+
+// times makes a function that tells a number in whole units: nanoseconds or bytes.
+func times(unit float64) func(*starlark.Thread, *starlark.Builtin, starlark.Tuple, []starlark.Tuple) (starlark.Value, error) {
+	return func(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, named []starlark.Tuple) (starlark.Value, error) {
+		var n starlark.Value
+		if err := starlark.UnpackPositionalArgs(b.Name(), args, named, 1, &n); err != nil {
+			return nil, err
+		}
+		f, ok := starlark.AsFloat(n)
+		if !ok || math.IsNaN(f) || math.Abs(f*unit) > 1e18 {
+			return nil, fmt.Errorf("%s: %s is no such number", b.Name(), n)
+		}
+		return starlark.MakeInt64(int64(math.Round(f * unit))), nil
+	}
+}
+
+const deepest = 8 // levels of lists and dicts in a value; parts have two
+
+// plain turns a value into what JSON knows.
+func plain(v starlark.Value, depth int) (any, error) {
+	if depth > deepest {
+		return nil, fmt.Errorf("more than %d levels", deepest)
+	}
+	switch v := v.(type) {
+	case starlark.NoneType:
+		return nil, nil
+	case starlark.Bool:
+		return bool(v), nil
+	case starlark.String:
+		return string(v), nil
+	case starlark.Int:
+		n, ok := v.Int64()
+		if !ok {
+			return nil, fmt.Errorf("%s is too large", v)
+		}
+		return n, nil
+	case starlark.Float:
+		if f := float64(v); math.IsNaN(f) || math.IsInf(f, 0) {
+			return nil, fmt.Errorf("%s is no number", v)
+		}
+		return float64(v), nil
+	case *starlark.Dict:
+		out := map[string]any{}
+		for _, kv := range v.Items() {
+			key, ok := starlark.AsString(kv[0])
+			if !ok {
+				return nil, fmt.Errorf("key %s is no text", kv[0])
+			}
+			value, err := plain(kv[1], depth+1)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", key, err)
+			}
+			out[key] = value
+		}
+		return out, nil
+	case starlark.Sequence: // lists and tuples
+		out := make([]any, 0, v.Len())
+		each := v.Iterate()
+		defer each.Done()
+		for x := starlark.Value(nil); each.Next(&x); {
+			value, err := plain(x, depth+1)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, value)
+		}
+		return out, nil
+	}
+	return nil, fmt.Errorf("a %s can't be set", v.Type())
+}
+
+// readFull fills b as far as the reader goes.
+func readFull(r io.Reader, b []byte) (int, error) {
+	n, err := io.ReadFull(r, b)
+	if err == io.EOF || err == io.ErrUnexpectedEOF {
+		err = nil
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,126 @@
+// Package site reads an operator's file: a Starlark script that switches portflow's further parts on and sets them.
+// Nothing is read at a router's start unless a file is named, and a part that the file leaves out stays off.
+//
+// The script is hermetic: it loads nothing, reads no clock and ends after a bounded number of steps. It calls site
+// once, with one argument a part:
+//
+//	site(storm = storm(ceiling = 1.1, horizon = seconds(5)))
+//
+// What it gives is checked by the schema that Schema tells; an error names the file, the line and the field.
+package site
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"portflow/internal/storm"
+)
+
+// Site is a checked operator's file. A part that is nil is off.
+type Site struct {
+	Storm *storm.Tuning `json:"storm"`
+}
+
+//go:embed schema.json
+var schema []byte
+
+// Schema is the JSON schema (draft 2020-12) of what a script may give.
+func Schema() []byte { return bytes.Clone(schema) }
+
+// largest is what a script may hold, in bytes: some hundred parts' worth.
+const largest = 256 << 10
+
+// Read reads the file at a path.
+func Read(path string) (Site, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Site{}, err
+	}
+	defer f.Close()
+	text := make([]byte, largest+1)
+	n, err := readFull(f, text)
+	if err != nil {
+		return Site{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if n > largest {
+		return Site{}, fmt.Errorf("%s: more than %d bytes", path, largest)
+	}
+	return Parse(path, text[:n])
+}
+
+// Parse reads a script's text; name stands in its errors.
+func Parse(name string, text []byte) (Site, error) {
+	given, err := run(name, text)
+	if err != nil {
+		return Site{}, err
+	}
+	if err := check(given); err != nil {
+		return Site{}, err
+	}
+	raw, err := json.Marshal(given.value)
+	if err != nil {
+		return Site{}, fmt.Errorf("%s: %w", name, err)
+	}
+	var out Site
+	if _, has := given.value["storm"]; has {
+		tuning := storm.Defaults()
+		out.Storm = &tuning
+	}
+	if err := json.Unmarshal(raw, &out); err != nil {
+		return Site{}, fmt.Errorf("%s: %w", name, err)
+	}
+	if out.Storm != nil && !out.Storm.On {
+		out.Storm = nil
+	}
+	return out, nil
+}
+
+// check compares what a script gave with the schema; all that is wrong comes in one error, a line each.
+func check(g given) error {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("site.json", doc); err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	compiled, err := c.Compile("site.json")
+	if err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	var wrong *jsonschema.ValidationError
+	if err = compiled.Validate(g.value); !errors.As(err, &wrong) {
+		return err
+	}
+	var all []error
+	words := message.NewPrinter(language.English)
+	var leaves func(*jsonschema.ValidationError)
+	leaves = func(e *jsonschema.ValidationError) {
+		for _, cause := range e.Causes {
+			leaves(cause)
+		}
+		if unknown, ok := e.ErrorKind.(*kind.AdditionalProperties); ok {
+			for _, name := range unknown.Properties {
+				path := append(slices.Clone(e.InstanceLocation), name)
+				all = append(all, fmt.Errorf("%s: site.%s: no such setting", g.place(path), strings.Join(path, ".")))
+			}
+		} else if len(e.Causes) == 0 {
+			all = append(all, fmt.Errorf("%s: %s: %s", g.place(e.InstanceLocation),
+				strings.Join(append([]string{"site"}, e.InstanceLocation...), "."), e.ErrorKind.LocalizedString(words)))
+		}
+	}
+	leaves(wrong)
+	return errors.Join(all...)
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -2,10 +2,10 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 
+	"portflow/internal/chance"
 	"portflow/internal/due"
 )
 
@@ -181,8 +181,7 @@
 	set    Settings
 	out    Effects
 	now    int64
-	seed   uint64
-	draws  uint64
+	draw   chance.Source
 	bands  []*band
 	fleet  []*host // all that are listed and not gone, by id
 	queue  due.Queue[*command]
@@ -341,23 +340,14 @@
 	return int(binary.BigEndian.Uint16(raw)), figures, true
 }
 
-// chance draws from [0, 1).
-func (d *decider) chance() float64 {
-	d.draws++
-	f := fnv.New64a()
-	f.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, d.draws), d.seed))
-	x := f.Sum64()
-	x ^= x >> 32
-	x *= 0x9e3779b97f4a7c15
-	return float64(x>>11) / (1 << 53)
-}
+func (d *decider) chance() float64 { return d.draw.Next() }
 
 func blank(s Settings, seed uint64, out Effects) *decider {
 	n := carriers + len(s.Carriers)
 	if s.Most == 0 {
 		s.Most = math.MaxInt
 	}
-	return &decider{set: s, out: out, seed: seed, stuck: ties{}, seenKey: map[uint64]int64{},
+	return &decider{set: s, out: out, draw: chance.Source{Seed: seed}, stuck: ties{}, seenKey: map[uint64]int64{},
 		models: map[int]float64{}, own: make([]float64, n), mine: make([]float64, n), load: make([]float64, n)}
 }
 
