A guard that tames retry storms, and an emulator that drives the program's own reducer

Need: after an outage every client asks again at once; hosts that return cold get six times what they can do.

A wanted hand-off now counts at once (send), and hosts set aside are no capacity there.

Change: internal/storm (fingerprints, change test, fleet picture, pools, appointment wheel), internal/lab with cmd/lab storm in virtual time and on sockets, internal/standin.

--- /dev/null
+++ b/cmd/lab/main.go
@@ -0,0 +1,78 @@
+// Command lab tries portflow's designs out, in virtual time or on loopback.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"portflow/internal/lab"
+)
+
+func main() {
+	root := &cobra.Command{Use: "lab", Short: "lab tries portflow's designs out", SilenceUsage: true}
+	root.AddCommand(storm())
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func storm() *cobra.Command {
+	s := lab.Defaults()
+	var sockets, off, asJSON bool
+	var out string
+	c := &cobra.Command{Use: "storm", Short: "hosts go and return, and clients ask again", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if off {
+				s.Policy = "off"
+			}
+			play := lab.Emulate
+			if sockets {
+				play = lab.Sockets
+			}
+			r, err := play(s)
+			if err != nil {
+				return err
+			}
+			if out != "" {
+				if err := lab.Report(out, s, r); err != nil {
+					return err
+				}
+			}
+			if r.Lost > 0 || r.Duplicates > 0 {
+				err = errors.New("a rule broke")
+			}
+			if !asJSON {
+				fmt.Printf("peak %.2f of %.2f, back after %.1f s, goodput %.3f, %.2f tries a command, %d lost, %d twice, noticed after %.0f ms\n",
+					r.Peak, r.Ceiling, r.RecoveredS, r.Goodput, r.TriesPerCommand, r.Lost, r.Duplicates, r.NoticedMS)
+				return err
+			}
+			return errors.Join(err, json.NewEncoder(os.Stdout).Encode(r))
+		}}
+	f := c.Flags()
+	f.BoolVar(&sockets, "sockets", false, "play on loopback, in real time")
+	f.IntVar(&s.Routers, "routers", s.Routers, "routers")
+	f.IntVar(&s.Hosts, "hosts", s.Hosts, "hosts, of three cores each")
+	f.IntVar(&s.Clients, "clients", s.Clients, "clients")
+	f.DurationVar(&s.Outage, "outage", s.Outage, "how long what goes is away")
+	f.StringVar(&s.Kind, "kind", s.Kind, "what goes: hosts, half (of them), list, carrier (nothing: its keys storm), none")
+	f.IntVar(&s.Carrier, "carrier", s.Carrier, "the carrier of kind carrier")
+	f.StringVar(&s.Policy, "policy", s.Policy, "on, off, or a baseline: fixed, budget, throttle")
+	f.BoolVar(&off, "off", false, "the same as --policy off")
+	f.Float64Var(&s.Heed, "heed", s.Heed, "part of the clients that heed Retry-After")
+	f.BoolVar(&s.Marks, "marks", s.Marks, "clients mark further tries")
+	f.BoolVar(&s.Again, "again", s.Again, "a second outage 3 s after the return")
+	f.BoolVar(&s.Busy, "busy", s.Busy, "one router has nine tenths of the traffic")
+	f.BoolVar(&s.Trial, "trial", s.Trial, "a build is on trial meanwhile")
+	f.Float64Var(&s.Load, "load", s.Load, "calm traffic, as a part of what the hosts can do")
+	f.DurationVar(&s.Calm, "calm", s.Calm, "calm traffic before the outage")
+	f.DurationVar(&s.After, "after", s.After, "how long to go on after the return")
+	f.Float64Var(&s.Tuning.Ceiling, "ceiling", s.Tuning.Ceiling, "the guard's ceiling")
+	f.Uint64Var(&s.Seed, "seed", s.Seed, "seed of all chance")
+	f.BoolVar(&asJSON, "json", false, "print the result as one JSON object in the last line")
+	f.StringVar(&out, "out", "", "a folder for plots and a report")
+	return c
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,18 @@
 
 // Start brings a router up; it serves until Leave, or until the context ends.
 func Start(ctx context.Context, c config.Config, s site.Site, log zerolog.Logger) (*Node, error) {
+	if s.Storm == nil {
+		return StartWith(ctx, c, nil, log)
+	}
+	guard, err := storm.New(Storm(c.Settings, *s.Storm), c.Seed, time.Now().UnixNano())
+	if err != nil {
+		return nil, err
+	}
+	return StartWith(ctx, c, guard, log)
+}
+
+// StartWith is Start with a guard of the caller's, or none.
+func StartWith(ctx context.Context, c config.Config, guard router.Guard, log zerolog.Logger) (*Node, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{cancel: cancel, failed: make(chan error, 1), done: make(chan struct{})}
 	clock := router.NewClock()
@@ -50,13 +62,7 @@
 	n.desk = platform.New(c.Platform, c.Settings.Bands, time.Duration(c.Settings.VoteWait), log, r.Post)
 	out := router.Out{Hosts: pool, Platform: n.desk, List: n.watch}
 	begin := start(c, half)
-	if s.Storm != nil {
-		var err error
-		if begin.Storm, err = storm.New(Storm(c.Settings, *s.Storm), c.Seed, clock()); err != nil {
-			cancel()
-			return nil, err
-		}
-	}
+	begin.Storm = guard
 	if c.Settings.Peers {
 		others, err := peers.Listen(c.PeerListen, c.Peers, log, r.Post)
 		if err != nil {
@@ -83,7 +89,7 @@
 	n.server = clients.New(c.Settings, half, begin.Settings.Most, clock, r.Post)
 	go func() { n.failed <- n.server.Serve(listener) }()
 	log.Info().Str("listen", c.Listen).Int("hosts", len(c.Known.Hosts)).Int("build", c.News.Build).
-		Bool("storm", begin.Storm != nil).Msg("serving")
+		Bool("storm", guard != nil).Msg("serving")
 	return n, nil
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,16 @@
 // Watcher asks for the list's changes where that is the router's to do.
 type Watcher interface{ Watch(on bool) }
 
+// Guard is asked before a command goes to the module; *storm.Guard is one. It is told all that became of commands.
+type Guard interface {
+	Take(now int64, t *storm.Try) (in bool, wait int64)
+	HandedOff(now int64, t *storm.Try, number int)
+	Dismissed(now int64, t *storm.Try, wait int64) int64
+	Unserved(now int64, t *storm.Try)
+	Ended(now int64, t *storm.Try, host uint32, s storm.Sign, fulfilled bool, took int64)
+	List(now int64, whole bool, hosts []storm.Host)
+}
+
 // Out are those who carry out the effects.
 type Out struct {
 	Hosts    Hosts
@@ -53,7 +63,7 @@
 	clock  Clock
 	out    Out
 	module *rules.Router
-	guard  *storm.Guard // nil where that part is off
+	guard  Guard // nil where that part is off
 
 	commands map[uint32]*Command
 	lastID   uint32
@@ -96,7 +106,7 @@
 	Seed     uint64
 	List     List
 	News     News
-	Storm    *storm.Guard // nil for none
+	Storm    Guard // nil for none
 }
 
 // Begin starts the module. Run does it; who steps a router by hand does so once, before the first Step.
@@ -300,6 +310,9 @@
 func (r effects) HandOff(command, host uint32, until int64) {
 	c, now := r.commands[command], r.clock()
 	number := len(c.handOffs)
+	if r.guard != nil {
+		r.guard.HandedOff(now, &c.try, number)
+	}
 	c.out++
 	c.handOffs = append(c.handOffs, handOff{at: now, host: host})
 	c.handOffs[number].sent = r.out.Hosts.HandOff(r.hosts[host].Address, c.Request, time.Duration(until-now),
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -49,7 +49,9 @@
 func TestSchema(t *testing.T) {
 	var s struct {
 		Properties struct {
-			Storm struct{ Properties map[string]struct{ Default any } }
+			Storm struct {
+				Properties map[string]struct{ Default any }
+			}
 		}
 	}
 	if err := json.Unmarshal(Schema(), &s); err != nil {
--- a/internal/storm/fleet.go
+++ b/internal/storm/fleet.go
@@ -29,12 +29,11 @@
 
 type member struct {
 	Host
-	cold   int64 // since when it warms up, 0 for warm
-	down   bool
-	known  bool // it has answered, or is down
-	died   bool // it is down by broken connections: it comes back cold
-	signs  int
-	deaths int
+	cold  int64 // since when it warms up, 0 for warm
+	down  bool
+	known bool // it has answered, or is down
+	died  bool // it is down by broken connections: it comes back cold
+	signs int
 }
 
 // Fleet is a router's picture of what all hosts can do, now and in the next seconds.
@@ -116,14 +115,20 @@
 // At is what all hosts that are up will be able to do at a time, by sizes. Those that this router has not met count
 // by the part of those it has met that is up, as a router of many meets few of its hosts.
 func (f *Fleet) At(at int64) float64 {
+	return f.sum(func(m *member) float64 { return m.Size * f.warmth(m, at) })
+}
+
+// Up is what the same hosts could do if they were warm.
+func (f *Fleet) Up() float64 { return f.sum(func(m *member) float64 { return m.Size }) }
+
+func (f *Fleet) sum(of func(*member) float64) float64 {
 	var up, strange, met, alive float64
 	for _, m := range f.ready {
-		can := m.Size * f.warmth(m, at)
 		switch {
 		case !m.known:
-			strange += can
+			strange += of(m)
 		case !m.down:
-			up += can
+			up += of(m)
 			alive += m.Size
 			met += m.Size
 		default:
--- a/internal/storm/guard.go
+++ b/internal/storm/guard.go
@@ -14,6 +14,8 @@
 	Left          int64  // until its client gives it up, nanoseconds
 
 	due int64 // the appointment that it brought, 0 for none
+	in  bool  // it was let in and has no final answer yet
+	at  int64 // then
 }
 
 // Guard is one router's part. It is not safe for use by two goroutines.
@@ -32,13 +34,20 @@
 	shown       float64   // work that was fulfilled, per capacity, in calm: seconds a second
 	done        float64   // this tick's
 	calmTicks   float64
-	pace        float64 // over what was shown
-	spare       float64 // room that carriers left over
+	pace, wide  float64 // over what was shown: of the room, and of how many may be out
+	lately      float64 // work that was fulfilled, a second
+	room        pool    // of all carriers
+	spare       float64 // what of it carriers left over
+	usual       float64 // what the fleet can do in calm
+	out         float64 // tries that were let in and have no answer
+	shownOut    float64 // in calm, for each size of the fleet
+	bound       float64 // how many may be out
+	unserved    float64 // tries, of the last second or so
 	now         float64 // capacity
-	answers     float64 // this tick's, and how much longer than usual they took
+	answers     float64 // of the last half second or so, and how much longer than usual they took
 	slow        float64
 	refused     float64
-	away        bool // some were sent away in this tick
+	short, full float64 // tries of late that were sent away for want of room, and with as many out as may be
 	Stats       Stats
 }
 
@@ -73,7 +82,7 @@
 	g := &Guard{set: s, draw: chance.Source{Seed: seed}, fleet: NewFleet(s.ColdFrom, s.ColdFor),
 		prints: NewPrints(s.Memory, keep), book: NewWheel(s.Horizon), last: now, ticks: now + tickLen,
 		all: NewDetector(s.Threshold), carriers: make([]carrier, max(1, s.Carriers)),
-		typical: make([]float64, len(s.Bands)), value: make([]float64, len(s.Bands)), pace: 1}
+		typical: make([]float64, len(s.Bands)), value: make([]float64, len(s.Bands)), pace: 1, wide: 1}
 	for i := range g.carriers {
 		g.carriers[i] = carrier{Detector: NewDetector(s.Threshold), heeds: 1, lately: 1e-3,
 			share: 1 / float64(len(g.carriers))}
@@ -127,15 +136,24 @@
 	hopeless := float64(t.Left) < 0.8*cost*float64(second)
 	if hopeless {
 		g.Stats.Hopeless++
-	} else if c.admit(as, cost, g.set.FirstShare, g.value[t.Band], &g.spare) {
+	} else if !g.free() {
+		g.full++
+	} else if !c.admit(&g.room, &g.spare, as, cost, g.set.FirstShare, g.value[t.Band]) {
+		g.short++
+	} else {
 		g.keep(t, cost)
 		return true, 0
 	}
-	g.away = g.away || !hopeless
 	g.Stats.Away++
 	return false, g.appoint(now, t, 0)
 }
 
+// free tells whether one more may be out. The bound of a quiet router is a part of one: it lets one in by that chance.
+func (g *Guard) free() bool {
+	left := g.bound - g.out
+	return left >= 1 || left > 0 && g.draw.Next() < left
+}
+
 // appointed tells how a try counts that was given an appointment: as expected at its time or after it; else as one of
 // those that come by themselves. One that came before it was told to is a mark against its carrier's heed; one that
 // came when it was told, which may be no later than the greatest advice, is none.
@@ -158,8 +176,32 @@
 	return expected
 }
 
-// keep ends a try's appointment: it is let in.
+// HandedOff is told of each hand-off; number counts a command's from 0. What the rules send beyond the first was not
+// asked for, and takes its room all the same.
+func (g *Guard) HandedOff(now int64, t *Try, number int) {
+	g.advance(now)
+	if number > 0 && t.Band >= 0 && t.Band < len(g.typical) && g.Storm(t.Carrier) {
+		g.room.have -= g.typical[t.Band]
+	}
+}
+
+// keep lets a try in, and ends its appointment.
 func (g *Guard) keep(t *Try, cost float64) {
+	t.in, t.at = true, g.last
+	g.out++
+	g.cancel(t, cost)
+}
+
+// end is told that a try has its answer.
+func (g *Guard) end(t *Try) {
+	if t.in {
+		t.in = false
+		g.out--
+	}
+}
+
+// cancel takes back what was promised to a try.
+func (g *Guard) cancel(t *Try, cost float64) {
 	if t.due > 0 {
 		g.book.Free(t.due, cost)
 		t.due = 0
@@ -173,13 +215,13 @@
 func (g *Guard) appoint(now int64, t *Try, wait int64) int64 {
 	top := g.set.MaxAdvice
 	if top <= 0 {
-		g.keep(t, g.typical[min(max(0, t.Band), len(g.typical)-1)])
+		g.cancel(t, g.typical[t.Band])
 		g.prints.Put(t.Print, now, 0)
 		return 0
 	}
 	due, cost := t.due, g.typical[t.Band]
 	if due <= now {
-		g.keep(t, cost)
+		g.cancel(t, cost)
 		due = 0
 	}
 	if due == 0 && t.Print != 0 && g.of(t.Carrier).heeds > heedless {
@@ -204,12 +246,15 @@
 // about then in calm, spread so that those who go together don't come together; by appointment in a storm.
 func (g *Guard) Dismissed(now int64, t *Try, wait int64) int64 {
 	g.advance(now)
+	g.end(t)
 	if t.Band < 0 || t.Band >= len(g.typical) {
 		return wait
 	}
 	if g.Storm(t.Carrier) {
+		g.unserved++
 		return g.appoint(now, t, wait)
 	}
+	g.unserved++
 	g.prints.Put(t.Print, now, 0)
 	if wait > 0 {
 		wait = min(g.set.MaxAdvice, wait/2+int64(g.draw.Next()*float64(wait)))
@@ -220,6 +265,8 @@
 // Unserved is told that a try was scrapped, or that its client gave it up.
 func (g *Guard) Unserved(now int64, t *Try) {
 	g.advance(now)
+	g.end(t)
+	g.unserved++
 	g.prints.Put(t.Print, now, 0)
 }
 
@@ -227,6 +274,9 @@
 func (g *Guard) Ended(now int64, t *Try, host uint32, s Sign, fulfilled bool, took int64) {
 	g.advance(now)
 	g.fleet.Ended(now, host, s)
+	if fulfilled {
+		g.end(t)
+	}
 	if t.Band < 0 || t.Band >= len(g.typical) {
 		return
 	}
@@ -236,7 +286,7 @@
 	if fulfilled && took > 0 {
 		seconds := float64(took) / float64(second)
 		g.answers++
-		g.slow += seconds / g.typical[t.Band]
+		g.slow += float64(now-t.at) / float64(second) / g.typical[t.Band] // with what it waited for a host
 		g.done += g.typical[t.Band]
 		c := g.of(t.Carrier)
 		c.allowed = min(10+c.rate/g.typical[t.Band], c.allowed+g.set.Budget) // a second's worth
@@ -278,15 +328,20 @@
 	}
 }
 
-// Figures of the pace, over what was shown in calm. Room grows while what is let in is answered as quickly as before,
-// and shrinks as soon as it is not, or hosts turn commands away.
+// Figures of the pace, over what was shown in calm. Room, and what may be out, grow while it is they that hold tries
+// back and what is let in is answered as quickly as before; they shrink as soon as it is not, or hosts turn commands
+// away.
 const (
-	grows, shrinks   = 1.02, 0.85 // a tick: a fifth more in a second, half as much in four tenths
-	lowest, greatest = 0.3, 2
-	fine, sick       = 1.6, 2.5 // answers' time over the usual
+	memory            = 0.85 // a tick, some six ticks
+	leaps, widens     = 1.10, 1.04
+	bounds            = 1.2 // at hosts that are warm: to find out at once that nothing is short
+	narrows, shrinks  = 0.97, 0.85
+	lowest, greatest  = 0.3, 3
+	quick, fine, sick = 1.25, 1.6, 2.5 // answers' time over the usual
 )
 
 func (g *Guard) tick(now int64) {
+	g.lately += (1 - memory) * (g.done*float64(second/tickLen) - g.lately)
 	g.prints.Age(now)
 	g.now = g.fleet.At(now)
 	whole := g.fleet.Whole()
@@ -302,40 +357,54 @@
 	if !g.stormy() {
 		g.learn(whole)
 	} else {
-		g.regulate(whole)
+		g.regulate()
+	}
+	g.fill(now)
+	g.done = 0
+	for _, x := range []*float64{&g.answers, &g.slow, &g.refused, &g.short, &g.full} {
+		*x *= memory
 	}
-	g.fill(now, whole)
-	g.done, g.answers, g.slow, g.refused, g.away = 0, 0, 0, 0, false
 }
 
-// notice ends the detectors' tick. It is a storm of all where one shows without the carrier that has most of it.
+// Figures of a collapse: hosts that could do so small a part of the usual, and commands that went unserved for it.
+const collapsed, few = 0.5, 3
+
+// notice ends the detectors' tick. It is a storm of all where one shows without the carrier that has most of it, or
+// where the hosts are gone: then the tries that went unserved are sure to come again.
 func (g *Guard) notice(now int64) {
-	most, rest := 0, NewDetector(g.set.Threshold)
+	before := g.stormy()
+	most, rest := 0, [2]excess{}
+	gone := g.now < collapsed*g.usual && g.unserved >= few
+	g.unserved *= memories[0]
 	for i := range g.carriers {
-		if c := &g.carriers[i]; c.Tick() {
+		c := &g.carriers[i]
+		if c.Tick(false) {
 			g.Stats.Carrier++
 			g.Stats.Noticed = now
 		}
-		if g.carriers[i].excess > g.carriers[most].excess {
+		if c.sums[0].more > g.carriers[most].sums[0].more {
 			most = i
 		}
 	}
-	was := g.all.Storm
-	g.all.Tick()
-	if len(g.carriers) > 1 && g.all.Storm && !was {
-		for i := range g.carriers {
-			if c := &g.carriers[i]; i != most {
-				rest.n += c.n
-				rest.excess += c.excess
+	for i := range g.carriers {
+		if c := &g.carriers[i]; i != most || len(g.carriers) == 1 {
+			for k := range rest {
+				rest[k].of += c.sums[k].of
+				rest[k].more += c.sums[k].more
 			}
 		}
-		share, err := rest.share()
-		g.all.Storm = rest.excess >= least/2 && share > g.set.Threshold+err
+	}
+	was := g.all.Storm
+	g.all.Tick(gone)
+	if g.all.Storm && !was && !gone && !rest[0].over(0, g.all.calm) && !rest[1].over(0, g.all.calm) {
+		g.all.Storm = false
 	}
 	if g.all.Storm && !was {
 		g.Stats.Storms++
 		g.Stats.Noticed = now
-		g.pace = 1
+	}
+	if before != g.stormy() && !before {
+		g.begin()
 	}
 }
 
@@ -343,7 +412,8 @@
 func (g *Guard) learn(whole float64) {
 	g.calmTicks++
 	fresh := max(0.01, 1/g.calmTicks) // a memory of 10 s, sooner at the start
-	if g.now > 0.5*whole && whole > 0 {
+	if g.usual += fresh * (whole - g.usual); g.now > 0.5*whole && whole > 0 {
+		g.shownOut += fresh * (g.out/whole - g.shownOut)
 		g.shown += fresh * (g.done*float64(second/tickLen)/g.now - g.shown)
 	}
 	all := 0.0
@@ -355,44 +425,81 @@
 	for i := range g.carriers {
 		g.carriers[i].share = g.carriers[i].lately / all
 	}
-	g.pace = 1
 }
 
 // regulate moves the pace by how answers come.
-func (g *Guard) regulate(whole float64) {
+func (g *Guard) regulate() {
 	for i := range g.carriers {
 		g.carriers[i].work = 0
 	}
-	usual := max(0.2, g.now/max(whole, 1e-6)) // cold hosts take as much longer as they can do less
-	slow := g.slow / max(g.answers, 1) * usual
+	up, warm := g.fleet.Up(), 1.0
+	if up > 0 {
+		warm = g.now / up
+	}
+	slow := g.slow / max(g.answers, 1e-3) * warm // cold hosts take as much longer as they can do less
+	if up < collapsed*g.usual && g.answers < 1 { // what was quick before they went says nothing of those that return
+		g.pace, g.wide = min(g.pace, 1), min(g.wide, 1)
+		return
+	}
+	if g.answers < 0.5 {
+		return
+	}
 	switch {
-	case g.answers > 0 && slow > sick || g.refused > 0.1*g.answers && g.refused >= 2:
-		g.pace = max(lowest, g.pace*shrinks)
-	case g.away && g.answers > 0 && slow < fine && g.refused == 0:
-		g.pace = min(greatest, g.pace*grows)
+	case slow > sick || g.refused > 0.1*g.answers && g.refused >= 2:
+		g.pace, g.wide = max(lowest, g.pace*shrinks), max(lowest, g.wide*shrinks)
+	case slow > fine:
+		g.wide = max(lowest, g.wide*narrows)
+	case slow < quick && g.refused < 1:
+		more, wider := leaps, widens
+		if warm > 0.95 {
+			more, wider = bounds, bounds
+		}
+		if g.short > 0.3 {
+			g.pace = min(greatest, g.pace*more)
+		}
+		if g.full > 0.3 {
+			g.wide = min(greatest, g.wide*wider)
+		}
 	}
 }
 
+// begin sets the pace by what the hosts do as a storm begins.
+func (g *Guard) begin() {
+	g.pace, g.wide = 1, 1
+	if g.now >= collapsed*g.usual && g.shown > 0 {
+		g.pace = min(greatest, max(1, g.lately/(g.shown*g.now)))
+		g.wide = g.pace
+	}
+	g.room.have *= g.draw.Next() // however many routers, each begins at its own time
+	g.short, g.full = 0, 0
+}
+
 // rate is the work that this router may let in at hosts of some capacity: what it showed them to carry, as far as the
 // pace goes, and never less than its part of one command at a time at each host. Where none seems up, a fiftieth goes
 // on finding out.
-func (g *Guard) rate(capacity, whole float64) float64 {
+func (g *Guard) rate(capacity float64) float64 {
 	own := max(g.shown*g.pace*capacity, capacity/float64(g.set.Routers))
-	return max(g.set.Ceiling*own, 0.02*g.shown*whole, 0.02/float64(g.set.Routers))
+	return max(g.set.Ceiling*own, 0.02*g.shown*g.usual, 0.02/float64(g.set.Routers))
 }
 
 // fill lets a tick's room into the pools, and books by the room of the next seconds.
-func (g *Guard) fill(now int64, whole float64) {
-	rate, cost := g.rate(g.now, whole), 0.0
+func (g *Guard) fill(now int64) {
+	rate, cost := g.rate(g.now), 0.0
 	for _, t := range g.typical {
 		cost = max(cost, t)
 	}
+	g.room.turn(rate, cost)
+	// as many may be out as in calm, by Little's law: hosts that are slower need no more for the same use, and what
+	// queues at them holds back what comes next
+	up := g.fleet.Up()
+	g.bound = max(g.set.Ceiling*g.wide*max(g.shownOut*up, up/float64(g.set.Routers)), 0.02*g.shownOut*g.usual)
+	g.bound += math.Sqrt(g.bound) // as they come by chance, and a quiet router's mean is less than one
 	over := 0.0
 	for i := range g.carriers {
 		c := &g.carriers[i]
 		over += c.turn(rate*c.share, cost)
 	}
-	g.spare = min(g.spare+over, max(depth*rate, 1.5*cost))
+	g.spare = min(g.spare+over, g.room.top(cost))
 	if !g.stormy() {
 		return
 	}
@@ -408,8 +515,8 @@
 	}
 	part := (1 - g.set.FirstShare) * float64(slot) / float64(second) / max(0.3, heeds)
 	g.book.Forecast(now, func(t int64) float64 {
-		x := float64(t-now) / float64(g.set.Horizon) * points
-		i := min(points-1, max(0, int(math.Floor(x))))
-		return part * g.rate(at[i]+(at[i+1]-at[i])*(min(points, max(0, x))-float64(i)), whole)
+		x := min(points, max(0, float64(t-now)/float64(g.set.Horizon)*points))
+		i := min(points-1, int(x))
+		return part * g.rate(at[i]+(at[i+1]-at[i])*(x-float64(i)))
 	})
 }
--- a/internal/storm/pool.go
+++ b/internal/storm/pool.go
@@ -21,7 +21,7 @@
 	return over
 }
 
-func (p *pool) top(cost float64) float64 { return max(depth*p.rate, 1.5*cost) }
+func (p *pool) top(cost float64) float64 { return max(depth*p.rate, 1.2*cost) }
 
 // class is how a try is let in, the first before the last.
 type class uint8
@@ -32,14 +32,14 @@
 	further
 )
 
-// admit takes a command's work from the pool, or from what other carriers left over, if there is room for one of its
-// class and worth. First tries have the lowest part to themselves; what is worth less for its work needs more.
-func (p *pool) admit(of class, cost, keep, worth float64, spare *float64) bool {
-	top := p.top(cost)
+// admit takes a command's work from all of the room, all, and from its carrier's part of it, or from what others left
+// of theirs, if there is enough for one of its class and worth. First tries have the lowest part to themselves; what
+// is worth less for its work needs more.
+func (p *pool) admit(all *pool, spare *float64, of class, cost, keep, worth float64) bool {
+	top := all.top(cost)
 	need := cost
 	if of == further {
-		need += keep * (top - cost)
-		if p.have < top/2 && p.allowed < 1 {
+		if need += keep * (top - cost); all.have < top/2 && p.allowed < 1 {
 			return false
 		}
 	}
@@ -47,13 +47,16 @@
 		need += (1 - worth) * 0.3 * (top - cost)
 	}
 	switch {
-	case p.have >= need:
+	case all.have < need:
+		return false
+	case p.have >= cost:
 		p.have -= cost
-	case of != further && *spare >= cost:
+	case *spare >= cost:
 		*spare -= cost
 	default:
 		return false
 	}
+	all.have -= cost
 	if of == further {
 		p.allowed = max(0, p.allowed-1)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -214,7 +214,7 @@
 	up                int            // hosts that show no sign of being down
 	scarce            int            // so many answers more it is short of connections
 	part              [2]float64     // what all hosts of them can do now that are up
-	total             float64        // what all hosts can do now
+	total, able       float64        // what all hosts can do now, and those that show no sign of being down
 	credit            float64        // for cold hosts, by each unit of capacity
 	carried           mean           // the fleet's capacity, and what it fulfilled
 	warm              float64        // how many hosts of the build on trial are warm
@@ -356,6 +356,9 @@
 	if !c.over {
 		d.own[open]--
 	}
+	if c.next != nil {
+		c.next.out--
+	}
 	c.over, c.next = true, nil
 	d.queue.Remove(c.due)
 	d.differ = append(d.differ, c) // for the hand-offs that are still out
