--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -278,3 +278,57 @@
 		})
 	})
 }
+
+// step makes a function that plays one command through a router that is stepped by hand.
+func step(g Guard) func() {
+	f := &field{}
+	now := int64(1e18)
+	r := New(func() int64 { return now }, zerolog.Nop())
+	s := start()
+	s.Storm = g
+	r.Begin(s, Out{Hosts: f, Platform: f, Peers: f, List: f})
+	answer, request := make(Chan, 1), &Request{}
+	return func() {
+		now += 5e6
+		r.Post(Taken{&Command{CutOff: now + 1e9, Key: uint64(now), Request: request, Answer: answer}})
+		for r.Step() {
+		}
+		for _, s := range f.sent {
+			now += 1e6
+			s.done(Outcome{Ending: rules.Fulfilled})
+		}
+		f.sent = f.sent[:0]
+		for r.Step() {
+		}
+		<-answer
+	}
+}
+
+func stormGuard(t testing.TB) Guard {
+	g, err := storm.New(storm.Settings{Tuning: storm.Defaults(), Carriers: 1, Routers: 1, ColdFrom: 0.3, ColdFor: 1e9, MaxAdvice: 1e9,
+		Bands: []storm.Band{{Contract: 1e9, CutOff: 2e9, Importance: 1}}}, 1, 1e18)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// With the guard on and calm traffic a command costs no allocation more.
+func TestGuardAllocatesNothing(t *testing.T) {
+	off, on := testing.AllocsPerRun(3000, step(nil)), testing.AllocsPerRun(3000, step(stormGuard(t)))
+	if on > off {
+		t.Error(on, "allocations a command,", off, "without the guard")
+	}
+}
+
+func BenchmarkCommand(b *testing.B) {
+	for name, g := range map[string]Guard{"off": nil, "on": stormGuard(b)} {
+		b.Run(name, func(b *testing.B) {
+			play := step(g)
+			b.ReportAllocs()
+			for b.Loop() {
+				play()
+			}
+		})
+	}
+}
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -495,7 +495,9 @@
 	}
 }
 
+// Half a million lie between a print's Put and its Take, as many as both then hold.
 func BenchmarkPrints(b *testing.B) {
+	const half = 500_000
 	now := int64(1e18)
 	b.Run("table", func(b *testing.B) {
 		p := NewPrints(16<<20, 60*second)
@@ -503,7 +505,7 @@
 		for b.Loop() {
 			i++
 			p.Put(mix(i), now, 0)
-			p.Take(mix(i-min(i, 1000)), now)
+			p.Take(mix(i-min(i, half)), now)
 		}
 	})
 	b.Run("map", func(b *testing.B) {
@@ -512,8 +514,8 @@
 		for b.Loop() {
 			i++
 			p[mix(i)] = now
-			if _, ok := p[mix(i-min(i, 1000))]; ok {
-				delete(p, mix(i-min(i, 1000)))
+			if _, ok := p[mix(i-min(i, half))]; ok {
+				delete(p, mix(i-min(i, half)))
 			}
 		}
 	})
--- a/internal/storm/wheel.go
+++ b/internal/storm/wheel.go
@@ -6,7 +6,8 @@
 // Wheel is the book of appointments: a timing wheel whose slots hold the work promised for them, in seconds of a
 // host's time, up to what the forecast has room for. It holds no appointments: those stand in the prints, 8 bytes
 // each, and a slot is found by its time. The first slot with room is found by a forest of jumps over full ones, so
-// that a promise costs next to nothing however full the book is; a heap of the same costs 60 times the bytes.
+// that a promise costs next to nothing however full the book is. A heap with a map takes three times the bytes and twice
+// the time at a million appointments.
 type Wheel struct {
 	room     []float64 // by slot, round and round
 	promised []float64
