Flow records: the pure cache, backlog and top, IPFIX, an exporter and a stand-in collector

Need: the network engineer wants every connection accounted for, with true counts, and a dead collector must not slow a command.

Change: internal/flow keeps what is open on a timing wheel, makes biflow records by active period, holds them under a bound where light ones are folded before any is lost, and finds who crowds by space-saving counters in two windows; internal/flow/ipfix writes and reads RFC 7011 with our own elements; internal/flow/export sends over UDP, TCP and TLS, one goroutine a collector; internal/standin/collector decodes and adds up, vanishes and loses. Not wired to the router's connections yet, no NetFlow v9, no files.

No allocation a command.

--- /dev/null
+++ b/internal/flow/export/export.go
@@ -0,0 +1,237 @@
+package export
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/flow"
+	"portflow/internal/flow/ipfix"
+	"portflow/internal/retry"
+)
+
+// Collector is where records go.
+type Collector struct {
+	Network string // udp, tcp or tls
+	Address string
+	TLS     *tls.Config // of tls
+}
+
+// Options are an exporter's.
+type Options struct {
+	Collectors []Collector
+	Domain     uint32
+	Enterprise uint32
+	Names      ipfix.Names
+	Refresh    time.Duration // over UDP, templates are sent again after so long
+	Packets    int           // or after so many messages
+	MTU        int           // octets of a message over UDP; others are as large as they may be
+	Linger     time.Duration // for what is left when the router ends
+}
+
+// Exporter sends a meter's records.
+type Exporter struct {
+	Options
+	*Meter
+	log  zerolog.Logger
+	done chan struct{}
+}
+
+const (
+	batch   = 64 // records at once: about as many as a message over TCP is worth waiting for
+	writeIn = 2 * time.Second
+	dialIn  = 2 * time.Second
+	ticks   = 250 * time.Millisecond // between looks at what is open: short beside any time-out
+)
+
+// New makes an exporter for a meter, which owes as many backlogs as there are collectors.
+func New(o Options, m *Meter, log zerolog.Logger) *Exporter {
+	return &Exporter{Options: o, Meter: m, log: log, done: make(chan struct{})}
+}
+
+// Run sends until the context ends, and then what is left for as long as Linger says.
+func (e *Exporter) Run(ctx context.Context) {
+	defer close(e.done)
+	ended := make(chan struct{})
+	for i := range e.Collectors {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			e.serve(ctx, i)
+		}()
+	}
+	tick := time.NewTicker(ticks)
+	defer tick.Stop()
+	for left := len(e.Collectors); left > 0; {
+		select {
+		case <-tick.C:
+			e.Tick()
+		case <-ended:
+			left--
+		}
+	}
+}
+
+// Done is closed once Run has ended.
+func (e *Exporter) Done() <-chan struct{} { return e.done }
+
+// session is one connection to a collector.
+type session struct {
+	conn    net.Conn
+	ended   atomic.Bool // the collector's end was seen: what is written now comes nowhere
+	told    int64       // when templates were sent
+	packets int
+}
+
+// serve is one collector's goroutine: it alone writes there, and a collector that is away costs it alone.
+func (e *Exporter) serve(ctx context.Context, i int) {
+	c, q := e.Collectors[i], e.queues[i]
+	encoder := &ipfix.Encoder{Domain: e.Domain, Enterprise: e.Enterprise, Names: e.Names, Boot: e.clock()}
+	var s *session
+	defer func() {
+		if s != nil {
+			s.conn.Close()
+		}
+	}()
+	failures, lost := 0, false
+	deadline := time.Time{}
+	totals := flow.Sum{}
+	for {
+		if ctx.Err() != nil && deadline.IsZero() {
+			e.Flush()
+			deadline = time.Now().Add(e.Linger)
+		}
+		if !deadline.IsZero() && time.Now().After(deadline) {
+			return
+		}
+		e.mu.Lock()
+		records := q.Take(batch)
+		account := q.Account
+		e.mu.Unlock()
+		if len(records) == 0 {
+			if !deadline.IsZero() {
+				return
+			}
+			select {
+			case <-q.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		sent, err := 0, error(nil)
+		if s == nil {
+			s, err = e.dial(c)
+		}
+		if err == nil {
+			sent, err = e.send(s, c, encoder, records)
+		}
+		if sent > 0 {
+			e.mu.Lock()
+			q.Sent(sent)
+			e.mu.Unlock()
+		}
+		if err == nil && account.Lost != totals { // the collector is told what it will never get
+			if err = s.write(encoder.Totals(nil, e.clock(), account)); err == nil {
+				totals = account.Lost
+			}
+		}
+		if err != nil {
+			if s != nil {
+				s.conn.Close()
+				s = nil
+			}
+			if !lost {
+				e.log.Warn().Err(err).Str("collector", c.Address).Msg("collector lost")
+			}
+			lost = true
+			if failures++; deadline.IsZero() {
+				retry.Wait(ctx, failures)
+			} else {
+				time.Sleep(20 * time.Millisecond)
+			}
+			continue
+		}
+		if failures = 0; lost {
+			e.log.Info().Str("collector", c.Address).Msg("collector back")
+			lost = false
+		}
+	}
+}
+
+func (e *Exporter) dial(c Collector) (*session, error) {
+	dialer := net.Dialer{Timeout: dialIn, KeepAlive: -1}
+	switch c.Network {
+	case "udp", "tcp":
+		conn, err := dialer.Dial(c.Network, c.Address)
+		return begin(c, conn, err)
+	case "tls":
+		conn, err := tls.DialWithDialer(&dialer, "tcp", c.Address, c.TLS)
+		return begin(c, conn, err)
+	}
+	return nil, fmt.Errorf("collector %s: network %q is unknown", c.Address, c.Network)
+}
+
+// begin watches a connection for its end, as collectors send nothing; over UDP a refusal shows at the next write.
+func begin(c Collector, conn net.Conn, err error) (*session, error) {
+	if err != nil {
+		return nil, err
+	}
+	s := &session{conn: conn}
+	if c.Network != "udp" {
+		go func() {
+			var b [1]byte
+			for {
+				if _, err := conn.Read(b[:]); err != nil {
+					s.ended.Store(true)
+					return
+				}
+			}
+		}()
+	}
+	return s, nil
+}
+
+var errEnded = errors.New("the collector has closed")
+
+func (s *session) write(b []byte) error {
+	if s.ended.Load() {
+		return errEnded
+	}
+	s.conn.SetWriteDeadline(time.Now().Add(writeIn))
+	n, err := s.conn.Write(b)
+	if err == nil && n < len(b) {
+		err = errors.New("a message was cut")
+	}
+	s.packets++
+	return err
+}
+
+// send writes one message of records, after the templates where they are due: at the beginning, and over UDP again and
+// again. It tells how many went.
+func (e *Exporter) send(s *session, c Collector, encoder *ipfix.Encoder, records []flow.Record) (int, error) {
+	now, most := e.clock(), 1<<16
+	if c.Network == "udp" {
+		most = e.MTU
+		if now-s.told >= int64(e.Refresh) || s.packets >= e.Packets {
+			s.told = 0
+		}
+	}
+	if s.told == 0 {
+		if err := s.write(encoder.Templates(nil, now)); err != nil {
+			return 0, err
+		}
+		s.told, s.packets = now, 0
+	}
+	was := encoder.Sequence
+	message, n := encoder.Data(nil, now, records, most)
+	if err := s.write(message); err != nil {
+		encoder.Sequence = was
+		return 0, err
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/flow/export/export_test.go
@@ -0,0 +1,224 @@
+package export
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/flow"
+	"portflow/internal/flow/ipfix"
+	"portflow/internal/standin/collector"
+)
+
+// keys are a certificate for loopback, and what trusts it.
+func keys(t *testing.T) (server, client *tls.Config) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sheet := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	raw, err := x509.CreateCertificate(rand.Reader, sheet, sheet, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	trusted, _ := x509.ParseCertificate(raw)
+	pool := x509.NewCertPool()
+	pool.AddCert(trusted)
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{raw}, PrivateKey: key}}}, &tls.Config{RootCAs: pool, ServerName: "127.0.0.1"}
+}
+
+func options(c *collector.Collector, network string, config *tls.Config) Options {
+	return Options{Collectors: []Collector{{network, c.Address, config}}, Domain: 7, Enterprise: ipfix.Documentation,
+		Names: ipfix.Names{Carriers: []string{"rila", "dunav"}, Bands: []string{"display"}}, Refresh: time.Second, Packets: 20, MTU: 1400,
+		Linger: 5 * time.Second}
+}
+
+func clock() int64 { return time.Now().UnixNano() }
+
+var here = netip.MustParseAddrPort("127.0.0.1:8081")
+
+// short plays short connections of known counts.
+func short(m *Meter, n int) (passed flow.Counts) {
+	for i := range n {
+		label := flow.Label{Side: flow.Side(i % 2)}
+		c := m.Open(label, here, here)
+		label.Carrier, label.Band = uint16(1+i%2), 1
+		c.In(100 + i%7)
+		c.Command(label, uint64(i%50+1))
+		c.Out(1000)
+		c.Answered()
+		if i%2 == 0 {
+			passed.Add(flow.Counts{Forward: uint64(100 + i%7), Reverse: 1000, Commands: 1})
+		} else {
+			passed.Add(flow.Counts{Forward: 1000, Reverse: uint64(100 + i%7), Commands: 1})
+		}
+		c.Close(i%3 == 0)
+	}
+	return passed
+}
+
+// until waits for a collector to have so many records.
+func until(t *testing.T, c *collector.Collector, connections int) flow.Sum {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		sum, _, stats, lost := c.Sums()
+		if int(sum.Connections)+lost >= connections {
+			return sum
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%+v, %+v, %d dropped", sum, stats, lost)
+		}
+	}
+}
+
+// Over each transport, 10,000 short connections come to the collector whole, with the router's own counts.
+func TestBurst(t *testing.T) {
+	server, client := keys(t)
+	for _, network := range []string{"udp", "tcp", "tls"} {
+		t.Run(network, func(t *testing.T) {
+			c, err := collector.New(network, server)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m := NewMeter(flow.Limits{Active: 60e9, Idle: 15e9, Most: 1024}, 1, 8<<20, clock)
+			e := New(options(c, network, client), m, zerolog.Nop())
+			ctx, cancel := context.WithCancel(context.Background())
+			go e.Run(ctx)
+			passed := short(m, 10000)
+			sum := until(t, c, 10000)
+			cancel()
+			<-e.Done()
+			c.Vanish()
+			a, _ := m.Account(0)
+			if sum.Counts != passed || a.Exported.Counts != passed || a.Exported.Connections != 10000 || !a.Holds() {
+				t.Errorf("collector %+v, account %+v, passed %+v", sum, a, passed)
+			}
+		})
+	}
+}
+
+// A collector that is away costs no command: what is owed is folded within the bound, and comes when it is back.
+func TestAway(t *testing.T) {
+	c, err := collector.New("tcp", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Vanish()
+	m := NewMeter(flow.Limits{Active: 60e9, Idle: 15e9, Most: 1024}, 1, 64<<10, clock)
+	e := New(options(c, "tcp", nil), m, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	go e.Run(ctx)
+	passed := short(m, 5000)
+	a, bytes := m.Account(0)
+	if a.Folded.Records == 0 || a.Lost.Records != 0 || bytes > 64<<10 {
+		t.Errorf("%+v, %d bytes", a, bytes)
+	}
+	if err := c.Return(); err != nil {
+		t.Fatal(err)
+	}
+	if sum := until(t, c, 5000); sum.Counts != passed {
+		t.Errorf("collector %+v, passed %+v", sum, passed)
+	}
+	cancel()
+	<-e.Done()
+	c.Vanish()
+}
+
+// Over UDP the collector's gaps by sequence are what was lost on the way, and templates come again.
+func TestLoss(t *testing.T) {
+	c, err := collector.New("udp", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Drop(func(n int) bool { return n > 1 && n%10 == 0 })
+	m := NewMeter(flow.Limits{Active: 60e9, Idle: 15e9, Most: 1024}, 1, 8<<20, clock)
+	e := New(options(c, "udp", nil), m, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	go e.Run(ctx)
+	short(m, 5000)
+	for a, _ := m.Account(0); a.Exported.Connections < 5000; a, _ = m.Account(0) {
+		time.Sleep(time.Millisecond)
+	}
+	c.Drop(nil)
+	one := m.Open(flow.Label{}, here, here) // the last that comes shows the gap before it
+	one.Close(false)
+	cancel()
+	<-e.Done()
+	end := time.Now().Add(10 * time.Second)
+	for sum, _, stats, _ := c.Sums(); int(sum.Records)+int(stats.Missed) < 5001; sum, _, stats, _ = c.Sums() {
+		if time.Now().After(end) {
+			t.Fatalf("%+v, %+v", sum, stats)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	sum, _, stats, lost := c.Sums()
+	if lost == 0 || stats.Missed == 0 || int(sum.Records)+int(stats.Missed) != 5001 {
+		t.Errorf("%+v, %+v, %d datagrams dropped", sum, stats, lost)
+	}
+	c.Vanish()
+}
+
+// When the router leaves, what is open is cut, told as forced, and flushed within the leave's time.
+func TestLeave(t *testing.T) {
+	c, err := collector.New("tcp", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := NewMeter(flow.Limits{Active: 60e9, Idle: 15e9, Most: 1024}, 1, 1<<20, clock)
+	e := New(options(c, "tcp", nil), m, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	go e.Run(ctx)
+	var open []*Conn
+	for range 20 {
+		x := m.Open(flow.Label{}, here, here)
+		x.In(10)
+		open = append(open, x)
+	}
+	m.Leave()
+	for _, x := range open[:10] {
+		x.Close(false)
+	}
+	cancel()
+	<-e.Done()
+	until(t, c, 10)
+	sum, by, _, _ := c.Sums()
+	if by[flow.Forced].Forward != 200 || sum.Connections != 10 {
+		t.Errorf("%+v, %+v", sum, by)
+	}
+	c.Vanish()
+}
+
+// A command costs no allocation where its connection goes on, and the counters of nothing count nothing.
+func TestNoAllocations(t *testing.T) {
+	m := NewMeter(flow.Limits{Active: 60e9, Idle: 15e9, Most: 1024}, 1, 1<<20, clock)
+	c := m.Open(flow.Label{}, here, here)
+	label := flow.Label{Carrier: 1, Band: 1}
+	if n := testing.AllocsPerRun(1000, func() {
+		c.In(100)
+		c.Command(label, 7)
+		c.Out(100)
+		c.Answered()
+	}); n > 0 {
+		t.Error(n, "allocations a command")
+	}
+	var none *Meter
+	x := none.Open(label, here, here)
+	x.In(1)
+	x.Command(label, 1)
+	x.Out(1)
+	x.Answered()
+	x.Close(true)
+	if top := m.Greatest(1); len(top) != 1 || top[0].ID != 7 {
+		t.Error(top)
+	}
+}
--- /dev/null
+++ b/internal/flow/export/meter.go
@@ -0,0 +1,202 @@
+// Package export counts what passes on a router's connections and sends flow records to collectors, beside the path of
+// commands: a command adds to counters that are its connection's own, and never waits for a collector.
+package export
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"portflow/internal/flow"
+)
+
+// Meter watches the connections of a router and keeps what collectors are owed.
+type Meter struct {
+	clock    func() int64
+	mu       sync.Mutex
+	cache    *flow.Cache
+	queues   []*queue
+	leaving  bool
+	top      *flow.Top
+	carriers *flow.Top
+}
+
+// queue is one collector's backlog.
+type queue struct {
+	*flow.Backlog
+	wake chan struct{} // holds one once there is something
+}
+
+// Crowd is how many counters find who crowds, and over what time.
+const (
+	crowd       = 256
+	crowdWindow = int64(10 * time.Second)
+)
+
+// NewMeter makes a meter that owes its records to so many collectors, each with a backlog of so many bytes.
+func NewMeter(l flow.Limits, collectors, bytes int, clock func() int64) *Meter {
+	m := &Meter{clock: clock, top: flow.NewTop(crowd, crowdWindow), carriers: flow.NewTop(crowd, crowdWindow)}
+	for range collectors {
+		m.queues = append(m.queues, &queue{flow.NewBacklog(bytes), make(chan struct{}, 1)})
+	}
+	m.cache = flow.NewCache(l, clock(), m.put)
+	return m
+}
+
+// put is called by the cache, under the lock.
+func (m *Meter) put(r flow.Record) {
+	for _, q := range m.queues {
+		q.Put(r)
+		select {
+		case q.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Tick lets time pass for what is open.
+func (m *Meter) Tick() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cache.Tick(m.clock())
+}
+
+// Leave tells that what ends from now on is cut by the router.
+func (m *Meter) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+}
+
+// Flush makes records of all that has passed.
+func (m *Meter) Flush() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cache.Flush(m.clock())
+}
+
+// Account is what became of one collector's records.
+func (m *Meter) Account(collector int) (a flow.Account, bytes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.queues[collector].Account, m.queues[collector].Bytes()
+}
+
+// Greatest are the keys with most commands in the last ten seconds.
+func (m *Meter) Greatest(n int) []flow.Share {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.top.Greatest(m.clock(), n)
+}
+
+// Conn is one connection's counters. All its methods may be called on nil, which counts nothing.
+type Conn struct {
+	meter    *Meter
+	flow     *flow.Flow
+	in, out  atomic.Uint64 // octets read and written by the router
+	commands atomic.Uint64
+	mark     atomic.Uint64 // of what was read: up to the end of the last answer
+	begun    bool          // under the meter's lock: only what came before the mark is taken
+	took     flow.Counts   // what was taken before, as in, out and commands
+	side     flow.Side
+	closed   bool
+}
+
+// Open begins to watch a connection.
+func (m *Meter) Open(l flow.Label, source, destination netip.AddrPort) *Conn {
+	if m == nil {
+		return nil
+	}
+	c := &Conn{meter: m, side: l.Side}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c.flow = m.cache.Open(m.clock(), l, source, destination, c)
+	return c
+}
+
+// In counts octets that were read, Out ones that were written.
+func (c *Conn) In(n int) {
+	if c != nil && n > 0 {
+		c.in.Add(uint64(n))
+	}
+}
+
+// Out counts octets that were written.
+func (c *Conn) Out(n int) {
+	if c != nil && n > 0 {
+		c.out.Add(uint64(n))
+	}
+}
+
+// Answered tells that what is read from now on belongs to the next command.
+func (c *Conn) Answered() {
+	if c != nil {
+		c.mark.Store(c.in.Load())
+	}
+}
+
+// Command counts one of a label and a key (0 for none): what was read since the last answer belongs to it.
+func (c *Conn) Command(l flow.Label, key uint64) {
+	if c == nil {
+		return
+	}
+	m := c.meter
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.closed {
+		return
+	}
+	now := m.clock()
+	c.begun = true
+	m.cache.Relabel(now, c.flow, l)
+	c.begun = false
+	c.commands.Add(1)
+	if l.Side == flow.Clients {
+		if key != 0 {
+			m.top.Add(now, key, 1)
+		}
+		m.carriers.Add(now, uint64(l.Carrier), 1)
+	}
+}
+
+// Take is the cache's look at the counters, under the meter's lock.
+func (c *Conn) Take() flow.Counts {
+	in := c.in.Load()
+	if c.begun {
+		in = min(in, max(c.mark.Load(), c.tookIn()))
+	}
+	now := flow.Counts{Forward: in, Reverse: c.out.Load(), Commands: c.commands.Load()}
+	if c.side == flow.Hosts {
+		now.Forward, now.Reverse = now.Reverse, now.Forward
+	}
+	delta := flow.Counts{Forward: now.Forward - c.took.Forward, Reverse: now.Reverse - c.took.Reverse, Commands: now.Commands - c.took.Commands}
+	c.took = now
+	return delta
+}
+
+func (c *Conn) tookIn() uint64 {
+	if c.side == flow.Hosts {
+		return c.took.Reverse
+	}
+	return c.took.Forward
+}
+
+// Close ends the watch; drained says that the peer, or the router, was leaving.
+func (c *Conn) Close(drained bool) {
+	if c == nil {
+		return
+	}
+	m := c.meter
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	why := flow.Ended
+	if m.leaving {
+		why = flow.Forced
+	}
+	m.cache.Close(m.clock(), c.flow, why, drained || m.leaving)
+}
--- /dev/null
+++ b/internal/flow/ipfix/elements.go
@@ -0,0 +1,93 @@
+// Package ipfix writes and reads IPFIX messages (RFC 7011) of a router's flow records: biflows (RFC 5103) with
+// enterprise elements of our own.
+package ipfix
+
+// Element is an information element: its number, its enterprise's, 0 for IANA's, and its length in octets.
+type Element struct {
+	ID         uint16
+	Enterprise uint32
+	Length     uint16 // Variable for one that states its own
+}
+
+// Variable is the length of elements that state their own (RFC 7011, section 7).
+const Variable = 0xffff
+
+const (
+	reversed = 29305 // the reverse elements' enterprise (RFC 5103, section 6.1)
+	// Documentation is the enterprise number for documentation (RFC 5612), in use until the project has one.
+	Documentation = 32473
+)
+
+// IANA's elements, by their registered numbers.
+var (
+	octetDeltaCount          = Element{1, 0, 8}
+	protocolIdentifier       = Element{4, 0, 1}
+	sourceTransportPort      = Element{7, 0, 2}
+	sourceIPv4Address        = Element{8, 0, 4}
+	destinationTransportPort = Element{11, 0, 2}
+	destinationIPv4Address   = Element{12, 0, 4}
+	sourceIPv6Address        = Element{27, 0, 16}
+	destinationIPv6Address   = Element{28, 0, 16}
+	exportedOctetTotalCount  = Element{40, 0, 8}
+	exportedFlowRecordTotal  = Element{42, 0, 8}
+	flowEndReason            = Element{136, 0, 1}
+	flowStartMilliseconds    = Element{152, 0, 8}
+	flowEndMilliseconds      = Element{153, 0, 8}
+	observationDomainID      = Element{149, 0, 4}
+	systemInitMilliseconds   = Element{160, 0, 8}
+	notSentFlowTotalCount    = Element{166, 0, 8}
+	notSentOctetTotalCount   = Element{168, 0, 8}
+	biflowDirection          = Element{239, 0, 1}
+	reverseOctetDeltaCount   = Element{1, reversed, 8}
+)
+
+// Our own elements' numbers, under the enterprise number that the operator sets.
+const (
+	idCommands = iota + 1
+	idSide
+	idCarrier
+	idBand
+	idHost
+	idBuild
+	idDrained
+	idRecords
+	idConnections
+)
+
+// own are our elements under an enterprise number.
+func own(enterprise uint32) (all [idConnections + 1]Element) {
+	for id, length := range [...]uint16{idCommands: 8, idSide: 1, idCarrier: Variable, idBand: Variable, idHost: Variable,
+		idBuild: 4, idDrained: 1, idRecords: 4, idConnections: 4} {
+		all[id] = Element{uint16(id), enterprise, length}
+	}
+	return all
+}
+
+// Template numbers (RFC 7011, section 3.4.1: from 256 on).
+const (
+	template4 = 256 + iota
+	template6
+	templateFolded
+	templateTotals // options: what became of the records
+)
+
+// elements are a template's, in order.
+func elements(template uint16, enterprise uint32) []Element {
+	mine := own(enterprise)
+	common := append([]Element{flowStartMilliseconds, flowEndMilliseconds, octetDeltaCount, reverseOctetDeltaCount, flowEndReason,
+		biflowDirection}, mine[1:]...)
+	switch template {
+	case template4:
+		return append([]Element{sourceIPv4Address, destinationIPv4Address, sourceTransportPort, destinationTransportPort,
+			protocolIdentifier}, common...)
+	case template6:
+		return append([]Element{sourceIPv6Address, destinationIPv6Address, sourceTransportPort, destinationTransportPort,
+			protocolIdentifier}, common...)
+	case templateFolded:
+		return common
+	}
+	return []Element{observationDomainID, systemInitMilliseconds, exportedFlowRecordTotal, exportedOctetTotalCount,
+		notSentFlowTotalCount, notSentOctetTotalCount}
+}
+
+const totalsScope = 1 // of the totals' elements, so many are the scope: the observation domain
--- /dev/null
+++ b/internal/flow/ipfix/encode.go
@@ -0,0 +1,178 @@
+package ipfix
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"portflow/internal/flow"
+)
+
+const (
+	version  = 10
+	header   = 16    // octets of a message's
+	tcp      = 6     // the protocol of all our flows
+	largest  = 65535 // octets of a message, as its length has 16 bits
+	longText = 128   // octets of a name at most
+)
+
+// Names tells carriers' and bands' names, by their numbers from 1.
+type Names struct{ Carriers, Bands []string }
+
+func (n Names) of(all []string, i int) string {
+	if i < 1 || i > len(all) {
+		return ""
+	}
+	return all[i-1][:min(len(all[i-1]), longText)]
+}
+
+// Encoder writes messages of one exporting process to one collector.
+type Encoder struct {
+	Domain     uint32 // the observation domain
+	Enterprise uint32
+	Names      Names
+	Boot       int64 // when the exporter began, Unix nanoseconds
+	Sequence   uint32
+}
+
+// Templates appends a message with all templates; a collector that gets one over TCP or TLS needs no further ones on
+// that connection, over UDP they are to be sent again and again (RFC 7011, sections 8 and 10.3.6).
+func (e *Encoder) Templates(to []byte, now int64) []byte {
+	begin := len(to)
+	to = e.begin(to, now)
+	set := len(to)
+	to = append(to, 0, 2, 0, 0)
+	for _, t := range []uint16{template4, template6, templateFolded} {
+		to = e.template(to, t, 0)
+	}
+	to = end(to, set)
+	set = len(to)
+	to = append(to, 0, 3, 0, 0)
+	to = e.template(to, templateTotals, totalsScope)
+	to = end(to, set)
+	return end2(to, begin)
+}
+
+func (e *Encoder) template(to []byte, t uint16, scope uint16) []byte {
+	all := elements(t, e.Enterprise)
+	to = binary.BigEndian.AppendUint16(to, t)
+	to = binary.BigEndian.AppendUint16(to, uint16(len(all)))
+	if scope > 0 {
+		to = binary.BigEndian.AppendUint16(to, scope)
+	}
+	for _, x := range all {
+		id := x.ID
+		if x.Enterprise != 0 {
+			id |= 0x8000
+		}
+		to = binary.BigEndian.AppendUint16(to, id)
+		to = binary.BigEndian.AppendUint16(to, x.Length)
+		if x.Enterprise != 0 {
+			to = binary.BigEndian.AppendUint32(to, x.Enterprise)
+		}
+	}
+	return to
+}
+
+func (e *Encoder) begin(to []byte, now int64) []byte {
+	to = append(to, 0, version, 0, 0)
+	to = binary.BigEndian.AppendUint32(to, uint32(now/1e9))
+	to = binary.BigEndian.AppendUint32(to, e.Sequence)
+	return binary.BigEndian.AppendUint32(to, e.Domain)
+}
+
+// end states a set's length, end2 a message's.
+func end(to []byte, set int) []byte {
+	binary.BigEndian.PutUint16(to[set+2:], uint16(len(to)-set))
+	return to
+}
+
+func end2(to []byte, begin int) []byte {
+	binary.BigEndian.PutUint16(to[begin+2:], uint16(len(to)-begin))
+	return to
+}
+
+// Data appends one message of as many records as fit into so many octets, at least one, and tells how many.
+func (e *Encoder) Data(to []byte, now int64, records []flow.Record, most int) ([]byte, int) {
+	most = min(most, largest)
+	begin := len(to)
+	to = e.begin(to, now)
+	set, in, n := 0, uint16(0), 0
+	for i := range records {
+		r := &records[i]
+		t := templateOf(r)
+		before := len(to)
+		if t != in {
+			set, in = len(to), t
+			to = binary.BigEndian.AppendUint16(to, t)
+			to = append(to, 0, 0)
+		}
+		to = e.record(to, t, r)
+		if len(to)-begin > most && n > 0 {
+			to = to[:before]
+			break
+		}
+		to = end(to, set)
+		n++
+	}
+	e.Sequence += uint32(n) // of data records, not of messages (RFC 7011, section 3.1)
+	return end2(to, begin), n
+}
+
+func templateOf(r *flow.Record) uint16 {
+	switch {
+	case !r.Source.IsValid() || !r.Destination.IsValid():
+		return templateFolded
+	case r.Source.Addr().Unmap().Is4() && r.Destination.Addr().Unmap().Is4():
+		return template4
+	}
+	return template6
+}
+
+func (e *Encoder) record(to []byte, t uint16, r *flow.Record) []byte {
+	u16, u32, u64 := binary.BigEndian.AppendUint16, binary.BigEndian.AppendUint32, binary.BigEndian.AppendUint64
+	if t != templateFolded {
+		for _, a := range []netip.AddrPort{r.Source, r.Destination} {
+			if t == template4 {
+				x := a.Addr().Unmap().As4()
+				to = append(to, x[:]...)
+			} else {
+				x := a.Addr().As16()
+				to = append(to, x[:]...)
+			}
+		}
+		to = u16(u16(to, r.Source.Port()), r.Destination.Port())
+		to = append(to, tcp)
+	}
+	to = u64(u64(to, uint64(r.Start/1e6)), uint64(r.End/1e6))
+	to = u64(u64(to, r.Forward), r.Reverse)
+	to = append(to, byte(r.Reason), 1) // biflowDirection: the source began it
+	to = u64(to, r.Commands)
+	to = append(to, byte(r.Side))
+	for _, text := range []string{e.Names.of(e.Names.Carriers, int(r.Carrier)), e.Names.of(e.Names.Bands, int(r.Band)),
+		r.Host[:min(len(r.Host), longText)]} {
+		to = append(to, byte(len(text)))
+		to = append(to, text...)
+	}
+	to = u32(to, r.Build)
+	drained := byte(2) // a boolean: 1 for true, 2 for false (RFC 7011, section 6.1.5)
+	if r.Drained {
+		drained = 1
+	}
+	to = append(to, drained)
+	return u32(u32(to, r.Many), r.Connections)
+}
+
+// Totals appends a message that tells what became of all records so far.
+func (e *Encoder) Totals(to []byte, now int64, a flow.Account) []byte {
+	begin := len(to)
+	to = e.begin(to, now)
+	set := len(to)
+	to = binary.BigEndian.AppendUint16(to, templateTotals)
+	to = append(to, 0, 0)
+	u64 := binary.BigEndian.AppendUint64
+	to = binary.BigEndian.AppendUint32(to, e.Domain)
+	to = u64(u64(u64(to, uint64(e.Boot/1e6)), a.Exported.Records), a.Exported.Forward+a.Exported.Reverse)
+	to = u64(u64(to, a.Lost.Records), a.Lost.Forward+a.Lost.Reverse)
+	e.Sequence++
+	return end2(end(to, set), begin)
+}
--- /dev/null
+++ b/internal/flow/record.go
@@ -0,0 +1,66 @@
+// Package flow accounts for every connection of a router: it keeps what is open, makes a record of each active period,
+// holds records for collectors under a bound of bytes, and finds who crowds. It has no clock and no I/O; every call
+// brings the time, in Unix nanoseconds. docs/flows.md has the elements and the ways weighed.
+package flow
+
+import "net/netip"
+
+// Reason is why a record ends, numbered as IANA registers flowEndReason (element 136).
+type Reason uint8
+
+const (
+	Idle      Reason = 1 // nothing passed for the idle time-out
+	Active    Reason = 2 // the active time-out: the connection goes on
+	Ended     Reason = 3 // its end was seen
+	Forced    Reason = 4 // the router leaves
+	Resources Reason = 5 // there was no room for it
+)
+
+// Side tells which of a router's peers is at the other end.
+type Side uint8
+
+const (
+	Clients Side = iota // the client is the source, the router the destination
+	Hosts               // the router is the source, the host the destination
+)
+
+// Label is what a connection's bytes and commands belong to.
+type Label struct {
+	Side    Side
+	Carrier uint16 // by position, from 1; 0 for none or several
+	Band    uint8  // the same
+	Host    string // its name on the list, of the hosts' side
+	Build   uint32
+	Drained bool // the host was draining, or the router leaving, when it ended
+}
+
+// Counts are what passed.
+type Counts struct {
+	Forward  uint64 // octets from the source to the destination
+	Reverse  uint64 // octets the other way
+	Commands uint64
+}
+
+// Add adds counts.
+func (c *Counts) Add(x Counts) {
+	c.Forward += x.Forward
+	c.Reverse += x.Reverse
+	c.Commands += x.Commands
+}
+
+// Zero tells that nothing passed.
+func (c Counts) Zero() bool { return c == Counts{} }
+
+// Record is one active period of a connection, as a biflow (RFC 5103), or several that were folded into one.
+type Record struct {
+	Label
+	Counts
+	Source, Destination netip.AddrPort // none of a folded record
+	Start, End          int64          // Unix nanoseconds
+	Reason              Reason
+	Many                uint32 // records that it stands for, 1 for itself
+	Connections         uint32 // connections that ended with it
+}
+
+// size is about what a record takes while it waits, with its place in the queue; names are shared.
+const size = 144
--- /dev/null
+++ b/internal/standin/collector/collector.go
@@ -0,0 +1,178 @@
+// Package collector plays a collector of IPFIX on loopback: it decodes what comes, adds it up, and vanishes, lags or
+// loses on command.
+package collector
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+
+	"portflow/internal/flow"
+	"portflow/internal/flow/ipfix"
+)
+
+// Collector adds up records, by the label that they carry.
+type Collector struct {
+	Address string
+
+	drop    func(n int) bool
+	network string
+	tls     *tls.Config
+	mu      sync.Mutex
+	sum     flow.Sum
+	reasons map[flow.Reason]flow.Sum
+	stats   ipfix.Stats
+	lost    int // records in datagrams that were dropped
+	udp     net.PacketConn
+	tcp     net.Listener
+	conns   map[net.Conn]bool
+	ended   sync.WaitGroup
+}
+
+// New makes one that listens on a free address of the network: udp, tcp or tls.
+func New(network string, config *tls.Config) (*Collector, error) {
+	c := &Collector{network: network, tls: config, Address: "127.0.0.1:0", reasons: map[flow.Reason]flow.Sum{}}
+	return c, c.Return()
+}
+
+// Return has it listen, on the address that it had.
+func (c *Collector) Return() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns = map[net.Conn]bool{}
+	if c.network == "udp" {
+		l, err := net.ListenPacket("udp", c.Address)
+		if err != nil {
+			return err
+		}
+		if u, ok := l.(*net.UDPConn); ok {
+			u.SetReadBuffer(4 << 20)
+		}
+		c.udp, c.Address = l, l.LocalAddr().String()
+		c.ended.Go(func() { c.datagrams(l) })
+		return nil
+	}
+	l, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return err
+	}
+	c.Address = l.Addr().String()
+	if c.network == "tls" {
+		l = tls.NewListener(l, c.tls)
+	}
+	c.tcp = l
+	c.ended.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.mu.Lock()
+			c.conns[conn] = true
+			c.mu.Unlock()
+			c.ended.Go(func() { c.stream(conn) })
+		}
+	})
+	return nil
+}
+
+// Drop sets whether to lose the n-th datagram of UDP, counted from 1; nil for none.
+func (c *Collector) Drop(lose func(n int) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop = lose
+}
+
+// Vanish closes all that it has open; what had come whole is counted.
+func (c *Collector) Vanish() {
+	c.mu.Lock()
+	if c.udp != nil {
+		c.udp.Close()
+	}
+	if c.tcp != nil {
+		c.tcp.Close()
+	}
+	for conn := range c.conns {
+		conn.Close()
+	}
+	c.mu.Unlock()
+	c.ended.Wait()
+}
+
+// Sums tells what has come: in all, and by the reason that records ended.
+func (c *Collector) Sums() (all flow.Sum, by map[flow.Reason]flow.Sum, s ipfix.Stats, dropped int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	by = map[flow.Reason]flow.Sum{}
+	for why, sum := range c.reasons {
+		by[why] = sum
+	}
+	return c.sum, by, c.stats, c.lost
+}
+
+func (c *Collector) read(d *ipfix.Decoder, message []byte) {
+	before := d.Stats
+	d.Message(message, func(x ipfix.Data) {
+		r, ok := d.Flow(x)
+		if !ok {
+			return
+		}
+		sum := flow.Sum{Records: uint64(r.Many), Connections: uint64(r.Connections), Counts: r.Counts}
+		c.sum = add(c.sum, sum)
+		c.reasons[r.Reason] = add(c.reasons[r.Reason], sum)
+	})
+	c.stats.Messages += d.Stats.Messages - before.Messages
+	c.stats.Records += d.Stats.Records - before.Records
+	c.stats.Unknown += d.Stats.Unknown - before.Unknown
+	c.stats.Bad += d.Stats.Bad - before.Bad
+	c.stats.Missed += d.Stats.Missed - before.Missed
+}
+
+func add(a, b flow.Sum) flow.Sum {
+	a.Records += b.Records
+	a.Connections += b.Connections
+	a.Counts.Add(b.Counts)
+	return a
+}
+
+func (c *Collector) datagrams(l net.PacketConn) {
+	d := ipfix.NewDecoder(ipfix.Documentation)
+	b := make([]byte, 1<<16)
+	for n := 1; ; n++ {
+		size, _, err := l.ReadFrom(b)
+		if err != nil {
+			return
+		}
+		c.mu.Lock()
+		if c.drop != nil && c.drop(n) {
+			c.lost++
+		} else {
+			c.read(d, b[:size])
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *Collector) stream(conn net.Conn) {
+	defer conn.Close()
+	d := ipfix.NewDecoder(ipfix.Documentation)
+	head := make([]byte, 4)
+	for {
+		if _, err := io.ReadFull(conn, head); err != nil {
+			return
+		}
+		n, err := ipfix.Length(head)
+		if err != nil {
+			return
+		}
+		message := make([]byte, n)
+		copy(message, head)
+		if _, err := io.ReadFull(conn, message[4:]); err != nil {
+			return
+		}
+		c.mu.Lock()
+		c.read(d, message)
+		c.mu.Unlock()
+	}
+}
