Routers count their connections and export flows where the operator's file says so

Need: the records were made and sent, but no connection of a router was counted.

Change: clients' and hosts' connections add to counters at the net.Conn; what is read since the last answer belongs to the next command's carrier and band; `flows(collectors = [...])` in the operator's file, checked by the schema; internal/node runs the exporter and lets it flush within the leave's time. Off without it: the counters' methods do nothing on nil.

Measured: a router on loopback, 60 commands of two carriers over kept-alive connections: the collector has every octet that the client wrote and read, and as many commands of hosts' connections.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"time"
 
+	"portflow/internal/flow"
+	"portflow/internal/flow/export"
 	"portflow/internal/room"
 	"portflow/internal/router"
 	"portflow/internal/settings"
@@ -36,6 +38,9 @@
 
 // Server serves clients.
 type Server struct {
+	// Meter counts what passes, where it is set before Serve.
+	Meter *export.Meter
+
 	http     http.Server
 	settings settings.Settings
 	clock    router.Clock
@@ -64,7 +69,7 @@
 
 // Serve takes commands until Leave is done.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(&connections{l, s.room}); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(&connections{l, s.room, s.Meter}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -74,6 +79,7 @@
 // and what was taken is finished.
 func (s *Server) Leave(goOn time.Duration) error {
 	s.leaving.Store(true)
+	s.Meter.Leave()
 	time.Sleep(goOn)
 	ctx, cancel := context.WithTimeout(context.Background(), s.longest)
 	defer cancel()
@@ -202,7 +208,7 @@
 		f.Write([]byte(obj))
 		c.Key = max(1, f.Sum64())
 	}
-	c.Request = &router.Request{Method: r.Method, Target: r.RequestURI, Trace: trace, Mark: mark}
+	c.Request = &router.Request{Method: r.Method, Target: r.RequestURI, Trace: trace, Mark: mark, Band: c.Band, Carrier: c.Carrier}
 	if r.ContentLength != 0 {
 		c.Request.Body, err = router.ReadBody(r.Body, r.ContentLength)
 		if errors.Is(err, router.ErrTooLarge) {
@@ -214,6 +220,7 @@
 	if !conn.take(len(c.Request.Body)) {
 		return bad("a length stated twice, or bytes after the command")
 	}
+	conn.flow.Command(flow.Label{Side: flow.Clients, Carrier: uint16(c.Carrier + 1), Band: uint8(c.Band + 1)}, c.Key)
 	now := s.clock()
 	if c.CutOff = now + left; !s.ids.add(trace, now) {
 		return nil, http.StatusConflict, fmt.Errorf("X-Trace-Id: %q has come before", trace)
--- a/internal/clients/conns.go
+++ b/internal/clients/conns.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 
+	"portflow/internal/flow"
+	"portflow/internal/flow/export"
 	"portflow/internal/room"
 )
 
@@ -13,7 +15,8 @@
 // one that comes.
 type connections struct {
 	net.Listener
-	room *room.Room
+	room  *room.Room
+	meter *export.Meter // nil where nothing is counted
 }
 
 func (c *connections) Accept() (net.Conn, error) {
@@ -24,6 +27,7 @@
 		return nil, err
 	}
 	v := &clientConn{Conn: raw, place: place, more: make(chan struct{}, 1)}
+	v.flow = c.meter.Open(flow.Label{Side: flow.Clients}, export.Address(raw.RemoteAddr()), export.Address(raw.LocalAddr()))
 	place.Fill(room.Silent, func() { v.Close() })
 	return v, nil
 }
@@ -33,6 +37,7 @@
 type clientConn struct {
 	net.Conn
 	place *room.Place
+	flow  *export.Conn
 	mu    sync.Mutex
 	head  head
 	taken bool          // a command is whole, and not answered
@@ -41,6 +46,7 @@
 
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.flow.In(n)
 	if n > 0 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -60,8 +66,15 @@
 	return n, err
 }
 
+func (c *clientConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.flow.Out(n)
+	return n, err
+}
+
 func (c *clientConn) Close() error {
 	defer c.place.Leave()
+	defer c.flow.Close(false)
 	return c.Conn.Close()
 }
 
@@ -80,6 +93,7 @@
 func (c *clientConn) answer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.flow.Answered()
 	c.taken, c.head = false, head{}
 	select {
 	case <-c.more:
--- a/internal/flow/export/meter.go
+++ b/internal/flow/export/meter.go
@@ -3,6 +3,7 @@
 package export
 
 import (
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,14 @@
 	}
 }
 
+// Address is a connection's end as records have it.
+func Address(a net.Addr) netip.AddrPort {
+	if t, ok := a.(*net.TCPAddr); ok {
+		return t.AddrPort()
+	}
+	return netip.AddrPort{}
+}
+
 // Tick lets time pass for what is open.
 func (m *Meter) Tick() {
 	m.mu.Lock()
@@ -64,6 +73,9 @@
 
 // Leave tells that what ends from now on is cut by the router.
 func (m *Meter) Leave() {
+	if m == nil {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.leaving = true
--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"portflow/internal/flow"
+	"portflow/internal/flow/export"
 	"portflow/internal/room"
 )
 
@@ -28,6 +30,7 @@
 	net.Conn
 	raw     syscall.RawConn
 	place   *room.Place
+	flow    *export.Conn
 	opened  time.Time
 	handOff atomic.Pointer[handOff]
 
@@ -38,13 +41,14 @@
 	writer  *handOff // that was written last
 }
 
-func newConn(c net.Conn, place *room.Place) (*conn, error) {
+func newConn(c net.Conn, place *room.Place, m *export.Meter, to string) (*conn, error) {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return nil, err
 	}
 	v := &conn{Conn: c, raw: raw, place: place, opened: time.Now()}
 	v.turn.L = &v.mu
+	v.flow = m.Open(flow.Label{Side: flow.Hosts, Host: to}, export.Address(c.LocalAddr()), export.Address(c.RemoteAddr()))
 	return v, nil
 }
 
@@ -72,6 +76,7 @@
 	case n == 0:
 		return 0, io.EOF
 	}
+	c.flow.In(n)
 	return n, nil
 }
 
@@ -85,7 +90,9 @@
 			return 0, errRevoked
 		}
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.flow.Out(n)
+	return n, err
 }
 
 // fresh waits until the reader waits, and tells whether nothing has come since the last answer.
@@ -125,6 +132,7 @@
 	c.turn.Broadcast()
 	c.mu.Unlock()
 	defer c.place.Leave()
+	defer c.flow.Close(false)
 	return c.Conn.Close()
 }
 
@@ -182,7 +190,7 @@
 		place.Leave()
 		return nil, err
 	}
-	c, err := newConn(raw, place)
+	c, err := newConn(raw, place, h.pool.Meter, h.address)
 	if err != nil {
 		raw.Close()
 		place.Leave()
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -19,6 +19,8 @@
 
 	"github.com/rs/zerolog"
 
+	"portflow/internal/flow"
+	"portflow/internal/flow/export"
 	"portflow/internal/room"
 	"portflow/internal/router"
 	"portflow/rules"
@@ -31,6 +33,7 @@
 	ConnectIn time.Duration // a hand-off that has no connection by then never gets one
 	IdleIn    time.Duration // hosts close connections that stand idle for so long
 	Most      int           // connections at once
+	Meter     *export.Meter // counts what passes, nil for nothing
 	Report    []string      // the values of load reports, none where there are none
 }
 
@@ -215,6 +218,8 @@
 		GotConn: func(i httptrace.GotConnInfo) {
 			c := i.Conn.(*conn)
 			c.place.Set(room.Busy)
+			c.flow.Answered()
+			c.flow.Command(flow.Label{Side: flow.Hosts, Carrier: uint16(r.Carrier + 1), Band: uint8(r.Band + 1), Host: address}, 0)
 			c.handOff.Store(h)
 			h.conn.Store(c)
 			has()
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -83,7 +83,7 @@
 		if err != nil {
 			return Result{}, err
 		}
-		n, err := node.StartWith(ctx, c, g, zerolog.Nop())
+		n, err := node.StartWith(ctx, c, g, nil, zerolog.Nop())
 		if err != nil {
 			return Result{}, err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,12 +5,16 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"portflow/internal/clients"
 	"portflow/internal/config"
+	"portflow/internal/flow"
+	"portflow/internal/flow/export"
+	"portflow/internal/flow/ipfix"
 	"portflow/internal/hosts"
 	"portflow/internal/list"
 	"portflow/internal/peers"
@@ -33,22 +37,42 @@
 	cancel context.CancelFunc
 	failed chan error
 	done   chan struct{} // the reducer has ended
+	flows  *export.Exporter
 }
 
 // Start brings a router up; it serves until Leave, or until the context ends.
 func Start(ctx context.Context, c config.Config, s site.Site, log zerolog.Logger) (*Node, error) {
-	if s.Storm == nil {
-		return StartWith(ctx, c, nil, log)
+	var guard router.Guard
+	if s.Storm != nil {
+		g, err := storm.New(Storm(c.Settings, *s.Storm), c.Seed, time.Now().UnixNano())
+		if err != nil {
+			return nil, err
+		}
+		guard = g
 	}
-	guard, err := storm.New(Storm(c.Settings, *s.Storm), c.Seed, time.Now().UnixNano())
-	if err != nil {
-		return nil, err
+	return StartWith(ctx, c, guard, flows(c, s.Flows, log), log)
+}
+
+// flows makes an exporter, or none.
+func flows(c config.Config, f *site.Flows, log zerolog.Logger) *export.Exporter {
+	if f == nil {
+		return nil
+	}
+	o := export.Options{Domain: f.Domain, Enterprise: f.Enterprise, Refresh: time.Duration(f.Refresh), Packets: refreshPackets,
+		MTU: f.MTU, Linger: frontDelay, Names: ipfix.Names{Carriers: c.Settings.Carriers, Bands: c.Settings.Bands}}
+	for _, to := range f.Collectors {
+		network, address, _ := strings.Cut(to, "://")
+		o.Collectors = append(o.Collectors, export.Collector{Network: network, Address: address})
 	}
-	return StartWith(ctx, c, guard, log)
+	m := export.NewMeter(flow.Limits{Active: f.Active, Idle: f.Idle, Most: c.Sockets}, len(o.Collectors), f.Memory, router.NewClock())
+	return export.New(o, m, log)
 }
 
-// StartWith is Start with a guard of the caller's, or none.
-func StartWith(ctx context.Context, c config.Config, guard router.Guard, log zerolog.Logger) (*Node, error) {
+// refreshPackets is after how many messages over UDP templates are sent again: some seconds' worth of a busy router.
+const refreshPackets = 200
+
+// StartWith is Start with a guard and an exporter of the caller's, or none.
+func StartWith(ctx context.Context, c config.Config, guard router.Guard, flows *export.Exporter, log zerolog.Logger) (*Node, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{cancel: cancel, failed: make(chan error, 1), done: make(chan struct{})}
 	clock := router.NewClock()
@@ -56,7 +80,11 @@
 	// Hosts may have half of the descriptors and clients the other. What waits for a host waits here: a command that
 	// is refused, or has its connection closed, comes again and costs more.
 	half := (c.Sockets - own) / 2
-	pool := hosts.New(hosts.Options{ConnectIn: time.Duration(c.Settings.ConnectIn),
+	var meter *export.Meter
+	if flows != nil {
+		meter = flows.Meter
+	}
+	pool := hosts.New(hosts.Options{Meter: meter, ConnectIn: time.Duration(c.Settings.ConnectIn),
 		IdleIn: time.Duration(c.Settings.IdleIn), Most: half, Report: c.Settings.ReportFields}, log)
 	n.watch = list.New(c.Discovery, c.Settings, log, r.Post)
 	n.desk = platform.New(c.Platform, c.Settings.Bands, time.Duration(c.Settings.VoteWait), log, r.Post)
@@ -87,6 +115,10 @@
 	go n.watch.Run(ctx)
 	go n.desk.Run(ctx)
 	n.server = clients.New(c.Settings, half, begin.Settings.Most, clock, r.Post)
+	n.server.Meter = meter
+	if n.flows = flows; flows != nil {
+		go flows.Run(ctx)
+	}
 	go func() { n.failed <- n.server.Serve(listener) }()
 	log.Info().Str("listen", c.Listen).Int("hosts", len(c.Known.Hosts)).Int("build", c.News.Build).
 		Bool("storm", guard != nil).Msg("serving")
@@ -125,6 +157,9 @@
 	err := n.server.Leave(frontDelay)
 	n.cancel()
 	<-n.done
+	if n.flows != nil { // what is left goes out within its time
+		<-n.flows.Done()
+	}
 	return err
 }
 
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/config"
+	"portflow/internal/flow"
+	"portflow/internal/list"
+	"portflow/internal/router"
+	"portflow/internal/settings"
+	"portflow/internal/site"
+	"portflow/internal/standin"
+	"portflow/internal/standin/collector"
+	"portflow/internal/standin/servers"
+	"portflow/rules"
+)
+
+// tapped counts a client's own bytes.
+type tapped struct {
+	net.Conn
+	in, out *atomic.Uint64
+}
+
+func (c tapped) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(uint64(n))
+	return n, err
+}
+
+func (c tapped) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(uint64(n))
+	return n, err
+}
+
+// A router that leaves has told the collector every octet and command of its clients' connections, and as many
+// commands of its hosts'.
+func TestFlows(t *testing.T) {
+	c, err := collector.New("tcp", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	h := &servers.Host{Name: "h0", Effects: &servers.Shared{}, Clock: func() int64 { return int64(time.Since(began)) },
+		Came: func(int64, int64) {}, Work: func() int64 { return 1e6 }}
+	if err := h.Begin(&standin.Machine{Cores: 8, Queue: 1e9}); err != nil {
+		t.Fatal(err)
+	}
+	defer h.End()
+	around, err := servers.NewAround(`{"release":1,"tranche":0,"mode":"stable","exposure":1,"old_ms":60000}`,
+		[]servers.Member{{ID: "h0", HostPort: h.Address, Phase: "Ready", Size: 1, Image: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer around.Close()
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	listen := l.Addr().String()
+	l.Close()
+	conf := config.Config{Name: "n0", Listen: listen, Discovery: around.Address, Platform: around.Address, Seed: 1, Cores: 1,
+		Memory: 64 << 20, Sockets: 256, News: router.News{News: rules.News{Build: 1, Standing: rules.Released, Cap: 1, Age: 60e9}},
+		Known: list.Message{List: router.List{Hosts: []router.Host{{Name: "h0", Address: h.Address, Build: 1, Size: 1}}}},
+		Settings: settings.Settings{Bands: []string{"display"}, Carriers: []string{"rila", "dunav"}, ConnectIn: 250e6, IdleIn: 30e9,
+			Settings: rules.Settings{Routers: 1, Tick: 5e6, MaxHandOffs: 3, Recalls: true, Gate: rules.Share, OnVotes: 1, BackVotes: 1, VoteLife: 4e9,
+				ColdFrom: 0.33, ColdFor: 4e9, FallMultiple: 2, Bands: []rules.Band{{Contract: 1e9, CutOff: 2e9, Importance: 1}},
+				Carriers: []rules.Carrier{{PerSecond: 1000}, {PerSecond: 1000}}}}}
+	s, err := site.Parse("f.star", []byte("site(flows = flows(collectors = ['tcp://"+c.Address+"']))"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := Start(context.Background(), conf, s, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var in, out atomic.Uint64
+	client := http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return tapped{raw, &in, &out}, err
+	}}}
+	const commands = 60
+	for i := range commands {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+listen+"/display?obj="+fmt.Sprint(i%7), nil)
+		r.Header = http.Header{"X-Trace-Id": {fmt.Sprint("t", i)}, "X-Qos": {"display"}, "X-Customer": {conf.Settings.Carriers[i/10%2]},
+			"X-Expires-In": {"900m"}}
+		resp, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if io.Copy(io.Discard, resp.Body); resp.StatusCode != 200 {
+			t.Error(i, resp.Status)
+		}
+		resp.Body.Close()
+	}
+	client.CloseIdleConnections()
+	if err := n.Leave(); err != nil {
+		t.Error(err)
+	}
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if all, _, _, _ := c.Sums(); all.Commands >= 2*commands {
+			break
+		}
+	}
+	by, stats := c.Sides()
+	if x := by[flow.Clients]; x.Forward != out.Load() || x.Reverse != in.Load() || x.Commands != commands || x.Connections == 0 {
+		t.Errorf("collector %+v; the client wrote %d and read %d; %+v", x, out.Load(), in.Load(), stats)
+	}
+	if x := by[flow.Hosts]; x.Commands != commands || x.Forward == 0 || x.Reverse == 0 {
+		t.Errorf("of hosts %+v", x)
+	}
+	c.Vanish()
+}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -12,6 +12,7 @@
 	Method, Target string // the path with its query, as it came
 	Trace, Mark    string // the id of this try, and the reference of a referenced command
 	Body           []byte
+	Band, Carrier  int // by position, for those who count
 }
 
 // Answer is the final answer to a command.
--- a/internal/site/script.go
+++ b/internal/site/script.go
@@ -14,7 +14,7 @@
 const steps = 10_000_000
 
 // parts are the functions that a script may call to describe a part; the schema says what each takes.
-var parts = []string{"storm"}
+var parts = []string{"storm", "flows"}
 
 // given is what a script handed to site, and where in the script each of its fields stands.
 type given struct {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -24,12 +24,31 @@
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 
+	"portflow/internal/flow/ipfix"
 	"portflow/internal/storm"
 )
 
 // Site is a checked operator's file. A part that is nil is off.
 type Site struct {
 	Storm *storm.Tuning `json:"storm"`
+	Flows *Flows        `json:"flows"`
+}
+
+// Flows are the settings of flow export; times are nanoseconds.
+type Flows struct {
+	Collectors []string `json:"collectors"` // "udp://10.0.0.9:4739", each gets all records
+	Domain     uint32   `json:"domain"`
+	Enterprise uint32   `json:"enterprise"`
+	Active     int64    `json:"active"`
+	Idle       int64    `json:"idle"`
+	Memory     int      `json:"memory"`
+	Refresh    int64    `json:"refresh"`
+	MTU        int      `json:"mtu"`
+}
+
+// DefaultFlows are those of a part that is switched on without others; it has no collector.
+func DefaultFlows() Flows {
+	return Flows{Domain: 1, Enterprise: ipfix.Documentation, Active: 60e9, Idle: 15e9, Memory: 1 << 20, Refresh: 600e9, MTU: 1400}
 }
 
 //go:embed schema.json
@@ -77,6 +96,10 @@
 		tuning := storm.Defaults()
 		out.Storm = &tuning
 	}
+	if _, has := given.value["flows"]; has {
+		flows := DefaultFlows()
+		out.Flows = &flows
+	}
 	if err := json.Unmarshal(raw, &out); err != nil {
 		return Site{}, fmt.Errorf("%s: %w", name, err)
 	}
--- a/internal/standin/collector/collector.go
+++ b/internal/standin/collector/collector.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	sum     flow.Sum
 	reasons map[flow.Reason]flow.Sum
+	sides   [2]flow.Sum
 	stats   ipfix.Stats
 	lost    int // records in datagrams that were dropped
 	udp     net.PacketConn
@@ -111,6 +112,13 @@
 	return c.sum, by, c.stats, c.lost
 }
 
+// Sides tells what has come of clients' connections and of hosts'.
+func (c *Collector) Sides() ([2]flow.Sum, ipfix.Stats) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sides, c.stats
+}
+
 func (c *Collector) read(d *ipfix.Decoder, message []byte) {
 	before := d.Stats
 	d.Message(message, func(x ipfix.Data) {
@@ -120,6 +128,7 @@
 		}
 		sum := flow.Sum{Records: uint64(r.Many), Connections: uint64(r.Connections), Counts: r.Counts}
 		c.sum = add(c.sum, sum)
+		c.sides[r.Side&1] = add(c.sides[r.Side&1], sum)
 		c.reasons[r.Reason] = add(c.reasons[r.Reason], sum)
 	})
 	c.stats.Messages += d.Stats.Messages - before.Messages
