--- /dev/null
+++ b/internal/flow/netflow9/netflow9.go
@@ -0,0 +1,341 @@
+// Package netflow9 writes and reads NetFlow version 9 messages (RFC 3954) of a router's flow records. Version 9 has no
+// enterprise elements, no variable lengths and no reverse ones: our own fields stand in the types from 40001 on, names
+// in 24 octets, and times in milliseconds since the exporter's start.
+package netflow9
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"portflow/internal/flow"
+	"portflow/internal/flow/ipfix"
+)
+
+const (
+	version  = 9
+	header   = 20
+	nameSize = 24
+	tcp      = 6
+	mostOf   = 1024 // templates that a decoder keeps, of all sources
+)
+
+// Field types (RFC 3954, section 8), and our own.
+const (
+	inBytes       = 1
+	protocol      = 4
+	sourcePort    = 7
+	source4       = 8
+	destPort      = 11
+	dest4         = 12
+	lastSwitched  = 21
+	firstSwitched = 22
+	outBytes      = 23
+	source6       = 27
+	dest6         = 28
+)
+
+const (
+	ownCommands = 40001 + iota
+	ownSide
+	ownCarrier
+	ownBand
+	ownHost
+	ownBuild
+	ownDrained
+	ownRecords
+	ownConnections
+	ownReason
+)
+
+type field struct{ kind, length uint16 }
+
+// Templates, by their numbers.
+const (
+	template4 = 256 + iota
+	template6
+	templateFolded
+)
+
+func fields(template uint16) []field {
+	common := []field{{firstSwitched, 4}, {lastSwitched, 4}, {inBytes, 8}, {outBytes, 8}, {ownReason, 1}, {ownCommands, 8}, {ownSide, 1},
+		{ownCarrier, nameSize}, {ownBand, nameSize}, {ownHost, nameSize}, {ownBuild, 4}, {ownDrained, 1}, {ownRecords, 4}, {ownConnections, 4}}
+	switch template {
+	case template4:
+		return append([]field{{source4, 4}, {dest4, 4}, {sourcePort, 2}, {destPort, 2}, {protocol, 1}}, common...)
+	case template6:
+		return append([]field{{source6, 16}, {dest6, 16}, {sourcePort, 2}, {destPort, 2}, {protocol, 1}}, common...)
+	}
+	return common
+}
+
+// Encoder writes messages of one exporter.
+type Encoder struct {
+	Source   uint32 // its id
+	Names    ipfix.Names
+	Boot     int64 // when it began, Unix nanoseconds
+	Sequence uint32
+}
+
+// up is a time since the exporter's start, in milliseconds; it comes round after 49 days (RFC 3954, section 5.1).
+func (e *Encoder) up(at int64) uint32 { return uint32(max(0, at-e.Boot) / 1e6) }
+
+func (e *Encoder) begin(to []byte, now int64) []byte {
+	u32 := binary.BigEndian.AppendUint32
+	to = append(to, 0, version, 0, 0)
+	to = u32(u32(to, e.up(now)), uint32(now/1e9))
+	e.Sequence++ // of messages, not of records (section 5.1)
+	return u32(u32(to, e.Sequence-1), e.Source)
+}
+
+// end pads a flow set to 4 octets and states its length (section 5.2).
+func end(to []byte, set int) []byte {
+	for (len(to)-set)%4 != 0 {
+		to = append(to, 0)
+	}
+	binary.BigEndian.PutUint16(to[set+2:], uint16(len(to)-set))
+	return to
+}
+
+// Templates appends a message with all templates.
+func (e *Encoder) Templates(to []byte, now int64) []byte {
+	begin := len(to)
+	to = e.begin(to, now)
+	set := len(to)
+	to = append(to, 0, 0, 0, 0)
+	for _, t := range []uint16{template4, template6, templateFolded} {
+		all := fields(t)
+		to = binary.BigEndian.AppendUint16(to, t)
+		to = binary.BigEndian.AppendUint16(to, uint16(len(all)))
+		for _, f := range all {
+			to = binary.BigEndian.AppendUint16(binary.BigEndian.AppendUint16(to, f.kind), f.length)
+		}
+	}
+	to = end(to, set)
+	binary.BigEndian.PutUint16(to[begin+2:], 3)
+	return to
+}
+
+// Data appends one message of as many records as fit into so many octets, at least one, and tells how many.
+func (e *Encoder) Data(to []byte, now int64, records []flow.Record, most int) ([]byte, int) {
+	begin := len(to)
+	to = e.begin(to, now)
+	set, in, n := 0, uint16(0), 0
+	for i := range records {
+		r := &records[i]
+		t := templateOf(r)
+		before := len(to)
+		if t != in {
+			if in != 0 {
+				to = end(to, set)
+			}
+			set, in = len(to), t
+			to = append(binary.BigEndian.AppendUint16(to, t), 0, 0)
+		}
+		to = e.record(to, t, r)
+		if len(to)-begin+3 > most && n > 0 {
+			if to = to[:before]; set == before { // its set has not begun
+				in = 0
+			}
+			break
+		}
+		n++
+	}
+	if in != 0 {
+		to = end(to, set)
+	}
+	binary.BigEndian.PutUint16(to[begin+2:], uint16(n))
+	return to, n
+}
+
+func templateOf(r *flow.Record) uint16 {
+	switch {
+	case !r.Source.IsValid() || !r.Destination.IsValid():
+		return templateFolded
+	case r.Source.Addr().Unmap().Is4() && r.Destination.Addr().Unmap().Is4():
+		return template4
+	}
+	return template6
+}
+
+func (e *Encoder) record(to []byte, t uint16, r *flow.Record) []byte {
+	u16, u32, u64 := binary.BigEndian.AppendUint16, binary.BigEndian.AppendUint32, binary.BigEndian.AppendUint64
+	if t != templateFolded {
+		for _, a := range []netip.AddrPort{r.Source, r.Destination} {
+			if t == template4 {
+				x := a.Addr().Unmap().As4()
+				to = append(to, x[:]...)
+			} else {
+				x := a.Addr().As16()
+				to = append(to, x[:]...)
+			}
+		}
+		to = append(u16(u16(to, r.Source.Port()), r.Destination.Port()), tcp)
+	}
+	to = u32(u32(to, e.up(r.Start)), e.up(r.End))
+	to = append(u64(u64(to, r.Forward), r.Reverse), byte(r.Reason))
+	to = append(u64(to, r.Commands), byte(r.Side))
+	for _, text := range []string{name(e.Names.Carriers, int(r.Carrier)), name(e.Names.Bands, int(r.Band)), r.Host} {
+		var fixed [nameSize]byte
+		copy(fixed[:], text)
+		to = append(to, fixed[:]...)
+	}
+	drained := byte(0)
+	if r.Drained {
+		drained = 1
+	}
+	return u32(u32(append(u32(to, r.Build), drained), r.Many), r.Connections)
+}
+
+func name(all []string, i int) string {
+	if i < 1 || i > len(all) {
+		return ""
+	}
+	return all[i-1]
+}
+
+// Decoder reads messages; templates are a source's.
+type Decoder struct {
+	templates map[[2]uint32][]field
+	sequence  map[uint32]uint32
+	Unknown   int    // sets without a template
+	Missed    uint32 // messages that never came
+}
+
+// NewDecoder makes one that knows no template.
+func NewDecoder() *Decoder {
+	return &Decoder{templates: map[[2]uint32][]field{}, sequence: map[uint32]uint32{}}
+}
+
+// Message reads one message and hands its records to each. What is wrong is an error with its place.
+func (d *Decoder) Message(b []byte, each func(ipfix.Read)) error {
+	if len(b) < header {
+		return errors.New("netflow9: no whole head")
+	}
+	if v := binary.BigEndian.Uint16(b); v != version {
+		return fmt.Errorf("netflow9: version %d", v)
+	}
+	boot := int64(binary.BigEndian.Uint32(b[8:]))*1e9 - int64(binary.BigEndian.Uint32(b[4:]))*1e6
+	sequence, source := binary.BigEndian.Uint32(b[12:]), binary.BigEndian.Uint32(b[16:])
+	if next, known := d.sequence[source]; known && sequence-next < 1<<31 {
+		d.Missed += sequence - next
+	}
+	if _, known := d.sequence[source]; known || len(d.sequence) < mostOf {
+		d.sequence[source] = sequence + 1
+	}
+	for at := header; len(b)-at >= 4; {
+		id, length := binary.BigEndian.Uint16(b[at:]), int(binary.BigEndian.Uint16(b[at+2:]))
+		if length < 4 || at+length > len(b) {
+			return fmt.Errorf("netflow9: octet %d: set %d of %d octets", at, id, length)
+		}
+		var err error
+		switch set := b[at+4 : at+length]; {
+		case id == 0:
+			err = d.define(source, set)
+		case id < 256: // options templates, and what is reserved
+		default:
+			d.data(source, id, set, boot, each)
+		}
+		if err != nil {
+			return fmt.Errorf("netflow9: octet %d: %w", at, err)
+		}
+		at += length
+	}
+	return nil
+}
+
+func (d *Decoder) define(source uint32, b []byte) error {
+	for len(b) >= 4 {
+		id, count := binary.BigEndian.Uint16(b), int(binary.BigEndian.Uint16(b[2:]))
+		if id < 256 {
+			return nil // padding
+		}
+		if b = b[4:]; count == 0 || count > 256 || len(b) < 4*count {
+			return fmt.Errorf("template %d: %d fields in %d octets", id, count, len(b))
+		}
+		all, size := make([]field, 0, count), 0
+		for range count {
+			f := field{binary.BigEndian.Uint16(b), binary.BigEndian.Uint16(b[2:])}
+			all, size, b = append(all, f), size+int(f.length), b[4:]
+		}
+		if size == 0 {
+			return fmt.Errorf("template %d: records of no octets", id)
+		}
+		k := [2]uint32{source, uint32(id)}
+		if _, known := d.templates[k]; !known && len(d.templates) >= mostOf {
+			return fmt.Errorf("template %d: more than %d", id, mostOf)
+		}
+		d.templates[k] = all
+	}
+	return nil
+}
+
+func (d *Decoder) data(source uint32, id uint16, b []byte, boot int64, each func(ipfix.Read)) {
+	all, known := d.templates[[2]uint32{source, uint32(id)}]
+	if !known {
+		d.Unknown++
+		return
+	}
+	size := 0
+	for _, f := range all {
+		size += int(f.length)
+	}
+	for ; len(b) >= size; b = b[size:] {
+		each(read(all, b[:size], boot))
+	}
+}
+
+func read(all []field, b []byte, boot int64) (r ipfix.Read) {
+	var from, to netip.Addr
+	var fromPort, toPort uint16
+	for _, f := range all {
+		raw := b[:f.length]
+		b = b[f.length:]
+		v := ipfix.Value{Raw: raw}.Number()
+		text := func() string { return string(bytes.TrimRight(raw, "\x00")) }
+		switch f.kind {
+		case source4, source6:
+			from, _ = netip.AddrFromSlice(raw)
+		case dest4, dest6:
+			to, _ = netip.AddrFromSlice(raw)
+		case sourcePort:
+			fromPort = uint16(v)
+		case destPort:
+			toPort = uint16(v)
+		case firstSwitched:
+			r.Start = boot + int64(uint32(v))*1e6
+		case lastSwitched:
+			r.End = boot + int64(uint32(v))*1e6
+		case inBytes:
+			r.Forward = v
+		case outBytes:
+			r.Reverse = v
+		case ownReason:
+			r.Reason = flow.Reason(v)
+		case ownCommands:
+			r.Commands = v
+		case ownSide:
+			r.Side = flow.Side(v)
+		case ownCarrier:
+			r.CarrierName = text()
+		case ownBand:
+			r.BandName = text()
+		case ownHost:
+			r.Host = text()
+		case ownBuild:
+			r.Build = uint32(v)
+		case ownDrained:
+			r.Drained = v == 1
+		case ownRecords:
+			r.Many = uint32(v)
+		case ownConnections:
+			r.Connections = uint32(v)
+		}
+	}
+	if from.IsValid() && to.IsValid() {
+		r.Source, r.Destination = netip.AddrPortFrom(from, fromPort), netip.AddrPortFrom(to, toPort)
+	}
+	return r
+}
