NetFlow v9: a message that is full ends in the set before, padded once

Change: the set and its template are put back as they were, and ended once.

Measured: round trips in messages of 400 octets, all tests of internal/flow.

--- a/internal/flow/netflow9/netflow9.go
+++ b/internal/flow/netflow9/netflow9.go
@@ -126,7 +126,7 @@
 	for i := range records {
 		r := &records[i]
 		t := templateOf(r)
-		before := len(to)
+		before, wasSet, wasIn := len(to), set, in
 		if t != in {
 			if in != 0 {
 				to = end(to, set)
@@ -136,9 +136,7 @@
 		}
 		to = e.record(to, t, r)
 		if len(to)-begin+3 > most && n > 0 {
-			if to = to[:before]; set == before { // its set has not begun
-				in = 0
-			}
+			to, set, in = to[:before], wasSet, wasIn
 			break
 		}
 		n++
