--- a/cmd/portflow/main.go
+++ b/cmd/portflow/main.go
@@ -111,6 +111,7 @@
 		}
 		return nil
 	}
+	root.AddCommand(flows())
 	add("schema", "print the JSON schema of the operator's file", func(c *cobra.Command) error {
 		_, err := c.OutOrStdout().Write(site.Schema())
 		return err
--- a/cmd/portflow/main_test.go
+++ b/cmd/portflow/main_test.go
@@ -2,12 +2,45 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"portflow/internal/flow"
+	"portflow/internal/flow/ipfix"
 )
 
+// A file of messages is printed, ranked and, where it is cut, refused with the octet.
+func TestFlowsOfAFile(t *testing.T) {
+	e := &ipfix.Encoder{Enterprise: ipfix.Documentation, Names: ipfix.Names{Carriers: []string{"rila", "dunav"}}}
+	b := e.Templates(nil, 1e18)
+	whole := len(b)
+	b, _ = e.Data(b, 1e18, []flow.Record{{Label: flow.Label{Carrier: 1}, Counts: flow.Counts{Forward: 10, Commands: 2}, Many: 1},
+		{Label: flow.Label{Carrier: 2}, Counts: flow.Counts{Forward: 500, Commands: 1}, Many: 7}}, 1<<16)
+	path := filepath.Join(t.TempDir(), "flows")
+	for _, c := range []struct {
+		octets int
+		line   string
+		code   int
+		want   string
+	}{
+		{len(b), "flows decode " + path, 0, "dunav"},
+		{len(b), "flows decode --json " + path, 0, `"CarrierName":"rila"`},
+		{len(b), "flows top " + path, 0, "dunav    1         500\nrila     2         10"},
+		{len(b), "flows top --by moon " + path, 2, "moon"},
+		{len(b) - 1, "flows decode " + path, 1, fmt.Sprint("octet ", whole)},
+		{3, "flows top " + path, 1, "octet 0"},
+	} {
+		os.WriteFile(path, b[:c.octets], 0o600)
+		var out bytes.Buffer
+		if code := run(strings.Fields(c.line), &out, &out); code != c.code || !strings.Contains(out.String(), c.want) {
+			t.Errorf("%s of %d octets: %d, %s", c.line, c.octets, code, out.String())
+		}
+	}
+}
+
 // A line that can't be understood ends with 2, what fails with 1; each says why.
 func TestCommandLine(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.star")
