--- a/rules/rules.go
+++ b/rules/rules.go
@@ -140,7 +140,8 @@
 	}
 }
 
-// send wants a hand-off. It counts at its host from now on: what is placed in one go must not all see it idle.
+// send wants a hand-off. It counts at its host from now on: what is placed in one go must not all see it
+// idle.
 func (d *decider) send(c *command, h *host) {
 	c.next, c.until = h, c.cutOff
 	if h.out++; h.out == 1 {
@@ -478,7 +479,7 @@
 		d.past[k].fade(keep, d.earlier.n[k], d.earlier.bad[k])
 		// the page's reading, weighed by its outcomes: a tick of one is not worth one of ten
 		usual := d.past[k].bad / max(d.past[k].n, min(1, 0.4*d.load[answers]), 1e-3)
-		if k == failing && d.earlier.failed >= 3 { // a burst at the earlier build's hosts too: no fault of the trial
+		if k == failing && d.earlier.failed >= 3 { // a burst at the earlier build too: no fault of the trial
 			usual = max(usual, d.earlier.failed/d.earlier.n[k])
 		}
 		x := d.trial.bad[k] - d.trial.n[k]*usual
@@ -489,8 +490,8 @@
 	}
 	d.trial, d.earlier = sample{}, sample{}
 	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts
-	// may have by their part of it: all routers' sum stays well under the stated multiple. Hosts that are down carry
-	// nothing and say nothing of those that return.
+	// may have by their part of it: all routers' sum stays well under the stated multiple. Hosts that are down
+	// carry nothing, and say nothing of those that return.
 	d.carried.fade(forgetting, d.able, d.own[answers])
 	shown := max(d.carried.share(), d.mine[answers]/max(d.total, 1e-3))
 	d.credit += max(1.2, 0.8*d.set.FallMultiple) * shown
