--- a/internal/flow/export/meter.go
+++ b/internal/flow/export/meter.go
@@ -14,13 +14,12 @@
 
 // Meter watches the connections of a router and keeps what collectors are owed.
 type Meter struct {
-	clock    func() int64
-	mu       sync.Mutex
-	cache    *flow.Cache
-	queues   []*queue
-	leaving  bool
-	top      *flow.Top
-	carriers *flow.Top
+	clock   func() int64
+	mu      sync.Mutex
+	cache   *flow.Cache
+	queues  []*queue
+	leaving bool
+	top     *flow.Top
 }
 
 // queue is one collector's backlog.
@@ -37,7 +36,7 @@
 
 // NewMeter makes a meter that owes its records to so many collectors, each with a backlog of so many bytes.
 func NewMeter(l flow.Limits, collectors, bytes int, clock func() int64) *Meter {
-	m := &Meter{clock: clock, top: flow.NewTop(crowd, crowdWindow), carriers: flow.NewTop(crowd, crowdWindow)}
+	m := &Meter{clock: clock, top: flow.NewTop(crowd, crowdWindow)}
 	for range collectors {
 		m.queues = append(m.queues, &queue{flow.NewBacklog(bytes), make(chan struct{}, 1)})
 	}
@@ -110,7 +109,7 @@
 	commands atomic.Uint64
 	mark     atomic.Uint64 // of what was read: up to the end of the last answer
 	begun    bool          // under the meter's lock: only what came before the mark is taken
-	took     flow.Counts   // what was taken before, as in, out and commands
+	took     flow.Counts   // what was taken before: in, out and commands
 	side     flow.Side
 	closed   bool
 }
@@ -164,34 +163,23 @@
 	m.cache.Relabel(now, c.flow, l)
 	c.begun = false
 	c.commands.Add(1)
-	if l.Side == flow.Clients {
-		if key != 0 {
-			m.top.Add(now, key, 1)
-		}
-		m.carriers.Add(now, uint64(l.Carrier), 1)
+	if key != 0 {
+		m.top.Add(now, key, 1)
 	}
 }
 
 // Take is the cache's look at the counters, under the meter's lock.
 func (c *Conn) Take() flow.Counts {
-	in := c.in.Load()
+	now := flow.Counts{Forward: c.in.Load(), Reverse: c.out.Load(), Commands: c.commands.Load()}
 	if c.begun {
-		in = min(in, max(c.mark.Load(), c.tookIn()))
-	}
-	now := flow.Counts{Forward: in, Reverse: c.out.Load(), Commands: c.commands.Load()}
-	if c.side == flow.Hosts {
-		now.Forward, now.Reverse = now.Reverse, now.Forward
+		now.Forward = min(now.Forward, max(c.mark.Load(), c.took.Forward))
 	}
-	delta := flow.Counts{Forward: now.Forward - c.took.Forward, Reverse: now.Reverse - c.took.Reverse, Commands: now.Commands - c.took.Commands}
-	c.took = now
-	return delta
-}
-
-func (c *Conn) tookIn() uint64 {
-	if c.side == flow.Hosts {
-		return c.took.Reverse
+	passed := flow.Counts{Forward: now.Forward - c.took.Forward, Reverse: now.Reverse - c.took.Reverse,
+		Commands: now.Commands - c.took.Commands}
+	if c.took = now; c.side == flow.Hosts {
+		passed.Forward, passed.Reverse = passed.Reverse, passed.Forward
 	}
-	return c.took.Forward
+	return passed
 }
 
 // Close ends the watch; drained says that the peer, or the router, was leaving.
--- a/internal/flow/netflow9/netflow9.go
+++ b/internal/flow/netflow9/netflow9.go
@@ -152,28 +152,19 @@
 func (e *Encoder) Unsent(int) { e.Sequence-- }
 
 func templateOf(r *flow.Record) uint16 {
-	switch {
-	case !r.Source.IsValid() || !r.Destination.IsValid():
-		return templateFolded
-	case r.Source.Addr().Unmap().Is4() && r.Destination.Addr().Unmap().Is4():
+	switch r.Family() {
+	case 4:
 		return template4
+	case 6:
+		return template6
 	}
-	return template6
+	return templateFolded
 }
 
 func (e *Encoder) record(to []byte, t uint16, r *flow.Record) []byte {
-	u16, u32, u64 := binary.BigEndian.AppendUint16, binary.BigEndian.AppendUint32, binary.BigEndian.AppendUint64
+	u32, u64 := binary.BigEndian.AppendUint32, binary.BigEndian.AppendUint64
 	if t != templateFolded {
-		for _, a := range []netip.AddrPort{r.Source, r.Destination} {
-			if t == template4 {
-				x := a.Addr().Unmap().As4()
-				to = append(to, x[:]...)
-			} else {
-				x := a.Addr().As16()
-				to = append(to, x[:]...)
-			}
-		}
-		to = append(u16(u16(to, r.Source.Port()), r.Destination.Port()), tcp)
+		to = append(r.AppendEnds(to), tcp)
 	}
 	to = u32(u32(to, e.up(r.Start)), e.up(r.End))
 	to = append(u64(u64(to, r.Forward), r.Reverse), byte(r.Reason))
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -3,7 +3,10 @@
 // brings the time, in Unix nanoseconds. docs/flows.md has the elements and the ways weighed.
 package flow
 
-import "net/netip"
+import (
+	"encoding/binary"
+	"net/netip"
+)
 
 // Reason is why a record ends, numbered as IANA registers flowEndReason (element 136).
 type Reason uint8
@@ -62,5 +65,31 @@
 	Connections         uint32 // connections that ended with it
 }
 
+// Family is 4 or 6, by the addresses that a record has, and 0 where it has none.
+func (r *Record) Family() int {
+	switch {
+	case !r.Source.IsValid() || !r.Destination.IsValid():
+		return 0
+	case r.Source.Addr().Unmap().Is4() && r.Destination.Addr().Unmap().Is4():
+		return 4
+	}
+	return 6
+}
+
+// AppendEnds appends both addresses and then both ports, in the order of the network, as all our templates have them.
+func (r *Record) AppendEnds(to []byte) []byte {
+	four := r.Family() == 4
+	for _, a := range [...]netip.Addr{r.Source.Addr(), r.Destination.Addr()} {
+		if four {
+			x := a.Unmap().As4()
+			to = append(to, x[:]...)
+		} else {
+			x := a.As16()
+			to = append(to, x[:]...)
+		}
+	}
+	return binary.BigEndian.AppendUint16(binary.BigEndian.AppendUint16(to, r.Source.Port()), r.Destination.Port())
+}
+
 // size is about what a record takes while it waits, with its place in the queue; names are shared.
 const size = 144
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -27,7 +27,6 @@
 	tries   map[string]*try
 	serial  int
 	backs   int
-	noticed []int64
 }
 
 // emulated is a router.
@@ -51,12 +50,11 @@
 
 type try struct {
 	*command
-	client  int
-	sent    int64
-	node    *emulated
-	taken   *router.Command
-	over    bool
-	patient int64
+	client int
+	sent   int64
+	node   *emulated
+	taken  *router.Command
+	over   bool
 }
 
 // Emulate plays an experiment in virtual time.
@@ -66,7 +64,7 @@
 	}
 	began := time.Now()
 	e := &emulation{Storm: s, book: newBook(s), draw: chance.Source{Seed: s.Seed}, busy: make([]uint64, s.Clients/64+1),
-		effects: standin.Effects{Memory: 2e9}, tries: map[string]*try{}, noticed: make([]int64, s.Routers)}
+		effects: standin.Effects{Memory: 2e9}, tries: map[string]*try{}}
 	for i := range s.Hosts {
 		h := &host{Machine: s.machine(), name: "h" + strconv.Itoa(i), build: 1, goes: s.Kind == "hosts" || s.Kind == "half" && i%2 == 0}
 		if s.Trial && i%5 == 4 {
@@ -97,7 +95,13 @@
 	e.measure()
 	e.run(s.end())
 	r := e.book.result()
-	e.book.noticed(&r, e.noticed)
+	noticed := make([]int64, len(e.nodes))
+	for i, n := range e.nodes {
+		if n.guard != nil {
+			noticed[i] = n.guard.Stats.Noticed
+		}
+	}
+	e.book.noticed(&r, noticed)
 	r.Duplicates, r.Backs = e.effects.Twice, e.backs
 	for _, h := range e.hosts {
 		if h.Fallen {
@@ -137,7 +141,7 @@
 	}
 	outage(int64(e.Calm))
 	if e.Again {
-		outage(int64(e.Calm) + 2*int64(e.Outage) + 3e9 - int64(e.Outage))
+		outage(int64(e.Calm+e.Outage) + 3e9)
 	}
 }
 
@@ -200,15 +204,15 @@
 		rank = 0
 	}
 	t := &try{command: c, client: client, sent: e.now, node: e.nodes[rank]}
-	t.patient = int64(c.habit.Patience * float64(bands[c.band].CutOff))
+	patient := int64(c.habit.Patience * float64(bands[c.band].CutOff))
 	e.book.asked(e.now, c)
 	trace := strconv.Itoa(e.serial)
 	e.tries[trace] = t
-	t.taken = &router.Command{Band: c.band, Carrier: c.carrier, Key: c.key, CutOff: e.now + t.patient, Again: c.habit.Marks && c.tries > 1,
+	t.taken = &router.Command{Band: c.band, Carrier: c.carrier, Key: c.key, CutOff: e.now + patient, Again: c.habit.Marks && c.tries > 1,
 		Request: &router.Request{Trace: trace, Mark: c.mark}, Answer: t}
 	t.node.router.Post(router.Taken{Command: t.taken})
 	t.node.pump()
-	e.after(t.patient+50e6, func() {
+	e.after(patient+50e6, func() {
 		if !t.over {
 			t.over = true
 			e.book.told(e.now, t.sent, c, false, false)
@@ -250,9 +254,6 @@
 func (n *emulated) pump() {
 	for n.router.Step() {
 	}
-	if n.guard != nil {
-		n.noticed[n.rank] = n.guard.Stats.Noticed
-	}
 	due := n.router.Due()
 	if due == 0 || n.wakeAt != 0 && n.wakeAt <= due && n.wakeAt > n.now {
 		return
--- a/internal/site/script.go
+++ b/internal/site/script.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math"
 
 	"go.starlark.net/starlark"
@@ -221,12 +220,3 @@
 	}
 	return nil, fmt.Errorf("a %s can't be set", v.Type())
 }
-
-// readFull fills b as far as the reader goes.
-func readFull(r io.Reader, b []byte) (int, error) {
-	n, err := io.ReadFull(r, b)
-	if err == io.EOF || err == io.ErrUnexpectedEOF {
-		err = nil
-	}
-	return n, err
-}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strings"
@@ -68,15 +69,14 @@
 		return Site{}, err
 	}
 	defer f.Close()
-	text := make([]byte, largest+1)
-	n, err := readFull(f, text)
+	text, err := io.ReadAll(io.LimitReader(f, largest+1))
 	if err != nil {
 		return Site{}, fmt.Errorf("%s: %w", path, err)
 	}
-	if n > largest {
+	if len(text) > largest {
 		return Site{}, fmt.Errorf("%s: more than %d bytes", path, largest)
 	}
-	return Parse(path, text[:n])
+	return Parse(path, text)
 }
 
 // Parse reads a script's text; name stands in its errors.
--- a/internal/storm/fleet.go
+++ b/internal/storm/fleet.go
@@ -50,7 +50,7 @@
 }
 
 // List takes up the list, or its changes. What a whole list doesn't name is gone.
-func (f *Fleet) List(now int64, whole bool, hosts []Host) {
+func (f *Fleet) List(whole bool, hosts []Host) {
 	if whole {
 		named := make(map[uint32]bool, len(hosts))
 		for _, h := range hosts {
--- a/internal/storm/guard.go
+++ b/internal/storm/guard.go
@@ -250,11 +250,10 @@
 	if t.Band < 0 || t.Band >= len(g.typical) {
 		return wait
 	}
+	g.unserved++
 	if g.Storm(t.Carrier) {
-		g.unserved++
 		return g.appoint(now, t, wait)
 	}
-	g.unserved++
 	g.prints.Put(t.Print, now, 0)
 	if wait > 0 {
 		wait = min(g.set.MaxAdvice, wait/2+int64(g.draw.Next()*float64(wait)))
@@ -299,7 +298,7 @@
 // List is told the list of hosts, or its changes.
 func (g *Guard) List(now int64, whole bool, hosts []Host) {
 	g.advance(now)
-	g.fleet.List(now, whole, hosts)
+	g.fleet.List(whole, hosts)
 	g.now = g.fleet.At(now)
 }
 
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -582,7 +582,7 @@
 		can  float64
 	}{{Broken, 9.33}, {Silent, 10}, {Unsent, 10}} {
 		f := NewFleet(0.33, 4*second)
-		f.List(0, true, hosts(10, 0))
+		f.List(true, hosts(10, 0))
 		for id := range uint32(10) {
 			f.Ended(second, id+1, Answered)
 		}
@@ -601,7 +601,7 @@
 		}
 	}
 	f := NewFleet(0.33, 4*second)
-	f.List(0, true, hosts(4, 0))
+	f.List(true, hosts(4, 0))
 	f.Ended(0, 1, Answered)
 	for range 2 {
 		f.Ended(0, 2, Broken)
@@ -609,7 +609,7 @@
 	if can := f.At(0); can != 2 { // of two it met one is up: so is one of the two others
 		t.Error(can)
 	}
-	if f.List(0, true, []Host{{ID: 9, Ready: true, Size: -1}}); f.Whole() != 1 {
+	if f.List(true, []Host{{ID: 9, Ready: true, Size: -1}}); f.Whole() != 1 {
 		t.Error("a size that can't be:", f.Whole())
 	}
 }
--- a/internal/storm/wheel.go
+++ b/internal/storm/wheel.go
@@ -71,11 +71,3 @@
 		w.promised[i] = max(0, w.promised[i]-work)
 	}
 }
-
-// Promised is the work that is promised for the time from now on.
-func (w *Wheel) Promised() (work float64) {
-	for _, p := range w.promised {
-		work += p
-	}
-	return work
-}
