Discovery is asked for changes only, and calls are spread over the fleet

Each router kept the list of its start: `fleet` stayed at 60 hosts while build 37 and then 38 came, no outcome of a trial was counted (state and count 0 at every vote), 37 was voted on unseen, and at 15 s, when the old hosts drained, nothing was left to send to: service fell from 98% to 1%.

Cause, two things. internal/list/list.go, stay: after any failure the whole list was asked for (`whole = true`), which costs discovery about 250 ms here, where the changes after a revision cost 70 (timed-out calls admitted: 4 a second beside 13 to 16). rules/rules.go, listFailed: again after 0.5 to 1.5 s, whatever the fleet: 80 routers ask 75 times a second what discovery answers 4 times a second, so all that it takes on comes after its time-out of 2 s, for ever.

Change: the router begins with the revision that it was started with and asks for what came after; the whole list is asked for only at another address or when the revision there is older. internal/pace says when: the first call spread over a hundredth of askEveryNs for each router, up to half of it; after failures half to one and a half of a mean that doubles up to askEveryNs. Few routers (under ten) go on after a second on average.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -94,6 +94,7 @@
 	log      zerolog.Logger
 	client   http.Client
 	revision uint64
+	behind   bool // the list that is here has no revision there: the whole of it is wanted
 	on       chan bool
 	asked    bool // the router wants the list, where it must be asked for
 }
@@ -111,9 +112,13 @@
 	return &Watch{address: address.New(at), settings: s, post: post, log: log,
 		client: http.Client{Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 2,
 			IdleConnTimeout: time.Second, MaxResponseHeaderBytes: 64 << 10}, CheckRedirect: address.NoRedirect},
-		on: make(chan bool, 1)}
+		on: make(chan bool, 1), behind: true}
 }
 
+// Known tells the revision of the list that the router begins with: the first call asks for what came after it. It is
+// called before Run.
+func (w *Watch) Known(revision uint64) { w.revision, w.behind = revision, false }
+
 // Move has the list asked for at another address: the whole of it, as that one counts its revisions by itself.
 func (w *Watch) Move(address string) { w.address.Move(address) }
 
@@ -128,15 +133,19 @@
 
 // Run watches until the context ends: at once, or where it must be asked for, after each time it is. A call
 // that fails is repeated after a wait that grows, or told, so that the router asks again. A move ends the call.
+//
+// What is asked for is what came after the list that is here, also after a failure: the whole list is made anew at a
+// service that all routers share, and one that can't keep up with them would never catch up (docs/fleet.md).
 func (w *Watch) Run(ctx context.Context) { w.address.Run(ctx, w.stay) }
 
 // stay watches at one address.
 func (w *Watch) stay(ctx context.Context, at string) {
 	defer w.client.CloseIdleConnections()
-	w.url, w.revision = "http://"+at+"/api/targets", 0
-	whole, failures := true, 0
+	w.url = "http://" + at + "/api/targets"
+	defer func() { w.revision, w.behind = 0, true }() // the next address counts by itself
+	failures := 0
 	for ctx.Err() == nil {
-		if w.settings.Subscribe && whole && !w.asked {
+		if w.settings.Subscribe && !w.asked {
 			select {
 			case w.asked = <-w.on:
 				continue
@@ -144,7 +153,7 @@
 				return
 			}
 		}
-		m, err := w.ask(ctx, whole)
+		m, err := w.ask(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -153,7 +162,6 @@
 			if failures++; failures == 1 {
 				w.log.Warn().Err(err).Msg("discovery")
 			}
-			whole = true
 			if w.settings.Subscribe {
 				w.asked = false
 				w.post(router.List{Form: rules.CallFailed})
@@ -162,15 +170,16 @@
 			retry.Wait(ctx, failures)
 			continue
 		}
-		failures, whole = 0, false
-		if w.revision = m.Revision; len(m.Hosts) > 0 {
+		back := failures > 0
+		failures, w.behind = 0, false
+		if w.revision = m.Revision; len(m.Hosts) > 0 || back { // also that calls are answered again
 			w.post(m.List)
 		}
 	}
 }
 
-func (w *Watch) ask(ctx context.Context, whole bool) (Message, error) {
-	url := w.url
+func (w *Watch) ask(ctx context.Context) (Message, error) {
+	url, whole := w.url, w.behind
 	if !whole {
 		url += "?index=" + strconv.FormatUint(w.revision, 10) + "&wait=" + strconv.FormatInt(waitFor.Milliseconds(), 10)
 	}
@@ -196,8 +205,9 @@
 		return Message{}, fmt.Errorf("status %s", resp.Status)
 	}
 	m, err := Decode(raw, w.settings)
-	if err == nil && m.Revision < w.revision {
+	if err == nil && !whole && m.Revision < w.revision {
 		err = fmt.Errorf("revision %d after %d", m.Revision, w.revision)
+		w.revision, w.behind = 0, true
 	}
 	if err == nil && whole && m.Form != rules.Whole {
 		err = fmt.Errorf("changes where the whole list was asked for")
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -93,6 +93,54 @@
 	return strings.TrimPrefix(s.URL, "http://"), asked
 }
 
+// What is asked for is what came after the list that is here: at the start after the one that the router was given, and
+// so again when a call fails or its answer can't be read. Whole lists for all routers of a fleet hold discovery up.
+func TestFailedCallsAskForChanges(t *testing.T) {
+	answers := []string{"", "{", `{"revision":42,"complete":false,"members":[]}`, ""}
+	asked, all := make(chan string, 16), make(chan bool, 16)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := len(asked)
+		if asked <- r.URL.RequestURI(); n >= len(answers) {
+			all <- true
+			<-r.Context().Done()
+		} else if answers[n] == "" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		} else {
+			fmt.Fprint(w, answers[n])
+		}
+	}))
+	defer s.Close()
+	for _, subscribe := range []bool{false, true} {
+		set := zones
+		set.Subscribe = subscribe
+		failed := make(chan router.Event, 16)
+		w := New(strings.TrimPrefix(s.URL, "http://"), set, zerolog.Nop(), func(e router.Event) { failed <- e })
+		w.Known(41)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { w.Run(ctx); close(done) }()
+		go func() {
+			for subscribe {
+				w.Watch(true)
+				if <-failed == nil {
+					return
+				}
+			}
+		}()
+		<-all
+		cancel()
+		<-done
+		if subscribe {
+			failed <- nil
+		}
+		for i, want := range []string{"41", "41", "41", "42", "42"} {
+			if got := <-asked; got != "/api/targets?index="+want+"&wait=3000" {
+				t.Errorf("subscribe %v: call %d: %s", subscribe, i, got)
+			}
+		}
+	}
+}
+
 // A move ends the call that waits, and the whole list counts at the other address whatever its revision.
 func TestMove(t *testing.T) {
 	for _, subscribe := range []bool{false, true} {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 	pool := hosts.New(hosts.Options{Meter: meter, ConnectIn: time.Duration(c.Settings.ConnectIn),
 		IdleIn: time.Duration(c.Settings.IdleIn), Most: half, Report: c.Settings.ReportFields}, log)
 	n.watch = list.New(c.Discovery, c.Settings, log, r.Post)
+	n.watch.Known(c.Known.Revision)
 	n.desk = platform.New(c.Platform, c.Settings.Bands, time.Duration(c.Settings.VoteWait), log, r.Post)
 	out := router.Out{Hosts: pool, Platform: n.desk, List: n.watch}
 	begin := start(c, half)
--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,80 @@
+package pace
+
+import (
+	"slices"
+	"testing"
+
+	"portflow/internal/chance"
+)
+
+const second = int64(1e9)
+
+// service takes calls in turn, each for so long, and refuses those that would wait for too long. What has waited for
+// longer than its caller is served all the same, to nobody.
+type service struct {
+	takes, most, patience int64
+	free                  int64 // when it has served all that it took
+	calls, late, refused  int
+}
+
+// call tells whether a call is answered, and when its caller knows.
+func (s *service) call(now int64) (ok bool, at int64) {
+	s.calls++
+	if s.free = max(s.free, now); s.free-now > s.most {
+		s.refused++
+		return false, now + 5e6
+	}
+	if s.free += s.takes; s.free-now > s.patience {
+		s.late++
+		return false, now + s.patience
+	}
+	return true, s.free
+}
+
+// run lets a fleet ask that has lost its watches at the same moment, and tells when the last was served.
+func run(c Calls, s *service) (last int64) {
+	type caller struct {
+		at       int64
+		failures int
+	}
+	draw := chance.Source{Seed: 7}
+	var waits []caller
+	for range c.Routers {
+		waits = append(waits, caller{at: c.First(draw.Next())})
+	}
+	for len(waits) > 0 && last < 300*second {
+		slices.SortFunc(waits, func(a, b caller) int { return int(a.at - b.at) })
+		w := waits[0]
+		ok, answered := s.call(w.at)
+		if last = answered; ok {
+			waits = waits[1:]
+			continue
+		}
+		waits[0].failures++
+		waits[0].at = answered + c.Again(waits[0].failures, draw.Next())
+	}
+	return last
+}
+
+// A service that can just take one call of each router in the time that is expected of it has them all soon, however
+// many they are and though it takes more calls than it can answer in time. Routers that asked again after a second
+// on average never got through: the calls kept coming faster than it served any in time.
+func TestOverbooked(t *testing.T) {
+	for _, routers := range []int{3, 80, 300, 1000} {
+		c := Calls{Every: 10 * second, Routers: routers}
+		s := &service{takes: min(second, 8*second/int64(routers)), most: 6 * second, patience: 2 * second}
+		if last := run(c, s); last > 25*second || s.calls > 3*routers+5 {
+			t.Errorf("%d routers: the last after %.1f s, %d calls, %d late, %d refused", routers, float64(last)/1e9, s.calls, s.late, s.refused)
+		}
+	}
+}
+
+func TestFewNeedNotWait(t *testing.T) {
+	c := Calls{Every: 10 * second, Routers: 3}
+	if (Calls{Routers: 3}).Again(1, 0) < second/10 {
+		t.Error("asks again at once where the settings say nothing")
+	}
+	if c.First(1) > second/2 || c.Again(9, 1) > 2*second {
+		t.Error(c.First(1), c.Again(9, 1))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,7 +29,7 @@
 	}
 	Contract struct {
 		ColdFrom, FallMultiple float64
-		ColdNs                 int64
+		ColdNs, AskEveryNs     int64
 	}
 	Discovery  string
 	FamilyInfo struct {
@@ -84,7 +84,7 @@
 		HoldVotes: fam.ToPause, VoteLife: fam.VoteTtlNs, VoteWait: fam.VoteWaitNs, Free: fam.SpareTries,
 		CapByBand: fam.CapScope == "per_lane", Guarded: fam.Shielded, Beside: fam.Layout == "side_by_side", KeysStay: fam.KeysStay,
 		FlagShare: fam.ComplaintShare, ColdFrom: p.Contract.ColdFrom, ColdFor: p.Contract.ColdNs,
-		FallMultiple: p.Contract.FallMultiple,
+		FallMultiple: p.Contract.FallMultiple, AskEvery: p.Contract.AskEveryNs,
 	}
 	if lim.RetryAfter {
 		s.MaxAdvice = lim.MaxRetryAfterNs
--- a/rules/door.go
+++ b/rules/door.go
@@ -110,6 +110,7 @@
 	OverShare     float64 // what a command beyond its carrier's share is worth
 	Tick          int64   // the shortest time between two calls
 	Subscribe     bool    // the list must be asked for
+	AskEvery      int64   // within so long discovery expects one call of each router
 	Most          int     // commands that can be open at once, 0 for any number
 	MaxHandOffs   int
 	Copies        bool // two hand-offs at once are allowed
@@ -284,6 +285,7 @@
 		r.settle()
 		return
 	}
+	r.unheard = 0
 	if form != Changes { // what a whole list does not name is gone
 		for _, h := range r.fleet {
 			if !slices.ContainsFunc(entries, func(e Listed) bool { return e.ID == h.id }) {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"maps"
 	"math"
+
+	"portflow/internal/pace"
 )
 
 const second = int64(1e9)
@@ -30,7 +32,9 @@
 
 const tickLen = second / 10 // the design's tick
 
-func (d *decider) begin() { d.ticks, d.watchAt, d.began = d.now+tickLen, d.now, d.now }
+func (d *decider) begin() {
+	d.ticks, d.watchAt, d.began = d.now+tickLen, d.now+d.asking().First(d.chance()), d.now
+}
 
 // settle works out how the present differs from what is wanted and emits it.
 func (d *decider) settle() {
@@ -653,9 +657,14 @@
 	}
 }
 
-// listFailed asks again after a moment: a call or the subscription is lost.
+// listFailed asks again after a while: a call or the subscription is lost. Discovery serves all routers.
 func (d *decider) listFailed() {
-	d.watchAt = d.now + second/2 + int64(d.chance()*float64(second))
+	d.unheard++
+	d.watchAt = d.now + d.asking().Again(d.unheard, d.chance())
+}
+
+func (d *decider) asking() pace.Calls {
+	return pace.Calls{Every: d.set.AskEvery, Routers: d.set.Routers}
 }
 
 // woken takes the latest wake-up as come whatever the clock says: an early one must not stop the chain.
--- a/rules/state.go
+++ b/rules/state.go
@@ -233,6 +233,7 @@
 
 	began    int64
 	watchAt  int64
+	unheard  int             // calls for the list that failed since the last answer
 	mean     float64         // mean time of an answer
 	models   map[int]float64 // by kind of machine: how long it takes, over what all take
 	own      []float64       // this tick's load
