Calls to discovery draw their chance from a source of their own

Ruled out: the pace itself, as the emulator's list is told and never asked for.

Change: the pace of calls has a source of its own (state.go, calls).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,7 +33,7 @@
 const tickLen = second / 10 // the design's tick
 
 func (d *decider) begin() {
-	d.ticks, d.watchAt, d.began = d.now+tickLen, d.now+d.asking().First(d.chance()), d.now
+	d.ticks, d.watchAt, d.began = d.now+tickLen, d.now+d.asking().First(d.calls.Next()), d.now
 }
 
 // settle works out how the present differs from what is wanted and emits it.
@@ -660,7 +660,7 @@
 // listFailed asks again after a while: a call or the subscription is lost. Discovery serves all routers.
 func (d *decider) listFailed() {
 	d.unheard++
-	d.watchAt = d.now + d.asking().Again(d.unheard, d.chance())
+	d.watchAt = d.now + d.asking().Again(d.unheard, d.calls.Next())
 }
 
 func (d *decider) asking() pace.Calls {
--- a/rules/state.go
+++ b/rules/state.go
@@ -234,6 +234,7 @@
 	began    int64
 	watchAt  int64
 	unheard  int             // calls for the list that failed since the last answer
+	calls    chance.Source   // for their times: other draws do not depend on them
 	mean     float64         // mean time of an answer
 	models   map[int]float64 // by kind of machine: how long it takes, over what all take
 	own      []float64       // this tick's load
@@ -348,7 +349,7 @@
 	if s.Most == 0 {
 		s.Most = math.MaxInt
 	}
-	return &decider{set: s, out: out, draw: chance.Source{Seed: seed}, stuck: ties{}, seenKey: map[uint64]int64{},
+	return &decider{set: s, out: out, draw: chance.Source{Seed: seed}, calls: chance.Source{Seed: ^seed}, stuck: ties{}, seenKey: map[uint64]int64{},
 		models: map[int]float64{}, own: make([]float64, n), mine: make([]float64, n), load: make([]float64, n)}
 }
 
