Quicker trial hosts get more of the load, and votes of bygone stages are not taken back

Build 656 fails and is four times slower some 10 s after its hosts' start, is released at 17.5 s and can't be sent back once 657 comes at 23 s. From 24 s on its 60 hosts answer 200 to 300 commands a second of 900. At 31 s 30 hosts of 657 are there, and still 200 to 260 are answered: two hand-offs in three go to the slow hosts (the trial's share is its hosts' part of the capacity), and all 80 routers "kept the trial back" from 29 to 35 s and again to 41 s, as the earlier hosts were slow though by themselves. Also: at each new stage 33 voters took their vote back (33 WITHDRAW of 66 calls, 22 turned away of 16 a second that the platform takes), and stage 1 of 657 passed after 13 s.

The exposure cap is 1 in that stage and binds nothing.

Lines to blame: rules.go, pick (`d.part[1] / ...`), dip (starts on the earlier build's speed alone), settleVote (`stands` for a vote that names a bygone stage).

Change: `quicker` says by how much the trial's hosts surely are quicker, from both builds' lags of the last second, pooled (two more figures in a message, 50 bytes here); the trial's part counts so much more, 4 times at most, and the test that keeps the trial back does not begin. A vote for moving on is not taken back once its stage has passed; one for going back still is, as it may count at any stage.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -89,9 +89,11 @@
 
 const retryVote = second / 4 // short beside a stage, and the voters' calls stay far below what platforms take
 
-// settleVote casts the wanted vote where another or none stands, and renews it.
+// settleVote casts the wanted vote where another or none stands, and renews it. One for moving on a bygone stage
+// moves nothing: the platform takes few calls of all routers, and the next votes need them.
 func (d *decider) settleVote() {
-	stands := d.cast.verdict != NoVote && d.now-d.castAt < d.set.VoteLife
+	bygone := d.cast.build != d.news.Build || d.cast.stage != d.news.Stage && d.cast.verdict == On
+	stands := d.cast.verdict != NoVote && d.now-d.castAt < d.set.VoteLife && !bygone
 	fresh := d.want == d.cast && d.now-d.castAt < d.set.VoteLife/2
 	if d.now < d.callAt+retryVote || d.calling && d.now < d.callAt+d.set.VoteWait+second || fresh ||
 		d.want.verdict == NoVote && !stands {
@@ -284,9 +286,10 @@
 	best, trial := d.better(c, 0, stuck), d.better(c, 1, stuck)
 	only := best == nil
 	if trial != nil {
-		share := d.part[1] / max(d.part[0]+d.part[1], 1e-3) // its hosts' part of the capacity
-		got := d.load[trials] / max(d.load[sent], 1e-3)     // of all routers, as a quiet one sends too little
-		if d.set.KeysStay {                                 // commands of kept keys can go nowhere else
+		part := d.part[1] * d.quicker()
+		share := part / max(d.part[0]+part, 1e-3)       // its hosts' part of the capacity
+		got := d.load[trials] / max(d.load[sent], 1e-3) // of all routers, as a quiet one sends too little
+		if d.set.KeysStay {                             // commands of kept keys can go nowhere else
 			share = (share - got) / max(1-got, 0.01)
 		} else { // made up for commands that may not go there
 			share += 4 * (share - got)
@@ -480,6 +483,7 @@
 		d.state[k] = lately*d.state[k] + (1-forgetting)*x
 		d.spread[k] = lately*d.spread[k] + (1-forgetting)*d.trial.square[k]
 	}
+	d.fresh.fade(0.9, d.trial.n[lagging], d.trial.bad[lagging])
 	d.trial, d.earlier = sample{}, sample{}
 	// what fulfilled commands of the last 10 s, or 1 s, show that a fleet of this capacity carries, cold hosts
 	// may have by their part of it: all routers' sum stays well under the stated multiple
@@ -541,6 +545,14 @@
 	return d.even[k].bad / d.even[k].n, math.Sqrt(d.spread[k]/n*some + float64(k)*0.0036/d.warm)
 }
 
+// quicker is how much quicker the trial's hosts surely are than the earlier ones, by what all routers measured, 1 for
+// not: earlier hosts may fail or turn slow too, and the good ones then stand by idle.
+func (d *decider) quicker() float64 {
+	n := max(0.1, d.fresh.n*d.company)                      // of the last second; each varies by about its mean
+	took := func(m mean) float64 { return 1 + 4*m.share() } // over the expected, as weigh counts it, 4 at most
+	return min(4, max(1, took(d.past[lagging])/max(0.1, took(d.fresh)*(1+1.5/math.Sqrt(n)))))
+}
+
 // A build may slow all hosts, in step with its traffic. Where the earlier ones stay and are much slower than
 // before, the trial's commands are kept back; if their return slows them, it is the build. Costs seconds.
 const (
@@ -561,6 +573,7 @@
 	if d.news.Standing != OnTrial {
 		d.dipAt = 0
 	} else if d.dipAt == 0 && d.slowed > mixing && d.news.Stage > 0 && d.set.Beside &&
+		d.quicker() < dragged && // else the earlier hosts are slow by themselves
 		d.set.Rank < 8 { // among hundreds some router is always wrong; eight find it as soon
 		d.startDip(0)
 	} else if d.dipAt > 0 && d.now-d.dipAt > 2*dipFor {
@@ -639,6 +652,7 @@
 		d.proof, d.level = 0, 1
 		d.calm = d.usual.share()
 		d.count, d.state, d.spread, d.even = [kinds]float64{}, [kinds]float64{}, [kinds]float64{}, [kinds]mean{}
+		d.fresh = mean{}
 	}
 	d.news, d.told = n, true
 	if n.Standing == GoingBack || n.Standing == Withdrawn {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -303,6 +303,46 @@
 	}
 }
 
+// Earlier hosts that turned slow by themselves once kept two commands in three, and the test that keeps the trial back
+// left its good hosts idle for six seconds at a time.
+func TestEarlierHostsTurnSlow(t *testing.T) {
+	var played *world
+	dips := 0
+	lone(t, func(w *world, i, build int) out {
+		if played = w; w.r.dipAt > 0 {
+			dips++
+		}
+		took := int64(60+i*37%80) * ms
+		if build == 4 && i > 900 {
+			took *= 4
+		}
+		return out{took, Fulfilled, false}
+	})
+	sum, last := 0, played.trialShare[len(played.trialShare)-300:]
+	for _, x := range last {
+		sum += x
+	}
+	if dips > 0 || sum < 150 {
+		t.Errorf("kept back at %d commands; %d of the last %d went to the quick third of the hosts", dips, sum, len(last))
+	}
+}
+
+// All voters once took back their votes on a stage that had passed, and the platform turned those for the next away.
+func TestBygoneVotes(t *testing.T) {
+	w := still(t, plain(), true)
+	w.pass(8000 * ms)
+	last := func() vote { return w.votes[len(w.votes)-1] }
+	w.failIf(last() != vote{On, 5, 0}, "votes %v", w.votes)
+	w.hear(News{Build: 5, Reply: true, Stage: 0, Cap: 1})
+	w.hear(News{Build: 5, Stage: 1, Cap: 1})
+	w.pass(1000 * ms)
+	w.failIf(last() != vote{On, 5, 0}, "taken back: %v", last())
+	w.r.condemned, w.r.doubtful = true, 99
+	w.r.cast, w.r.castAt = vote{Back, 5, 0}, w.now // for going back a vote of any stage may count
+	w.pass(1000 * ms)
+	w.failIf(last().verdict == Back, "not taken back")
+}
+
 // Answers once came after the contract time of the band that is worth most, long before any was turned away, and
 // hosts worked for clients that give up early and ask again.
 func TestOverload(t *testing.T) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -208,6 +208,7 @@
 	even              [kinds]mean    // count and state, evened over some ticks
 	trial, earlier    sample         // this tick's
 	past              [kinds]mean    // the earlier build's outcomes
+	fresh             mean           // gossiped: how the trial lags, as past has it of the earlier build
 	beside            [kinds]float64 // how many of them stand beside the trial's
 	pastAt            int64          // when the latest of them that has ended was sent
 	reach             [2][]*host     // the hosts that this router uses, of the earlier builds and of those on trial
@@ -294,12 +295,13 @@
 	speeds          // how quick they were
 	carriers        // commands of each carrier
 
-	judging = 5*kinds + 1
+	judging = 5*kinds + 3
 )
 
 // shared are the figures that gossip averages.
 func (d *decider) shared() []*float64 {
-	all := []*float64{&d.state[failing], &d.state[lagging], &d.past[lagging].bad, // these may be below zero
+	all := []*float64{&d.state[failing], &d.state[lagging], &d.past[lagging].bad, &d.fresh.bad, // these may be below zero
+		&d.fresh.n,
 		&d.spread[failing], &d.spread[lagging], &d.count[failing], &d.count[lagging], &d.past[failing].n,
 		&d.past[lagging].n, &d.past[failing].bad, &d.proof}
 	for i := range d.load {
@@ -334,7 +336,7 @@
 	}
 	for i := 2; i < len(raw); i += 2 {
 		f := float64(math.Float32frombits(uint32(binary.BigEndian.Uint16(raw[i:])) << 16))
-		if math.IsNaN(f) || math.Abs(f) > 1e6 || i >= 2+2*3 && f < 0 {
+		if math.IsNaN(f) || math.Abs(f) > 1e6 || i >= 2+2*4 && f < 0 {
 			return 0, nil, false
 		}
 		figures = append(figures, f)
