Connections opened ahead follow the told rate and the router's part of the hosts

Ruled out: hand-offs turned away for want of a place (0 on calm stretches).

Few routers open as many as before. Where no rate is told, as before.

--- a/internal/hosts/conn.go
+++ b/internal/hosts/conn.go
@@ -215,18 +215,20 @@
 	}
 }
 
-// ahead is how many connections to a host a router opens before it takes commands, in half of its room: about as many
-// as it has in use at once, as the first commands would else wait together for as many to come up.
+// ahead is how many connections to a host a router opens at most before it takes commands: about as many as few routers
+// have in use at once, as the first commands would else wait together for as many to come up.
 const ahead = 3
 
-// Open opens connections ahead to hosts, and returns once they are up or failed.
-func (p *Pool) Open(addresses []string) {
+// Open opens connections ahead to hosts, at most so many, one to each before the second to any, and those in half of
+// the room. It returns once they are up or failed.
+func (p *Pool) Open(addresses []string, most int) {
 	var all sync.WaitGroup
 	for n := range ahead {
 		for _, address := range addresses {
-			if n > 0 && p.room.Held() > p.Most/2 {
+			if n > 0 && p.room.Held() > p.Most/2 || most <= 0 {
 				break
 			}
+			most--
 			h, place := p.host(address), p.room.Try()
 			if place == nil {
 				break
--- a/internal/hosts/hosts_test.go
+++ b/internal/hosts/hosts_test.go
@@ -256,7 +256,11 @@
 		return say(c, "200 OK", "Content-Length: 0\r\n\r\n")
 	})
 	p := pool(8)
-	p.Open([]string{address})
+	p.Open([]string{address}, 0)
+	if p.room.Held() != 0 {
+		t.Error("more than was asked for")
+	}
+	p.Open([]string{address}, 9)
 	if p.room.Held() != ahead {
 		t.Fatal(p.room.Held(), "opened")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"strings"
 	"time"
@@ -17,6 +18,7 @@
 	"portflow/internal/flow/ipfix"
 	"portflow/internal/hosts"
 	"portflow/internal/list"
+	"portflow/internal/pace"
 	"portflow/internal/peers"
 	"portflow/internal/platform"
 	"portflow/internal/router"
@@ -108,7 +110,7 @@
 		cancel()
 		return nil, err
 	}
-	pool.Open(begin.List.Ready())
+	pool.Open(ahead(begin))
 	go func() {
 		defer close(n.done)
 		r.Run(ctx, begin, out)
@@ -134,6 +136,26 @@
 	return router.Start{Settings: s, Seed: c.Seed, List: known, News: c.News}
 }
 
+// ahead tells the hosts to which a router opens connections before its first command, those that the rules use first,
+// and how many at most. Its commands take a fifth of their contract time, as the rules begin.
+func ahead(s router.Start) (addresses []string, most int) {
+	ready := s.List.Ready()
+	for _, i := range pace.Order(len(ready), s.Settings.Rank) {
+		addresses = append(addresses, ready[i])
+	}
+	rate, takes := 0.0, 0.0
+	for _, c := range s.Settings.Carriers {
+		rate += c.PerSecond
+	}
+	for _, b := range s.Settings.Bands {
+		takes += time.Duration(b.Contract).Seconds() / 5 / float64(len(s.Settings.Bands))
+	}
+	if most = pace.Ahead(rate, takes, s.Settings.Routers); most == 0 {
+		most = math.MaxInt
+	}
+	return addresses, most
+}
+
 // Storm is what a guard is told of a deployment.
 func Storm(s settings.Settings, t storm.Tuning) storm.Settings {
 	out := storm.Settings{Tuning: t, Carriers: len(s.Settings.Carriers), Routers: s.Routers, ColdFrom: s.ColdFrom,
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -203,15 +203,11 @@
 			}
 		}
 	}
-	// A router that needs few hosts takes every n-th of each build's; of powers of two some stay when n changes.
-	need := max(12, d.mine[answers]*float64(second/tickLen))
+	need := max(pace.Fewest, d.mine[answers]*float64(second/tickLen)) // a router that needs few hosts uses a part
 	for side, all := range ready {
-		n := 1
-		for float64(len(d.fleet)) >= need*2*float64(n) && len(all) >= 2*n {
-			n *= 2
-		}
 		d.reach[side] = d.reach[side][:0]
-		for i := n - 1 - d.set.Rank%n; i < len(all); i += n {
+		n := min(pace.Every(len(d.fleet), need), pace.Every(len(all), 0))
+		for i, step := pace.Part(n, d.set.Rank); i < len(all); i += step {
 			d.reach[side] = append(d.reach[side], all[i])
 		}
 	}
