Peers' reading waits while its socket goes on failing

Read in the code, not seen in a run.

Change: after the second failure in a row the wait grows as for calls (internal/retry); the first is logged, once.

Result: a test in which each read fails sees the fourth failure after 0.3 s; without the wait it comes at once and the test fails.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"portflow/internal/retry"
 	"portflow/internal/router"
 )
 
@@ -23,6 +24,7 @@
 	addresses []netip.AddrPort // by rank
 	log       zerolog.Logger
 	post      func(router.Event)
+	failed    func(failures int) // for tests: a read failed, so many in a row
 }
 
 // Listen opens the socket.
@@ -31,7 +33,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	return &Peers{conn, peers, log, post}, nil
+	return &Peers{conn: conn, addresses: peers, log: log, post: post}, nil
 }
 
 // Tell sends a message. A datagram that can't go out at once is lost, as any may be.
@@ -45,19 +47,29 @@
 	}
 }
 
-// Run reads datagrams until the context ends; those of other senders or over the length are dropped.
+// Run reads datagrams, with waits that grow while the socket fails, until the context ends; those of other senders or over the length are dropped.
 func (p *Peers) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
 	defer stop()
 	raw := make([]byte, longest+1)
-	for {
+	for failures := 0; ; {
 		n, from, err := p.conn.ReadFromUDPAddrPort(raw)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue // what an earlier datagram met
+		if err != nil { // what an earlier datagram met, or one that stays
+			if failures++; failures == 1 {
+				p.log.Warn().Err(err).Msg("peers")
+			}
+			if p.failed != nil {
+				p.failed(failures)
+			}
+			if failures > 1 {
+				retry.Wait(ctx, failures)
+			}
+			continue
 		}
+		failures = 0
 		peer := slices.Index(p.addresses, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		if peer < 0 || n > longest {
 			continue
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -38,3 +39,27 @@
 	cancel()
 	<-done
 }
+
+// An error of the socket that stays once kept a core busy, and that is a crash where a thread may not run for long.
+func TestErrorThatStays(t *testing.T) {
+	p, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), nil, zerolog.Nop(), func(router.Event) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.conn.SetReadDeadline(time.Unix(1, 0)) // each read fails at once
+	fourth := make(chan time.Duration, 1)
+	began := time.Now()
+	p.failed = func(failures int) {
+		if failures == 4 {
+			fourth <- time.Since(began)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() { p.Run(ctx); done <- true }()
+	if after := <-fourth; after < 250*time.Millisecond {
+		t.Errorf("the fourth failure after %v", after)
+	}
+	cancel()
+	<-done
+}
