Waits between calls that fail are spread by chance

Need: retry.Wait doubled from 50 ms to 2 s with no chance in it, so that routers that lost the platform, discovery or a collector in the same moment came back to it in step each time.

Change: retry.Waits draws half to one and a half of the wait from the router's seed, one for each caller (list.Watch.Seed, platform.Platform.Seed, the collectors by domain and number).

Result: 300 callers after 1 to 8 failures in a row: no more than 90 of 300 in any tenth of the time that they take; without the chance all 300 in one, and the test fails.

--- a/internal/flow/export/export.go
+++ b/internal/flow/export/export.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"portflow/internal/chance"
 	"portflow/internal/flow"
 	"portflow/internal/flow/ipfix"
 	"portflow/internal/flow/netflow9"
@@ -110,6 +111,7 @@
 			s.conn.Close()
 		}
 	}()
+	waits := retry.Waits{Draw: chance.Source{Seed: uint64(e.Domain)<<8 + uint64(i)}}
 	failures, lost := 0, false
 	deadline := time.Time{}
 	totals := flow.Sum{}
@@ -162,7 +164,7 @@
 			}
 			lost = true
 			if failures++; deadline.IsZero() {
-				retry.Wait(ctx, failures)
+				waits.Wait(ctx, failures)
 			} else {
 				time.Sleep(20 * time.Millisecond)
 			}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -96,6 +96,7 @@
 	revision uint64
 	behind   bool // the list that is here has no revision there: the whole of it is wanted
 	on       chan bool
+	waits    retry.Waits
 	asked    bool // the router wants the list, where it must be asked for
 }
 
@@ -119,6 +120,9 @@
 // called before Run.
 func (w *Watch) Known(revision uint64) { w.revision, w.behind = revision, false }
 
+// Seed sets the chance of the waits between calls that fail. It is called before Run.
+func (w *Watch) Seed(seed uint64) { w.waits.Draw.Seed = seed }
+
 // Move has the list asked for at another address: the whole of it, as that one counts its revisions by itself.
 func (w *Watch) Move(address string) { w.address.Move(address) }
 
@@ -167,7 +171,7 @@
 				w.post(router.List{Form: rules.CallFailed})
 				continue
 			}
-			retry.Wait(ctx, failures)
+			w.waits.Wait(ctx, failures)
 			continue
 		}
 		back := failures > 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,9 @@
 		IdleIn: time.Duration(c.Settings.IdleIn), Most: half, Report: c.Settings.ReportFields}, log)
 	n.watch = list.New(c.Discovery, c.Settings, log, r.Post)
 	n.watch.Known(c.Known.Revision)
+	n.watch.Seed(c.Seed)
 	n.desk = platform.New(c.Platform, c.Settings.Bands, time.Duration(c.Settings.VoteWait), log, r.Post)
+	n.desk.Seed(^c.Seed)
 	out := router.Out{Hosts: pool, Platform: n.desk, List: n.watch}
 	begin := start(c, half)
 	begin.Storm = guard
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -52,6 +52,7 @@
 	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
 	defer stop()
 	raw := make([]byte, longest+1)
+	var waits retry.Waits // of its own socket: nobody else is asked
 	for failures := 0; ; {
 		n, from, err := p.conn.ReadFromUDPAddrPort(raw)
 		if errors.Is(err, net.ErrClosed) {
@@ -65,7 +66,7 @@
 				p.failed(failures)
 			}
 			if failures > 1 {
-				retry.Wait(ctx, failures)
+				waits.Wait(ctx, failures)
 			}
 			continue
 		}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"portflow/internal/address"
+	"portflow/internal/retry"
 	"portflow/internal/router"
 	"portflow/rules"
 )
@@ -85,6 +86,7 @@
 	wait    time.Duration
 	client  http.Client
 	slots   chan struct{}
+	waits   retry.Waits // the news's
 }
 
 // A connection may be closed by the platform after any short rest, and a vote on it would then be in doubt:
@@ -100,6 +102,9 @@
 		slots: make(chan struct{}, calls)}
 }
 
+// Seed sets the chance of the waits between calls for the news that fail. It is called before Run.
+func (p *Platform) Seed(seed uint64) { p.waits.Draw.Seed = seed }
+
 // Move takes up another address: further votes go there, and the news is followed there from now on.
 func (p *Platform) Move(address string) { p.address.Move(address) }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -10,7 +10,6 @@
 	"net/http/httptrace"
 	"time"
 
-	"portflow/internal/retry"
 	"portflow/internal/router"
 )
 
@@ -45,7 +44,7 @@
 		if failures++; ctx.Err() == nil && failures == 1 {
 			p.log.Warn().Err(err).Msg("platform's news")
 		}
-		retry.Wait(ctx, failures)
+		p.waits.Wait(ctx, failures)
 	}
 }
 
