The emulator starts whole fleets before an overbooked discovery and a scarce platform

Change: lab.EmulateFleet drives the program's reducers (3, 80 and 300) in virtual time, without commands: a discovery that serves calls in turn and those that waited too long to nobody, a platform with so many calls a second, a build in stages, and seven in ten routers killed at once. Its test asserts calls to discovery, when the last router has its list, that no vote is taken back, and that stages pass.

--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,223 @@
+package lab
+
+import (
+	"time"
+
+	"strconv"
+
+	"github.com/rs/zerolog"
+
+	"portflow/internal/router"
+	"portflow/rules"
+)
+
+// Fleet is an experiment in virtual time on what routers ask for by themselves: the program's reducers without a
+// command, a discovery that serves all of them in turn, and a platform that takes so many calls a second. A build is on
+// trial from the second second on; a share of the routers is killed at once and starts again from nothing.
+type Fleet struct {
+	Routers, Hosts int
+	Serves         float64 // seconds in which discovery takes one call of each router
+	Calls          float64 // that the platform takes a second
+	Need           int     // routers that must stand for a stage
+	Killed         float64 // part of them
+	Seed           uint64
+}
+
+// FleetResult counts over the whole fleet. Times are seconds, below 0 for never.
+type FleetResult struct {
+	Asked, Late, Refused  int     // calls to discovery, and those that it answered too late or turned away
+	Listed, ListedAgain   float64 // until each router had its list: from the start, and from the kill
+	Votes, Full, TakenOff int     // calls to the platform, those turned away, and those that took a vote back
+	Stages                []float64
+}
+
+const (
+	killAt      = 20 * 1e9
+	startsAfter = int64(1e9)
+	fleetEnds   = 90 * 1e9
+	onTrial     = 2 * 1e9
+	dwell       = int64(1.8e9)
+	patience    = int64(2e9) // of a call to discovery
+	longestLine = 3 * patience
+)
+
+type fleet struct {
+	Fleet
+	timeline
+	nodes  []*lone
+	free   int64 // when discovery has served what it took
+	takes  int64
+	bucket float64
+	filled int64
+	stands []int64 // until when each router's vote for the stage stands
+	stage  int
+	since  int64
+	result FleetResult
+}
+
+// lone is a router of the fleet.
+type lone struct {
+	*fleet
+	rank   int
+	router *router.Router
+	wakeAt int64
+	gone   bool
+	listed bool
+}
+
+// EmulateFleet plays it.
+func EmulateFleet(s Fleet) FleetResult {
+	f := &fleet{Fleet: s, takes: min(int64(1e9), int64(s.Serves*1e9)/int64(s.Routers)), stands: make([]int64, s.Routers), stage: -1}
+	f.result.Listed, f.result.ListedAgain = -1, -1
+	f.bucket = 2 * s.Calls
+	f.nodes = make([]*lone, s.Routers)
+	for rank := range s.Routers {
+		f.begin(rank, s.Seed)
+	}
+	f.after(onTrial, func() { f.move(0) })
+	f.after(killAt, func() {
+		for rank := range int(s.Killed * float64(s.Routers)) {
+			f.nodes[rank].gone = true
+			f.after(startsAfter, func() { f.begin(rank, s.Seed+1) })
+		}
+	})
+	f.run(fleetEnds)
+	return f.result
+}
+
+func (f *fleet) begin(rank int, seed uint64) {
+	n := &lone{fleet: f, rank: rank}
+	f.nodes[rank] = n
+	n.router = router.New(func() int64 { return f.now + 1 }, zerolog.Nop())
+	set := Defaults()
+	set.Routers, set.Hosts = f.Routers, f.Hosts
+	known := set.settings(rank)
+	known.Subscribe, known.AskEvery, known.OnVotes, known.BackVotes = true, 10e9, f.Need, f.Need
+	n.router.Begin(router.Start{Settings: known, Seed: seed*1e6 + uint64(rank), List: router.List{Form: rules.Cached, Hosts: f.hosts(1)},
+		News: router.News{News: f.news()}}, router.Out{Hosts: n, Platform: n, Peers: n, List: n})
+	n.pump()
+}
+
+// hosts are those of a build.
+func (f *fleet) hosts(build int) (all []router.Host) {
+	for i := range f.Hosts {
+		name := strconv.Itoa(build) + "-" + strconv.Itoa(i)
+		all = append(all, router.Host{Name: name, Address: name, Health: rules.Ready, Build: build, Size: 1, Started: int64(build-1) * onTrial})
+	}
+	return all
+}
+
+func (f *fleet) news() rules.News {
+	if f.stage < 0 {
+		return rules.News{Build: 1, Standing: rules.Released, Cap: 1, Age: 60e9}
+	}
+	return rules.News{Build: 2, Stage: f.stage, Cap: 0.3, Age: f.now - f.since}
+}
+
+// move brings the build to a stage, and all routers hear of it.
+func (f *fleet) move(stage int) {
+	if f.stage, f.since = stage, f.now; stage > 0 {
+		f.result.Stages = append(f.result.Stages, float64(f.now)/1e9)
+	}
+	clear(f.stands)
+	for _, n := range f.nodes {
+		n.tell(3e8, router.News{News: f.news()})
+	}
+}
+
+// tell posts an event after a while, if the router is still there.
+func (n *lone) tell(after int64, e router.Event) {
+	n.after(after, func() {
+		if !n.gone {
+			n.router.Post(e)
+			n.pump()
+		}
+	})
+}
+
+func (n *lone) pump() {
+	for n.router.Step() {
+	}
+	if due := n.router.Due(); due != 0 && (n.wakeAt == 0 || n.wakeAt > due || n.wakeAt <= n.now) {
+		n.wakeAt = due
+		n.after(due-n.now, func() {
+			if !n.gone {
+				n.pump()
+			}
+		})
+	}
+}
+
+// Watch is a call to discovery, which takes calls in turn, turns away those that would wait for too long, and serves
+// those that have waited for longer than its patience to nobody.
+func (n *lone) Watch(bool) {
+	n.result.Asked++
+	if n.free = max(n.free, n.now); n.free-n.now > longestLine {
+		n.result.Refused++
+		n.tell(5e6, router.List{Form: rules.CallFailed})
+		return
+	}
+	if n.free += n.takes; n.free-n.now > patience {
+		n.result.Late++
+		n.tell(patience, router.List{Form: rules.CallFailed})
+		return
+	}
+	n.tell(n.free-n.now, router.List{Form: rules.Changes, Hosts: n.hosts(1)})
+	n.after(n.free-n.now, func() {
+		n.listed = !n.gone
+		for _, other := range n.nodes {
+			if !other.listed {
+				return
+			}
+		}
+		if n.result.Listed < 0 {
+			n.result.Listed = float64(n.now) / 1e9
+		} else if n.now > killAt {
+			n.result.ListedAgain = float64(n.now-killAt) / 1e9
+		}
+	})
+}
+
+// Vote is a call to the platform.
+func (n *lone) Vote(v rules.Verdict, build, stage int) {
+	n.result.Votes++
+	if v == rules.NoVote {
+		n.result.TakenOff++
+	}
+	n.bucket = min(2*n.Calls, n.bucket+n.Calls*float64(n.now-n.filled)/1e9)
+	n.filled = n.now
+	reply := rules.News{Reply: true, Ending: rules.CallsFull}
+	if n.bucket >= 1 {
+		n.bucket--
+		if reply = n.news(); v == rules.NoVote {
+			n.stands[n.rank] = 0
+		} else if v == rules.On && stage == n.stage {
+			n.stands[n.rank] = n.now + 4e9
+		}
+		reply.Reply = true
+	} else {
+		n.result.Full++
+	}
+	n.tell(1e8, router.News{News: reply})
+	standing := 0
+	for _, until := range n.stands {
+		if until > n.now {
+			standing++
+		}
+	}
+	if n.stage >= 0 && standing >= n.Need && n.now-n.since > dwell {
+		n.move(n.stage + 1)
+	}
+}
+
+// Tell carries a message to a router that is there.
+func (n *lone) Tell(peer int, message []byte) {
+	n.nodes[peer].tell(5e6, router.Heard{Peer: n.rank, Message: message})
+}
+
+func (n *lone) Close(string)  {}
+func (n *lone) Forget(string) {}
+
+func (n *lone) HandOff(string, *router.Request, time.Duration, func(router.Outcome)) router.HandOff {
+	return nil
+}
--- /dev/null
+++ b/internal/lab/fleet_test.go
@@ -0,0 +1,29 @@
+package lab
+
+import "testing"
+
+// A whole fleet starts at once, and later seven in ten of it again, before a discovery that can just take one call of
+// each router in 8 s, or only in 14, and a platform that can just take the votes that it needs. Routers that asked again after a second on
+// average never had their list (80 of them: 70 calls a second, all too late); those that took back votes on a stage that
+// had passed had the next ones turned away.
+func TestFleetsStart(t *testing.T) {
+	for _, x := range []Fleet{
+		{Routers: 3, Hosts: 10, Serves: 8, Calls: 16, Need: 2, Killed: 0.7},
+		{Routers: 80, Hosts: 60, Serves: 8, Calls: 16, Need: 32, Killed: 0.7},
+		{Routers: 300, Hosts: 150, Serves: 8, Calls: 48, Need: 120, Killed: 0.7},
+		{Routers: 80, Hosts: 60, Serves: 14, Calls: 16, Need: 32},
+		{Routers: 300, Hosts: 150, Serves: 14, Calls: 48, Need: 120},
+	} {
+		for x.Seed = 1; x.Seed <= 2 && (x.Seed == 1 || x.Routers < 300); x.Seed++ { // hundreds take seconds
+			r := EmulateFleet(x)
+			if r.Listed < 0 || r.Listed > 6*x.Serves || x.Killed > 0 && (r.ListedAgain < 0 || r.ListedAgain > 20) || r.Asked > 6*x.Routers {
+				t.Errorf("%d routers, seed %d: lists after %.1f and %.1f s, %d calls, %d late, %d refused", x.Routers, x.Seed,
+					r.Listed, r.ListedAgain, r.Asked, r.Late, r.Refused)
+			}
+			if r.TakenOff > 0 || len(r.Stages) < 2 || r.Stages[0] > 12 {
+				t.Errorf("%d routers, seed %d: stages %v, %d votes, %d turned away, %d taken back", x.Routers, x.Seed,
+					r.Stages, r.Votes, r.Full, r.TakenOff)
+			}
+		}
+	}
+}
