--- a/rules/rules.go
+++ b/rules/rules.go
@@ -89,8 +89,8 @@
 
 const retryVote = second / 4 // short beside a stage, and the voters' calls stay far below what platforms take
 
-// settleVote casts the wanted vote where another or none stands, and renews it. One for moving on a bygone stage
-// moves nothing: the platform takes few calls of all routers, and the next votes need them.
+// settleVote casts the wanted vote where another or none stands, and renews it. One for moving on a bygone
+// stage moves nothing: the platform takes few calls of all routers, and the next votes need them.
 func (d *decider) settleVote() {
 	bygone := d.cast.build != d.news.Build || d.cast.stage != d.news.Stage && d.cast.verdict == On
 	stands := d.cast.verdict != NoVote && d.now-d.castAt < d.set.VoteLife && !bygone
@@ -203,7 +203,8 @@
 			}
 		}
 	}
-	need := max(pace.Fewest, d.mine[answers]*float64(second/tickLen)) // a router that needs few hosts uses a part
+	// a router that needs few hosts uses a part of them
+	need := max(pace.Fewest, d.mine[answers]*float64(second/tickLen))
 	for side, all := range ready {
 		d.reach[side] = d.reach[side][:0]
 		n := min(pace.Every(len(d.fleet), need), pace.Every(len(all), 0))
@@ -541,8 +542,8 @@
 	return d.even[k].bad / d.even[k].n, math.Sqrt(d.spread[k]/n*some + float64(k)*0.0036/d.warm)
 }
 
-// quicker is how much quicker the trial's hosts surely are than the earlier ones, by what all routers measured, 1 for
-// not: earlier hosts may fail or turn slow too, and the good ones then stand by idle.
+// quicker is how much quicker the trial's hosts surely are than the earlier ones, by what all routers measured;
+// 1 for not. Earlier hosts may fail or turn slow too, and the good ones then stand by idle.
 func (d *decider) quicker() float64 {
 	n := max(0.1, d.fresh.n*d.company)                      // of the last second; each varies by about its mean
 	took := func(m mean) float64 { return 1 + 4*m.share() } // over the expected, as weigh counts it, 4 at most
