--- a/rules/rules.go
+++ b/rules/rules.go
@@ -542,8 +542,8 @@
 	return d.even[k].bad / d.even[k].n, math.Sqrt(d.spread[k]/n*some + float64(k)*0.0036/d.warm)
 }
 
-// quicker is how much quicker the trial's hosts surely are than the earlier ones, by what all routers measured;
-// 1 for not. Earlier hosts may fail or turn slow too, and the good ones then stand by idle.
+// quicker is how much quicker the trial's hosts surely are than the earlier ones, by what all routers
+// measured; 1 for not. Earlier hosts may fail or turn slow too, and the good ones then stand by idle.
 func (d *decider) quicker() float64 {
 	n := max(0.1, d.fresh.n*d.company)                      // of the last second; each varies by about its mean
 	took := func(m mean) float64 { return 1 + 4*m.share() } // over the expected, as weigh counts it, 4 at most
