--- a/cmd/portflow/flows.go
+++ b/cmd/portflow/flows.go
@@ -14,8 +14,8 @@
 
 	"github.com/spf13/cobra"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/ipfix"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/ipfix"
 )
 
 // flows are the sub-commands for the engineer's desk.
--- a/cmd/portflow/main.go
+++ b/cmd/portflow/main.go
@@ -11,10 +11,10 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"portflow/internal/config"
-	"portflow/internal/node"
-	"portflow/internal/site"
-	"portflow/internal/storm"
+	"portflow/internal/balancer/config"
+	"portflow/internal/balancer/node"
+	"portflow/internal/balancer/site"
+	"portflow/internal/parts/storm"
 )
 
 // version is set at release builds.
--- a/cmd/portflow/main_test.go
+++ b/cmd/portflow/main_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/ipfix"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/ipfix"
 )
 
 // A file of messages is printed, ranked and, where it is cut, refused with the octet.
--- a/cmd/portflow/serve.go
+++ b/cmd/portflow/serve.go
@@ -12,9 +12,9 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/config"
-	"portflow/internal/node"
-	"portflow/internal/site"
+	"portflow/internal/balancer/config"
+	"portflow/internal/balancer/node"
+	"portflow/internal/balancer/site"
 )
 
 // serve runs a router until SIGTERM or an interrupt, and then until what it took is finished. At SIGHUP it loads the
--- a/cmd/portflow/serve_test.go
+++ b/cmd/portflow/serve_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/config"
-	"portflow/internal/site"
+	"portflow/internal/balancer/config"
+	"portflow/internal/balancer/site"
 )
 
 // around is discovery and the platform at one address; asked gets the path of each call.
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -7,7 +7,7 @@
 	"io"
 	"os"
 
-	"portflow/internal/wire"
+	"portflow/internal/balancer/wire"
 	"portflow/rules"
 )
 
--- a/internal/clients/clients.go
+++ b/internal/balancer/clients/clients.go
@@ -17,11 +17,11 @@
 	"sync/atomic"
 	"time"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/export"
-	"portflow/internal/room"
-	"portflow/internal/router"
-	"portflow/internal/settings"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/export"
+	"portflow/internal/balancer/settings"
+	"portflow/internal/parts/room"
+	"portflow/internal/parts/router"
 	"portflow/rules"
 )
 
--- a/internal/clients/clients_test.go
+++ b/internal/balancer/clients/clients_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"portflow/internal/router"
-	"portflow/internal/settings"
+	"portflow/internal/balancer/settings"
+	"portflow/internal/parts/router"
 	"portflow/rules"
 )
 
--- a/internal/clients/conns.go
+++ b/internal/balancer/clients/conns.go
@@ -6,9 +6,9 @@
 	"net"
 	"sync"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/export"
-	"portflow/internal/room"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/export"
+	"portflow/internal/parts/room"
 )
 
 // connections keeps a server's connections within their room; where it is full, one that is of no use is closed for
--- a/internal/config/config.go
+++ b/internal/balancer/config/config.go
@@ -10,10 +10,10 @@
 	"slices"
 	"strconv"
 
-	"portflow/internal/list"
-	"portflow/internal/platform"
-	"portflow/internal/router"
-	"portflow/internal/settings"
+	"portflow/internal/balancer/list"
+	"portflow/internal/balancer/platform"
+	"portflow/internal/balancer/settings"
+	"portflow/internal/parts/router"
 )
 
 // Config is a checked configuration.
--- a/internal/flow/export/export.go
+++ b/internal/balancer/flow/export/export.go
@@ -11,11 +11,11 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/chance"
-	"portflow/internal/flow"
-	"portflow/internal/flow/ipfix"
-	"portflow/internal/flow/netflow9"
-	"portflow/internal/retry"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/ipfix"
+	"portflow/internal/balancer/flow/netflow9"
+	"portflow/internal/parts/chance"
+	"portflow/internal/parts/retry"
 )
 
 // Collector is where records go.
--- a/internal/flow/export/export_test.go
+++ b/internal/balancer/flow/export/export_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/ipfix"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/ipfix"
 	"portflow/internal/standin/collector"
 )
 
--- a/internal/flow/ipfix/decode.go
+++ b/internal/balancer/flow/ipfix/decode.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"net/netip"
 
-	"portflow/internal/flow"
+	"portflow/internal/balancer/flow"
 )
 
 // Bounds of what a decoder keeps for others' templates.
--- a/internal/flow/ipfix/encode.go
+++ b/internal/balancer/flow/ipfix/encode.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 
-	"portflow/internal/flow"
+	"portflow/internal/balancer/flow"
 )
 
 const (
--- a/internal/flow/ipfix/ipfix_test.go
+++ b/internal/balancer/flow/ipfix/ipfix_test.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"testing"
 
-	"portflow/internal/flow"
+	"portflow/internal/balancer/flow"
 )
 
 func records() []flow.Record {
--- a/internal/flow/netflow9/netflow9.go
+++ b/internal/balancer/flow/netflow9/netflow9.go
@@ -10,8 +10,8 @@
 	"fmt"
 	"net/netip"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/ipfix"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/ipfix"
 )
 
 const (
--- a/internal/flow/netflow9/netflow9_test.go
+++ b/internal/balancer/flow/netflow9/netflow9_test.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"testing"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/ipfix"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/ipfix"
 )
 
 const now = int64(1_790_000_000e9)
--- a/internal/list/list.go
+++ b/internal/balancer/list/list.go
@@ -15,10 +15,10 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/address"
-	"portflow/internal/retry"
-	"portflow/internal/router"
-	"portflow/internal/settings"
+	"portflow/internal/balancer/settings"
+	"portflow/internal/parts/address"
+	"portflow/internal/parts/retry"
+	"portflow/internal/parts/router"
 	"portflow/rules"
 )
 
--- a/internal/list/list_test.go
+++ b/internal/balancer/list/list_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/router"
-	"portflow/internal/settings"
+	"portflow/internal/balancer/settings"
+	"portflow/internal/parts/router"
 	"portflow/rules"
 )
 
--- a/internal/node/node_test.go
+++ b/internal/balancer/node/node_test.go
@@ -12,12 +12,12 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/config"
-	"portflow/internal/flow"
-	"portflow/internal/list"
-	"portflow/internal/router"
-	"portflow/internal/settings"
-	"portflow/internal/site"
+	"portflow/internal/balancer/config"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/list"
+	"portflow/internal/balancer/settings"
+	"portflow/internal/balancer/site"
+	"portflow/internal/parts/router"
 	"portflow/internal/standin"
 	"portflow/internal/standin/collector"
 	"portflow/internal/standin/servers"
--- a/internal/peers/peers.go
+++ b/internal/balancer/peers/peers.go
@@ -12,8 +12,8 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/retry"
-	"portflow/internal/router"
+	"portflow/internal/parts/retry"
+	"portflow/internal/parts/router"
 )
 
 const longest = 256 // bytes of a datagram
--- a/internal/peers/peers_test.go
+++ b/internal/balancer/peers/peers_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/router"
+	"portflow/internal/parts/router"
 )
 
 func TestHeard(t *testing.T) {
--- a/internal/platform/platform.go
+++ b/internal/balancer/platform/platform.go
@@ -16,9 +16,9 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/address"
-	"portflow/internal/retry"
-	"portflow/internal/router"
+	"portflow/internal/parts/address"
+	"portflow/internal/parts/retry"
+	"portflow/internal/parts/router"
 	"portflow/rules"
 )
 
--- a/internal/platform/watch.go
+++ b/internal/balancer/platform/watch.go
@@ -10,7 +10,7 @@
 	"net/http/httptrace"
 	"time"
 
-	"portflow/internal/router"
+	"portflow/internal/parts/router"
 )
 
 const (
--- a/internal/site/site.go
+++ b/internal/balancer/site/site.go
@@ -25,8 +25,8 @@
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 
-	"portflow/internal/flow/ipfix"
-	"portflow/internal/storm"
+	"portflow/internal/balancer/flow/ipfix"
+	"portflow/internal/parts/storm"
 )
 
 // Site is a checked operator's file. A part that is nil is off.
--- a/internal/site/site_test.go
+++ b/internal/balancer/site/site_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"portflow/internal/storm"
+	"portflow/internal/parts/storm"
 )
 
 // What is wrong in a file is named with the file, the line and the field; what is right counts, and the rest is off.
--- a/internal/wire/frame.go
+++ b/internal/balancer/wire/frame.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"portflow/internal/settings"
+	"portflow/internal/balancer/settings"
 	"portflow/rules"
 )
 
--- a/internal/lab/baselines.go
+++ b/internal/lab/baselines.go
@@ -1,9 +1,9 @@
 package lab
 
 import (
-	"portflow/internal/chance"
-	"portflow/internal/router"
-	"portflow/internal/storm"
+	"portflow/internal/parts/chance"
+	"portflow/internal/parts/router"
+	"portflow/internal/parts/storm"
 )
 
 type guard = router.Guard
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -7,10 +7,10 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/chance"
-	"portflow/internal/router"
+	"portflow/internal/parts/chance"
+	"portflow/internal/parts/router"
+	"portflow/internal/parts/storm"
 	"portflow/internal/standin"
-	"portflow/internal/storm"
 	"portflow/rules"
 )
 
--- a/internal/lab/events.go
+++ b/internal/lab/events.go
@@ -5,7 +5,7 @@
 import (
 	"container/heap"
 
-	"portflow/internal/router"
+	"portflow/internal/parts/router"
 )
 
 type event struct {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -6,7 +6,7 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/router"
+	"portflow/internal/parts/router"
 	"portflow/internal/standin"
 	"portflow/rules"
 )
--- a/internal/lab/flows.go
+++ b/internal/lab/flows.go
@@ -14,11 +14,11 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/export"
-	"portflow/internal/flow/ipfix"
-	"portflow/internal/node"
-	"portflow/internal/router"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/export"
+	"portflow/internal/balancer/flow/ipfix"
+	"portflow/internal/balancer/node"
+	"portflow/internal/parts/router"
 	"portflow/internal/standin"
 	"portflow/internal/standin/collector"
 	"portflow/internal/standin/servers"
--- a/internal/lab/sockets.go
+++ b/internal/lab/sockets.go
@@ -15,15 +15,15 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/chance"
-	"portflow/internal/config"
-	"portflow/internal/list"
-	"portflow/internal/node"
-	"portflow/internal/router"
-	"portflow/internal/settings"
+	"portflow/internal/balancer/config"
+	"portflow/internal/balancer/list"
+	"portflow/internal/balancer/node"
+	"portflow/internal/balancer/settings"
+	"portflow/internal/parts/chance"
+	"portflow/internal/parts/router"
+	"portflow/internal/parts/storm"
 	"portflow/internal/standin"
 	"portflow/internal/standin/servers"
-	"portflow/internal/storm"
 	"portflow/rules"
 )
 
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"portflow/internal/chance"
+	"portflow/internal/parts/chance"
+	"portflow/internal/parts/storm"
 	"portflow/internal/standin"
-	"portflow/internal/storm"
 	"portflow/rules"
 )
 
--- a/internal/lab/storm_test.go
+++ b/internal/lab/storm_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"portflow/internal/chance"
+	"portflow/internal/parts/chance"
 )
 
 // The hard cases of a retry storm, each in virtual time: returning hosts get no more than the ceiling, service is back
--- a/internal/hosts/conn.go
+++ b/internal/parts/hosts/conn.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/export"
-	"portflow/internal/room"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/export"
+	"portflow/internal/parts/room"
 )
 
 var (
--- a/internal/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -19,10 +19,10 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/export"
-	"portflow/internal/room"
-	"portflow/internal/router"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/export"
+	"portflow/internal/parts/room"
+	"portflow/internal/parts/router"
 	"portflow/rules"
 )
 
--- a/internal/hosts/hosts_test.go
+++ b/internal/parts/hosts/hosts_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/router"
+	"portflow/internal/parts/router"
 	"portflow/rules"
 )
 
--- a/internal/pace/pace_test.go
+++ b/internal/parts/pace/pace_test.go
@@ -4,7 +4,7 @@
 	"slices"
 	"testing"
 
-	"portflow/internal/chance"
+	"portflow/internal/parts/chance"
 	"portflow/internal/standin"
 )
 
--- a/internal/retry/retry.go
+++ b/internal/parts/retry/retry.go
@@ -5,7 +5,7 @@
 	"context"
 	"time"
 
-	"portflow/internal/chance"
+	"portflow/internal/parts/chance"
 )
 
 const (
--- a/internal/retry/retry_test.go
+++ b/internal/parts/retry/retry_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"portflow/internal/chance"
+	"portflow/internal/parts/chance"
 )
 
 // Three hundred routers that lost a peer in the same moment once asked it again all at once, time after time. They come
--- a/internal/router/events.go
+++ b/internal/parts/router/events.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"portflow/internal/storm"
+	"portflow/internal/parts/storm"
 	"portflow/rules"
 )
 
--- a/internal/router/router.go
+++ b/internal/parts/router/router.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/storm"
+	"portflow/internal/parts/storm"
 	"portflow/rules"
 )
 
--- a/internal/router/router_test.go
+++ b/internal/parts/router/router_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/rs/zerolog"
 
-	"portflow/internal/storm"
+	"portflow/internal/parts/storm"
 	"portflow/rules"
 )
 
--- a/internal/storm/guard.go
+++ b/internal/parts/storm/guard.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"portflow/internal/chance"
+	"portflow/internal/parts/chance"
 )
 
 // Try is one command as a guard sees it. Its maker keeps it until the final answer.
--- a/internal/standin/collector/collector.go
+++ b/internal/standin/collector/collector.go
@@ -8,9 +8,9 @@
 	"net"
 	"sync"
 
-	"portflow/internal/flow"
-	"portflow/internal/flow/ipfix"
-	"portflow/internal/flow/netflow9"
+	"portflow/internal/balancer/flow"
+	"portflow/internal/balancer/flow/ipfix"
+	"portflow/internal/balancer/flow/netflow9"
 )
 
 // Collector adds up records, by the label that they carry.
--- a/rules/state.go
+++ b/rules/state.go
@@ -5,8 +5,8 @@
 	"math"
 	"slices"
 
-	"portflow/internal/chance"
-	"portflow/internal/due"
+	"portflow/internal/parts/chance"
+	"portflow/internal/parts/due"
 )
 
 type host struct {
