The connection pool and the reducer know no protocol: one exchange, one counter hook

What is said to hosts is hosts.Protocol (internal/balancer/speech for the present router), flow accounting comes in by one hook wired in node, hand-offs name their host.

--- a/internal/balancer/node/node.go
+++ b/internal/balancer/node/node.go
@@ -21,6 +21,7 @@
 	"portflow/internal/balancer/platform"
 	"portflow/internal/balancer/settings"
 	"portflow/internal/balancer/site"
+	"portflow/internal/balancer/speech"
 	"portflow/internal/parts/hosts"
 	"portflow/internal/parts/pace"
 	"portflow/internal/parts/router"
@@ -82,12 +83,18 @@
 	// Hosts may have half of the descriptors and clients the other. What waits for a host waits here: a command that
 	// is refused, or has its connection closed, comes again and costs more.
 	half := (c.Sockets - own) / 2
+	connects := time.Duration(c.Settings.ConnectIn)
+	// hosts write an answer at once: one that takes longer than a connection to come up never ends
+	options := hosts.Options{Protocol: speech.Speech{Report: c.Settings.ReportFields}, ConnectIn: connects, RestIn: connects,
+		IdleIn: time.Duration(c.Settings.IdleIn), Most: half, Panicked: func(v any, stack []byte) {
+			log.Error().Interface("panic", v).Bytes("stack", stack).Msg("hand-off")
+		}}
 	var meter *export.Meter
 	if flows != nil {
 		meter = flows.Meter
+		options.Watch = watch(meter)
 	}
-	pool := hosts.New(hosts.Options{Meter: meter, ConnectIn: time.Duration(c.Settings.ConnectIn),
-		IdleIn: time.Duration(c.Settings.IdleIn), Most: half, Report: c.Settings.ReportFields}, log)
+	pool := hosts.New(options)
 	n.watch = list.New(c.Discovery, c.Settings, log, r.Post)
 	n.watch.Known(c.Known.Revision)
 	n.watch.Seed(c.Seed)
@@ -199,3 +206,19 @@
 	}
 	return stated
 }
+
+// counter accounts for what passes on a connection to a host.
+type counter struct{ *export.Conn }
+
+func watch(m *export.Meter) hosts.Watch {
+	return func(to string, local, remote net.Addr) hosts.Counter {
+		return counter{m.Open(flow.Label{Side: flow.Hosts, Host: to}, export.Address(local), export.Address(remote))}
+	}
+}
+
+func (c counter) Sent(to router.Host, r *router.Request) {
+	c.Answered()
+	c.Command(flow.Label{Side: flow.Hosts, Carrier: uint16(r.Carrier + 1), Band: uint8(r.Band + 1), Host: to.Address}, 0)
+}
+
+func (c counter) Closed() { c.Close(false) }
--- /dev/null
+++ b/internal/balancer/speech/speech.go
@@ -0,0 +1,83 @@
+// Package speech is what the present router says to hosts: commands, their answers and load reports. The connections are
+// those of internal/parts/hosts.
+package speech
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"portflow/internal/parts/router"
+	"portflow/rules"
+)
+
+// Speech is the protocol. Report names the values of load reports, none where there are none.
+type Speech struct{ Report []string }
+
+// Answer reads an answer whole.
+func (p Speech) Answer(_ *router.Request, resp *http.Response) (router.Outcome, error) {
+	body, err := router.ReadBody(resp.Body, resp.ContentLength)
+	if err != nil {
+		return router.Outcome{}, err
+	}
+	o := router.Outcome{Ending: rules.Failed, Report: p.report(resp.Header.Get("Endpoint-Load-Metrics"))}
+	switch code := resp.StatusCode; {
+	case code == http.StatusOK:
+		o.Ending, o.Body = rules.Fulfilled, body
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Never-Ran") == "1":
+		o.Ending = rules.TurnedAway
+	}
+	return o, nil
+}
+
+// Request is the command on the wire. http.Transport sends again by itself what has a body that it can have anew,
+// and an empty one counts as such: a body that can't be rewound stops that.
+func (Speech) Request(to router.Host, r *router.Request, left time.Duration) *http.Request {
+	req := &http.Request{Method: r.Method, URL: &url.URL{Scheme: "http", Host: to.Address, Opaque: r.Target}, Host: to.Address,
+		Header: http.Header{"X-Trace-Id": {r.Trace}, "User-Agent": nil,
+			"X-Expires-In": {strconv.FormatInt(max(0, left.Milliseconds()), 10) + "m"}},
+		Body: io.NopCloser(bytes.NewReader(r.Body)), ContentLength: int64(len(r.Body))}
+	if r.Mark != "" {
+		req.Header["idempotency-key"] = []string{r.Mark} // in this spelling it is no leave to send again
+	}
+	if len(r.Body) == 0 && r.Method != http.MethodGet {
+		req.Body = http.NoBody // else it would go out in chunks
+	}
+	return req
+}
+
+// names are other names of a report's values, as hosts write them.
+var names = map[string]string{"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
+	"tps": "qps", "err_ps": "eps"}
+
+// report reads a load report, "TEXT name=value, name=value"; one that lacks a value says nothing.
+func (p Speech) report(text string) []float64 {
+	text, ok := strings.CutPrefix(text, "TEXT ")
+	if !ok || len(p.Report) == 0 {
+		return nil
+	}
+	values := map[string]float64{}
+	for _, field := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			values[name] = v
+		}
+	}
+	var all []float64
+	for _, name := range p.Report {
+		v, ok := values[name]
+		if !ok {
+			v, ok = values[names[name]]
+		}
+		if !ok {
+			return nil
+		}
+		all = append(all, v)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/balancer/speech/speech_test.go
@@ -0,0 +1,13 @@
+package speech
+
+import "testing"
+
+func FuzzReport(f *testing.F) {
+	f.Add("TEXT queue=3, latency_ms=1.5")
+	f.Add("TEXT queue=,,=")
+	f.Fuzz(func(t *testing.T, text string) {
+		if got := (Speech{Report: []string{"depth", "mean_ms"}}).report(text); got != nil && len(got) != 2 {
+			t.Error(got)
+		}
+	})
+}
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -298,7 +298,7 @@
 	}
 }
 
-func (n *emulated) HandOff(address string, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
+func (n *emulated) HandOff(to router.Host, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
 	s := &sending{node: n, done: done}
 	t := n.tries[r.Trace]
 	n.after(int64(left), func() { s.ended(router.Outcome{Ending: rules.TimedOut}) })
@@ -306,7 +306,7 @@
 		if s.over {
 			return
 		}
-		i, err := strconv.Atoi(address[min(1, len(address)):])
+		i, err := strconv.Atoi(to.Address[min(1, len(to.Address)):])
 		if err != nil || i >= len(n.hosts) || !n.hosts[i].Up {
 			s.ended(router.Outcome{Ending: rules.NoConnect})
 			return
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -187,6 +187,6 @@
 func (n *lone) Close(string)  {}
 func (n *lone) Forget(string) {}
 
-func (n *lone) HandOff(string, *router.Request, time.Duration, func(router.Outcome)) router.HandOff {
+func (n *lone) HandOff(router.Host, *router.Request, time.Duration, func(router.Outcome)) router.HandOff {
 	return nil
 }
--- a/internal/parts/hosts/conn.go
+++ b/internal/parts/hosts/conn.go
@@ -12,8 +12,6 @@
 	"syscall"
 	"time"
 
-	"portflow/internal/balancer/flow"
-	"portflow/internal/balancer/flow/export"
 	"portflow/internal/parts/room"
 )
 
@@ -29,8 +27,9 @@
 type conn struct {
 	net.Conn
 	raw     syscall.RawConn
+	pending Pending // in place of raw, where the connection is not the machine's
 	place   *room.Place
-	flow    *export.Conn
+	flow    Counter
 	opened  time.Time
 	handOff atomic.Pointer[handOff]
 
@@ -41,22 +40,35 @@
 	writer  *handOff // that was written last
 }
 
-func newConn(c net.Conn, place *room.Place, m *export.Meter, to string) (*conn, error) {
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return nil, err
-	}
-	v := &conn{Conn: c, raw: raw, place: place, opened: time.Now()}
+func newConn(c net.Conn, place *room.Place, w Watch, to string) (*conn, error) {
+	v := &conn{Conn: c, place: place, opened: time.Now(), flow: w(to, c.LocalAddr(), c.RemoteAddr())}
 	v.turn.L = &v.mu
-	v.flow = m.Open(flow.Label{Side: flow.Hosts, Host: to}, export.Address(c.LocalAddr()), export.Address(c.RemoteAddr()))
+	if s, ok := c.(syscall.Conn); ok {
+		raw, err := s.SyscallConn()
+		if err != nil {
+			return nil, err
+		}
+		v.raw = raw
+	} else if v.pending, ok = c.(Pending); !ok {
+		return nil, errors.New("a connection that can't tell whether bytes wait on it")
+	}
 	return v, nil
 }
 
+// Pending is a connection that isn't the machine's own, as of tests in memory: it tells whether bytes, or its end, wait
+// to be read.
+type Pending interface{ Pending() bool }
+
 // Read reads under the lock, so that nothing can come between a look for bytes and a write.
 func (c *conn) Read(b []byte) (n int, err error) {
 	if len(b) == 0 {
 		return 0, nil
 	}
+	if c.raw == nil {
+		n, err := c.Conn.Read(b)
+		c.flow.In(n)
+		return n, err
+	}
 	waited := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -102,6 +114,10 @@
 	if c.writer == h {
 		return true
 	}
+	if c.raw == nil {
+		c.writer = h
+		return !c.closed && !c.pending.Pending()
+	}
 	for !c.drained && !c.closed {
 		c.turn.Wait()
 	}
@@ -132,7 +148,7 @@
 	c.turn.Broadcast()
 	c.mu.Unlock()
 	defer c.place.Leave()
-	defer c.flow.Close(false)
+	defer c.flow.Closed()
 	return c.Conn.Close()
 }
 
@@ -185,12 +201,12 @@
 func (h *host) open(ctx context.Context, place *room.Place) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.pool.ConnectIn)
 	defer cancel()
-	raw, err := h.pool.dialer.DialContext(ctx, "tcp", h.address)
+	raw, err := h.pool.Dial(ctx, "tcp", h.address)
 	if err != nil {
 		place.Leave()
 		return nil, err
 	}
-	c, err := newConn(raw, place, h.pool.Meter, h.address)
+	c, err := newConn(raw, place, h.pool.Watch, h.address)
 	if err != nil {
 		raw.Close()
 		place.Leave()
--- a/internal/parts/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -2,25 +2,16 @@
 package hosts
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"runtime/debug"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"portflow/internal/balancer/flow"
-	"portflow/internal/balancer/flow/export"
 	"portflow/internal/parts/room"
 	"portflow/internal/parts/router"
 	"portflow/rules"
@@ -30,31 +21,70 @@
 
 // Options say what a Pool may do.
 type Options struct {
+	Protocol  Protocol      // what is said on a connection
 	ConnectIn time.Duration // a hand-off that has no connection by then never gets one
+	RestIn    time.Duration // and no more than this between its answer's first byte and the end, 0 for any
 	IdleIn    time.Duration // hosts close connections that stand idle for so long
 	Most      int           // connections at once
-	Meter     *export.Meter // counts what passes, nil for nothing
-	Report    []string      // the values of load reports, none where there are none
+	Dial      Dial          // opens a connection, nil for the machine's own TCP
+	Watch     Watch         // counts what passes on a connection, nil for nothing
+	Panicked  func(v any, stack []byte)
+}
+
+// Protocol is what hosts are sent and what they answer; the pool knows only connections, and how far a hand-off came.
+type Protocol interface {
+	// Request is the request to a host that has so long. A body that http.Transport could have anew would be sent again
+	// by it without anybody's asking.
+	Request(to router.Host, r *router.Request, left time.Duration) *http.Request
+	// Answer reads the answer whole; an error says that what came is none.
+	Answer(r *router.Request, resp *http.Response) (router.Outcome, error)
+}
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Watch is told of a new connection to a host; what it returns is told what passes on it.
+type Watch func(to string, local, remote net.Addr) Counter
+
+// Counter counts what passes on one connection.
+type Counter interface {
+	In(n int)
+	Out(n int)
+	Sent(to router.Host, r *router.Request) // a hand-off has the connection from now on
+	Closed()
 }
 
+type uncounted struct{}
+
+func (uncounted) In(int)                            {}
+func (uncounted) Out(int)                           {}
+func (uncounted) Sent(router.Host, *router.Request) {}
+func (uncounted) Closed()                           {}
+
 // Pool holds the connections to all hosts.
 type Pool struct {
 	Options
-	log    zerolog.Logger
-	dialer net.Dialer
-	room   *room.Room
-	work   chan func() // for goroutines that are idle
-	idle   atomic.Int32
-	mu     sync.Mutex
-	hosts  map[string]*host // by address, so that one host's connections can be closed
+	room  *room.Room
+	work  chan func() // for goroutines that are idle
+	idle  atomic.Int32
+	mu    sync.Mutex
+	hosts map[string]*host // by address, so that one host's connections can be closed
 }
 
 // New makes an empty pool.
-func New(o Options, log zerolog.Logger) *Pool {
-	p := &Pool{Options: o, log: log, room: room.New(o.Most, o.Most), work: make(chan func()),
-		hosts: map[string]*host{}}
-	p.dialer.KeepAlive = -1 // silent hosts are found by hand-offs' time-outs
-	p.dialer.SetMultipathTCP(false)
+func New(o Options) *Pool {
+	p := &Pool{Options: o, room: room.New(o.Most, o.Most), work: make(chan func()), hosts: map[string]*host{}}
+	if p.Dial == nil {
+		dialer := net.Dialer{KeepAlive: -1} // silent hosts are found by hand-offs' time-outs
+		dialer.SetMultipathTCP(false)
+		p.Dial = dialer.DialContext
+	}
+	if p.Watch == nil {
+		p.Watch = func(string, net.Addr, net.Addr) Counter { return uncounted{} }
+	}
+	if p.Panicked == nil {
+		p.Panicked = func(any, []byte) {}
+	}
 	return p
 }
 
@@ -149,7 +179,7 @@
 }
 
 // HandOff starts one; done is called with its outcome, once its connection is free again or closed.
-func (p *Pool) HandOff(address string, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
+func (p *Pool) HandOff(to router.Host, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	h := &handOff{cancel: cancel, began: time.Now()}
 	p.do(func() {
@@ -157,7 +187,7 @@
 		var o router.Outcome
 		defer func() {
 			if v := recover(); v != nil {
-				p.log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Msg("hand-off")
+				p.Panicked(v, debug.Stack())
 				o = router.Outcome{Ending: rules.Reset}
 			}
 			done(o)
@@ -171,7 +201,7 @@
 		defer h.soon.Stop()
 		over := time.AfterFunc(left, func() { cancel(errTime) })
 		defer over.Stop()
-		o = p.send(ctx, h, address, r, left)
+		o = p.send(ctx, h, to, r, left)
 	})
 	return h
 }
@@ -196,10 +226,10 @@
 
 // send hands off on a connection that turns out to be fit for it. One that was open before and of which nothing could
 // be used leaves the hand-off as it was: it goes on to another.
-func (p *Pool) send(ctx context.Context, h *handOff, address string, r *router.Request, left time.Duration) router.Outcome {
+func (p *Pool) send(ctx context.Context, h *handOff, to router.Host, r *router.Request, left time.Duration) router.Outcome {
 	for {
 		h.conn.Store(nil)
-		o := p.try(ctx, h, address, r, left)
+		o := p.try(ctx, h, to, r, left)
 		c := h.conn.Load()
 		if c == nil || h.stands.Load() == writing {
 			return o
@@ -211,26 +241,29 @@
 	}
 }
 
-func (p *Pool) try(ctx context.Context, h *handOff, address string, r *router.Request, left time.Duration) router.Outcome {
+func (p *Pool) try(ctx context.Context, h *handOff, host router.Host, r *router.Request, left time.Duration) router.Outcome {
 	wants, has := context.WithCancel(context.WithValue(ctx, key{}, h)) // until it has a connection
 	defer has()
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			c := i.Conn.(*conn)
 			c.place.Set(room.Busy)
-			c.flow.Answered()
-			c.flow.Command(flow.Label{Side: flow.Hosts, Carrier: uint16(r.Carrier + 1), Band: uint8(r.Band + 1), Host: address}, 0)
+			c.flow.Sent(host, r)
 			c.handOff.Store(h)
 			h.conn.Store(c)
 			has()
 		},
 		// hosts write an answer at once: one that takes longer than a connection to come up never ends
 		GotFirstResponseByte: func() {
-			h.soon.Reset(p.ConnectIn)
+			if p.RestIn > 0 {
+				h.soon.Reset(p.RestIn)
+			} else {
+				h.soon.Stop()
+			}
 			h.begun.Store(true)
 		},
 	}
-	to := p.host(address)
+	to := p.host(host.Address)
 	defer func() {
 		if c := h.conn.Load(); c != nil {
 			c.rest(h)
@@ -240,23 +273,15 @@
 		}
 	}()
 	ctx = httptrace.WithClientTrace(context.WithValue(ctx, key{}, wants), trace)
-	resp, err := to.transport.RoundTrip(request(ctx, address, r, left))
+	resp, err := to.transport.RoundTrip(p.Protocol.Request(host, r, left).WithContext(ctx))
 	if err != nil {
 		return router.Outcome{Ending: h.broken(ctx, err)}
 	}
 	defer resp.Body.Close()
-	body, err := router.ReadBody(resp.Body, resp.ContentLength)
+	o, err := p.Protocol.Answer(r, resp)
 	if err != nil {
 		return router.Outcome{Ending: h.broken(ctx, err)}
 	}
-	o := router.Outcome{Ending: rules.Failed, Report: p.report(resp.Header.Get("Endpoint-Load-Metrics"))}
-	switch code := resp.StatusCode; {
-	case code == http.StatusOK:
-		o.Ending, o.Body = rules.Fulfilled, body
-	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Never-Ran") == "1":
-		o.Ending = rules.TurnedAway
-	}
 	return o
 }
 
@@ -285,50 +310,3 @@
 	}
 	return rules.Recalled
 }
-
-// request is the command on the wire. http.Transport sends again by itself what has a body that it can have anew,
-// and an empty one counts as such: a body that can't be rewound stops that.
-func request(ctx context.Context, address string, r *router.Request, left time.Duration) *http.Request {
-	req := &http.Request{Method: r.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: r.Target}, Host: address,
-		Header: http.Header{"X-Trace-Id": {r.Trace}, "User-Agent": nil,
-			"X-Expires-In": {strconv.FormatInt(max(0, left.Milliseconds()), 10) + "m"}},
-		Body: io.NopCloser(bytes.NewReader(r.Body)), ContentLength: int64(len(r.Body))}
-	if r.Mark != "" {
-		req.Header["idempotency-key"] = []string{r.Mark} // in this spelling it is no leave to send again
-	}
-	if len(r.Body) == 0 && r.Method != http.MethodGet {
-		req.Body = http.NoBody // else it would go out in chunks
-	}
-	return req.WithContext(ctx)
-}
-
-// names are other names of a report's values, as hosts write them.
-var names = map[string]string{"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
-	"tps": "qps", "err_ps": "eps"}
-
-// report reads a load report, "TEXT name=value, name=value"; one that lacks a value says nothing.
-func (p *Pool) report(text string) []float64 {
-	text, ok := strings.CutPrefix(text, "TEXT ")
-	if !ok || len(p.Report) == 0 {
-		return nil
-	}
-	values := map[string]float64{}
-	for _, field := range strings.Split(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if v, err := strconv.ParseFloat(value, 64); err == nil {
-			values[name] = v
-		}
-	}
-	var all []float64
-	for _, name := range p.Report {
-		v, ok := values[name]
-		if !ok {
-			v, ok = values[names[name]]
-		}
-		if !ok {
-			return nil
-		}
-		all = append(all, v)
-	}
-	return all
-}
--- a/internal/parts/hosts/hosts_test.go
+++ b/internal/parts/hosts/hosts_test.go
@@ -11,8 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
+	"portflow/internal/balancer/speech"
 	"portflow/internal/parts/router"
 	"portflow/rules"
 )
@@ -58,13 +57,13 @@
 }
 
 func pool(most int) *Pool {
-	return New(Options{ConnectIn: time.Second / 2, IdleIn: never, Most: most, Report: []string{"depth", "mean_ms"}}, zerolog.Nop())
+	return New(Options{Protocol: speech.Speech{Report: []string{"depth", "mean_ms"}}, ConnectIn: time.Second / 2, RestIn: time.Second / 2, IdleIn: never, Most: most})
 }
 
 func start(p *Pool, address string, r router.Request, left time.Duration) (router.HandOff, chan router.Outcome) {
 	done := make(chan router.Outcome, 1)
 	r.Trace = "t"
-	return p.HandOff(address, &r, left, func(o router.Outcome) { done <- o }), done
+	return p.HandOff(router.Host{Address: address}, &r, left, func(o router.Outcome) { done <- o }), done
 }
 
 var get = router.Request{Method: "GET", Target: "/display?obj=7f"}
@@ -121,7 +120,7 @@
 		for n := range 200 {
 			r, done := get, make(chan router.Outcome, 1)
 			r.Trace = fmt.Sprint("id", n)
-			p.HandOff(address, &r, never, func(o router.Outcome) { done <- o })
+			p.HandOff(router.Host{Address: address}, &r, never, func(o router.Outcome) { done <- o })
 			if o := <-done; o.Ending != rules.Fulfilled || string(o.Body) != r.Trace {
 				t.Fatalf("%q: %v %q for %s", behind, o.Ending, o.Body, r.Trace)
 			}
@@ -217,7 +216,7 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	h := &handOff{cancel: func(error) {}}
-	c := &conn{Conn: near, writer: h}
+	c := &conn{flow: uncounted{}, Conn: near, writer: h}
 	c.handOff.Store(h)
 	h.Revoke()
 	if n, err := c.Write([]byte("x")); n != 0 || err != errRevoked {
@@ -273,13 +272,3 @@
 		time.Sleep(time.Millisecond)
 	}
 }
-
-func FuzzReport(f *testing.F) {
-	f.Add("TEXT queue=3, latency_ms=1.5")
-	f.Add("TEXT queue=,,=")
-	f.Fuzz(func(t *testing.T, text string) {
-		if got := pool(1).report(text); got != nil && len(got) != 2 {
-			t.Error(got)
-		}
-	})
-}
--- a/internal/parts/router/events.go
+++ b/internal/parts/router/events.go
@@ -13,13 +13,15 @@
 	Trace, Mark    string // the id of this try, and the reference of a referenced command
 	Body           []byte
 	Band, Carrier  int // by position, for those who count
+	Cargo          any // what the carriers of another protocol need besides
 }
 
 // Answer is the final answer to a command.
 type Answer struct {
-	Kind Kind
-	Body []byte        // of a fulfilled command
-	Wait time.Duration // when a dismissed one may come again
+	Kind  Kind
+	Body  []byte        // of a fulfilled command
+	Wait  time.Duration // when a dismissed one may come again
+	Reply any           // the last hand-off's, where its carrier gave one
 }
 
 // Kind tells the three final answers apart.
@@ -46,8 +48,11 @@
 	CutOff        int64 // on the Clock
 	Again         bool  // its client says that it has asked before
 	Request       *Request
-	Answer        Answers // gets one
+	Answer        Answers         // gets one
+	Most          int             // hand-offs that it may have, 0 for as many as the settings say
+	May           func(Host) bool // whether it may go to a host now, nil for any
 
+	reply    any
 	try      storm.Try
 	id       uint32
 	over     bool
@@ -66,6 +71,7 @@
 	Ending rules.Ending
 	Body   []byte    // of a host's good answer, whole
 	Report []float64 // a load report that came with the answer
+	Reply  any       // what else the carrier has for the command's maker
 }
 
 // Host is a host as the list shows it.
@@ -76,6 +82,7 @@
 	Build            int
 	Size             float64
 	Started          int64 // Unix nanoseconds, 0 for long ago
+	Ring             int   // how far it is, 0 for near
 }
 
 // Event is what the reducer can be told.
--- a/internal/parts/router/router.go
+++ b/internal/parts/router/router.go
@@ -21,7 +21,7 @@
 
 // Hosts carries out hand-offs.
 type Hosts interface {
-	HandOff(address string, r *Request, left time.Duration, done func(Outcome)) HandOff
+	HandOff(to Host, r *Request, left time.Duration, done func(Outcome)) HandOff
 	Close(address string)  // its idle connections
 	Forget(address string) // it takes no further hand-offs
 }
@@ -184,10 +184,19 @@
 	r.lastID++
 	c.id = r.lastID
 	r.commands[c.id] = c
-	r.module.Take(now, rules.Command{ID: c.id, Band: c.Band, Carrier: c.Carrier, Key: c.Key, Left: max(0, c.CutOff-now)})
+	r.module.Take(now, rules.Command{ID: c.id, Band: c.Band, Carrier: c.Carrier, Key: c.Key, Left: max(0, c.CutOff-now),
+		Most: c.Most, May: r.may(c)})
 	r.forget(c)
 }
 
+// may asks the command's maker about a host, where there is one to ask.
+func (r *Router) may(c *Command) func(host uint32) bool {
+	if c.May == nil {
+		return nil
+	}
+	return func(host uint32) bool { return c.May(r.hosts[host]) }
+}
+
 func (e Left) apply(r *Router) {
 	c := e.Command
 	if c.over {
@@ -206,8 +215,9 @@
 	c := e.Command
 	c.out--
 	if e.Outcome.Ending == rules.Fulfilled && !c.over {
-		c.answer(Answer{Kind: Fulfilled, Body: e.Outcome.Body})
+		c.answer(Answer{Kind: Fulfilled, Body: e.Outcome.Body, Reply: e.Outcome.Reply})
 	}
+	c.reply = e.Outcome.Reply
 	now, h := r.clock(), c.handOffs[e.Number]
 	if r.guard != nil {
 		r.guard.Ended(now, &c.try, h.host, signs[e.Outcome.Ending], e.Outcome.Ending == rules.Fulfilled, now-h.at)
@@ -263,7 +273,7 @@
 		}
 		r.hosts[id] = h
 		entries = append(entries, rules.Listed{ID: id, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, Health: h.Health,
-			Build: h.Build, Size: h.Size, Started: h.Started})
+			Build: h.Build, Size: h.Size, Started: h.Started, Ring: h.Ring})
 	}
 	if e.Form == rules.Whole {
 		for name := range r.names {
@@ -315,7 +325,7 @@
 	}
 	c.out++
 	c.handOffs = append(c.handOffs, handOff{at: now, host: host})
-	c.handOffs[number].sent = r.out.Hosts.HandOff(r.hosts[host].Address, c.Request, time.Duration(until-now),
+	c.handOffs[number].sent = r.out.Hosts.HandOff(r.hosts[host], c.Request, time.Duration(until-now),
 		func(o Outcome) { r.Post(Ended{c, number, o}) })
 }
 
@@ -330,7 +340,7 @@
 	if r.guard != nil {
 		r.guard.Unserved(r.clock(), &r.commands[command].try)
 	}
-	r.end(command, Answer{Kind: Scrapped})
+	r.end(command, Answer{Kind: Scrapped, Reply: r.commands[command].reply})
 }
 
 // end may come with any event, and not only with the command's own.
--- a/internal/parts/router/router_test.go
+++ b/internal/parts/router/router_test.go
@@ -41,8 +41,8 @@
 func (s *sending) Recall() { s.recalled = true }
 func (s *sending) Revoke() { s.revoked = true }
 
-func (f *field) HandOff(address string, r *Request, left time.Duration, done func(Outcome)) HandOff {
-	s := &sending{address: address, done: done}
+func (f *field) HandOff(to Host, r *Request, left time.Duration, done func(Outcome)) HandOff {
+	s := &sending{address: to.Address, done: done}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent = append(f.sent, s)
--- a/rules/door.go
+++ b/rules/door.go
@@ -156,8 +156,10 @@
 	Band    int
 	Carrier int
 	Key     uint64
-	Left    int64 // until the client gives up this try
-	Hint    int64 // expected work, 0 for none
+	Left    int64                  // until the client gives up this try
+	Hint    int64                  // expected work, 0 for none
+	Most    int                    // hand-offs that it may have, 0 for as many as the settings say
+	May     func(host uint32) bool // whether it may go to a host now, nil for any
 }
 
 // Listed is a host as the list shows it.
@@ -170,6 +172,7 @@
 	Build   int
 	Size    float64
 	Started int64
+	Ring    int // how far it is from this router: nearer hosts that have room go first
 }
 
 // News is what the platform says about the newest build.
@@ -230,7 +233,7 @@
 		return
 	}
 	b := r.bands[in.Band]
-	c := &command{id: in.ID, band: b, carrier: in.Carrier, key: in.Key, hint: in.Hint, at: now,
+	c := &command{id: in.ID, band: b, carrier: in.Carrier, key: in.Key, hint: in.Hint, at: now, may: in.May, most: cmp.Or(in.Most, r.set.MaxHandOffs),
 		cutOff: now + in.Left, contract: now + b.Contract}
 	r.commands[in.ID] = c
 	r.now = now
@@ -304,7 +307,7 @@
 			r.hosts[e.ID] = h
 		}
 		r.show(h, e)
-		h.zone, h.kind, h.cell, h.health, h.build, h.started = e.Zone, e.Kind, e.Cell, e.Health, e.Build, e.Started
+		h.zone, h.kind, h.cell, h.health, h.build, h.started, h.ring = e.Zone, e.Kind, e.Cell, e.Health, e.Build, e.Started, e.Ring
 		if h.size = e.Size; !(h.size > 1e-3 && h.size < 1e6) { // no size that can be reckoned with
 			h.size = 1
 		}
@@ -342,6 +345,23 @@
 	}
 }
 
+// Numbered tells how many routers there are now and which of them this one is: 0 <= rank < routers.
+func (r *Router) Numbered(now int64, rank, routers int) {
+	if rank >= 0 && rank < routers {
+		r.now = now
+		r.set.Rank, r.set.Routers = rank, routers
+	}
+}
+
+// Append adds a band while the router runs, as settings that change do, and tells its number.
+func (r *Router) Append(b Band) int {
+	r.bands = append(r.bands, r.row(b))
+	if r.mean == 0 { // none was known before
+		r.mean = b.Guess()
+	}
+	return len(r.bands) - 1
+}
+
 // Hear brings news of the newest build.
 func (r *Router) Hear(now int64, n News) {
 	r.now = now
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -14,7 +14,9 @@
 	d.total, d.newest, d.warm = 0, d.stageAt, 0.1
 	d.part, d.up = [2]float64{}, 0
 	var ready [2][]*host
+	d.far = false
 	for _, h := range d.fleet {
+		d.far = d.far || h.ring > 0
 		w := d.warmth(h)
 		if h.build == d.news.Build {
 			if d.newest = max(d.newest, h.started); w == 1 && h.health == Ready {
@@ -73,7 +75,7 @@
 
 // usable tells whether the rules allow a hand-off of c to h.
 func (d *decider) usable(c *command, h *host, stuck int) bool {
-	if h.health != Ready || h.build < stuck || !d.room(h) {
+	if h.health != Ready || h.build < stuck || !d.room(h) || c.may != nil && !c.may(h.id) {
 		return false
 	}
 	if h.trial && (c.band.exposure.have < 1 || d.cap <= 0 ||
@@ -92,9 +94,26 @@
 	return (h.aside <= d.now || d.up == 0) && (!c.met(h) || len(c.handOffs) >= len(d.fleet))
 }
 
+// nearest are the hosts of a build that c may go to now, of the nearest ring that has any.
+func (d *decider) nearest(c *command, side, stuck int) (all []*host) {
+	ring := math.MaxInt
+	for _, h := range d.fleet {
+		if h.side() == side && h.ring <= ring && d.fine(c, h) && d.usable(c, h, stuck) {
+			if h.ring < ring {
+				ring, all = h.ring, all[:0]
+			}
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
 // better is the better of two random hosts of a build, or the first to be found where few are fine.
 func (d *decider) better(c *command, side, stuck int) (best *host) {
 	pool, found, from := d.reach[side], 0, int(d.chance()*float64(len(d.fleet)))
+	if d.far {
+		pool = d.nearest(c, side, stuck)
+	}
 	for i := 0; found < 2 && (i < 8 || found == 0 && i < 8+len(d.fleet)); i++ {
 		h := best
 		if i >= 8 {
--- a/rules/repeats.go
+++ b/rules/repeats.go
@@ -21,7 +21,7 @@
 func (d *decider) mayRepeat(c *command, ran bool) bool {
 	first := c.mayHaveRun()
 	switch {
-	case len(c.handOffs) >= d.set.MaxHandOffs:
+	case len(c.handOffs) >= c.most:
 		return false
 	case c.band.Repeat == SingleUse:
 		return first == nil && !ran
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -17,18 +17,24 @@
 func newDecider(s Settings, seed uint64, out Effects) *decider {
 	d := blank(s, seed, out)
 	d.again, d.level = bucket{5, 10}, 1 // some further hand-offs at once, for a host that ends
-	one := &bucket{s.Free, s.Free}
+	d.exposed = &bucket{s.Free, s.Free}
 	for _, b := range s.Bands {
-		row := &band{Band: b, exposure: one, typical: b.Guess()}
+		row := d.row(b)
 		d.mean += row.typical / float64(len(s.Bands))
-		if s.CapByBand {
-			row.exposure = &bucket{s.Free, s.Free}
-		}
 		d.bands = append(d.bands, row)
 	}
 	return d
 }
 
+// row is a band's place in the table.
+func (d *decider) row(b Band) *band {
+	row := &band{Band: b, exposure: d.exposed, typical: b.Guess()}
+	if d.set.CapByBand {
+		row.exposure = &bucket{d.set.Free, d.set.Free}
+	}
+	return row
+}
+
 const tickLen = second / 10 // the design's tick
 
 func (d *decider) begin() {
--- a/rules/state.go
+++ b/rules/state.go
@@ -20,6 +20,7 @@
 	trial    bool // to be counted as on trial, in this stage
 	stage    int
 	started  int64
+	ring     int
 	listed   int64 // when this router was told of this start
 	out      int   // hand-offs of this router that are out
 	waiting  int64 // since when it owes a sign of life
@@ -61,6 +62,8 @@
 	at       int64
 	cutOff   int64
 	contract int64
+	most     int
+	may      func(host uint32) bool
 	handOffs []*handOff
 	out      int
 	next     *host // wanted hand-off
@@ -202,6 +205,7 @@
 	stuck   ties             // key: the build on trial that has answered it, as far as can be known
 	seenKey map[uint64]int64 // key: when it last came
 	again   bucket           // further hand-offs
+	exposed *bucket          // what the trial may get, where bands share it
 
 	count             [kinds]float64 // gossiped: the decayed trial counts
 	state, spread     [kinds]float64 // gossiped: the states s, and the mean squares of their readings
@@ -213,6 +217,7 @@
 	pastAt            int64          // when the latest of them that has ended was sent
 	reach             [2][]*host     // the hosts that this router uses, of the earlier builds and of those on trial
 	up                int            // hosts that show no sign of being down
+	far               bool           // some hosts are not near
 	scarce            int            // so many answers more it is short of connections
 	part              [2]float64     // what all hosts of them can do now that are up
 	total             float64        // what all hosts can do now
