--- /dev/null
+++ b/cmd/harbour/main.go
@@ -0,0 +1,113 @@
+// Command harbour runs the system's processes: fairway carries traffic, harbourmaster is the control process.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"portflow/internal/harbour/fairway"
+	"portflow/internal/harbour/harbourmaster"
+	"portflow/internal/harbour/logbook"
+	"portflow/internal/harbour/papers"
+	"portflow/internal/harbour/sea"
+)
+
+func main() {
+	app := &cli.Command{Name: "harbour", Usage: "the processes of a portflow harbour; PORTFLOW_BOOT names the settings file",
+		Commands: []*cli.Command{
+			{Name: "fairway", Usage: "carry traffic from clients to hosts", Action: carry},
+			{Name: "harbourmaster", Usage: "control: hosts, routers, configuration, orders and the directory", Action: control,
+				Flags: []cli.Flag{&cli.IntFlag{Name: "per-zone", Value: 1, Usage: "control processes in each zone, as the deploy file has it"}}},
+			{Name: "check", Usage: "say whether the settings file can be read", Action: func(context.Context, *cli.Command) error {
+				b, err := papers.Load()
+				if err == nil {
+					fmt.Printf("%s: %s in %s, %s\n", b.Name, b.Role, b.Zone, b.Region)
+				}
+				return err
+			}},
+		}}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		klog.ErrorS(err, "harbour")
+		klog.Flush()
+		os.Exit(1)
+	}
+}
+
+// boot reads the settings before any port is opened.
+func boot() (papers.Boot, sea.Real, uint64, error) {
+	b, err := papers.Load()
+	if err != nil {
+		return b, sea.Real{}, 0, err
+	}
+	debug.SetMemoryLimit(int64(b.MemoryMB) << 20 * 3 / 5) // two processes may share the machine
+	var raw [8]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return b, sea.Real{}, 0, err
+	}
+	return b, sea.Real{Silent: 1500 * time.Millisecond, IP: b.IP}, binary.BigEndian.Uint64(raw[:]), nil
+}
+
+// ending is the context that a SIGTERM ends. A SIGHUP says that the settings file has changed: what a process goes by while
+// it runs comes from control, so it only notes whether the file can still be read.
+func ending() (context.Context, context.CancelFunc) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			_, err := papers.Load()
+			klog.InfoS("settings file changed", "err", err)
+		}
+	}()
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+func carry(context.Context, *cli.Command) error {
+	b, water, seed, err := boot()
+	if err != nil {
+		return err
+	}
+	term, stop := ending()
+	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f, err := fairway.Start(ctx, fairway.Options{Boot: b, Sea: water, Seed: seed})
+	if err != nil {
+		return err
+	}
+	<-term.Done()
+	f.Leave()
+	return nil
+}
+
+func control(_ context.Context, c *cli.Command) error {
+	b, water, seed, err := boot()
+	if err != nil {
+		return err
+	}
+	if b.Data == "" {
+		return fmt.Errorf("self-description.data-directory: missing: a control process needs a disk")
+	}
+	disk, err := logbook.Folder(b.Data)
+	if err != nil {
+		return err
+	}
+	term, stop := ending()
+	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if _, err := harbourmaster.Start(ctx, harbourmaster.Options{Boot: b, PerZone: c.Int("per-zone"), Sea: water, Disk: disk, Seed: seed}); err != nil {
+		return err
+	}
+	<-term.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/harbour/fairway/board.go
@@ -0,0 +1,186 @@
+// Package fairway is the process that carries traffic: it follows the news of a control process, and its rules choose a
+// host for each request. This file is what it knows; it is pure.
+package fairway
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+
+	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/pilotage"
+	"portflow/internal/harbour/signals"
+	"portflow/internal/parts/router"
+	"portflow/rules"
+)
+
+// Place is where a process stands.
+type Place struct{ Zone, Region string }
+
+// Board is what a router was told. It is not safe for two goroutines; a View of it is.
+type Board struct {
+	self    Place
+	name    string
+	regions map[string]string // by zone
+	set     *manifest.Set
+	hosts   map[string]berths.Host
+	fronts  map[string]signals.Front
+}
+
+// NewBoard makes an empty one.
+func NewBoard(name string, self Place, regions map[string]string) *Board {
+	return &Board{self: self, name: name, regions: regions, set: manifest.NewSet(), hosts: map[string]berths.Host{},
+		fronts: map[string]signals.Front{}}
+}
+
+// Changes is what a batch of news touched.
+type Changes struct {
+	Chart, Fronts bool
+	Services      map[string]bool // whose hosts, or the choice among them, changed
+}
+
+// Take takes news in. After a snapshot, hosts and routers that it doesn't name are silent or gone: they ended while this
+// router followed nobody.
+func (b *Board) Take(notes []signals.Note, snapshot bool) Changes {
+	c := Changes{Services: map[string]bool{}}
+	all := func() {
+		for _, h := range b.hosts {
+			c.Services[h.Service] = true
+		}
+	}
+	named := map[string]bool{}
+	for _, n := range notes {
+		switch {
+		case n.Item != nil:
+			if !b.set.Merge(*n.Item) {
+				continue
+			}
+			switch n.Item.Kind {
+			case manifest.Routes, manifest.Services, manifest.Limits:
+				c.Chart = true
+			case manifest.Evacuations:
+				all()
+			case manifest.Rollouts, manifest.Settled:
+				c.Services[n.Item.Name] = true
+			}
+		case n.Host != nil:
+			h := *n.Host
+			named[h.ID] = true
+			old, known := b.hosts[h.ID]
+			if known && !berths.Newer(h, old) {
+				continue
+			}
+			if h.Service == "" {
+				h.Service = old.Service
+			}
+			if h.State == berths.Gone && !known {
+				continue
+			}
+			b.hosts[h.ID] = h
+			c.Services[h.Service] = true
+		case n.Front != nil:
+			f := *n.Front
+			named["front "+f.Name] = true
+			if old, known := b.fronts[f.Name]; !known || f.Newer(old) {
+				b.fronts[f.Name] = f
+				c.Fronts = true
+			}
+		}
+	}
+	if snapshot {
+		for id, h := range b.hosts {
+			if !named[id] && !h.Silent {
+				h.Silent = true
+				b.hosts[id] = h
+				c.Services[h.Service] = true
+			}
+		}
+		for name := range b.fronts {
+			if !named["front "+name] {
+				delete(b.fronts, name)
+				c.Fronts = true
+			}
+		}
+	}
+	return c
+}
+
+// Evacuated tells whether a zone's hosts get nothing more.
+func (b *Board) Evacuated(zone string) bool {
+	i, ok := b.set.Get(manifest.Key{Kind: manifest.Evacuations, Name: zone})
+	if !ok {
+		return false
+	}
+	var v struct {
+		Begun bool `json:"begun"`
+	}
+	return json.Unmarshal(i.Body, &v) == nil && v.Begun
+}
+
+// Rollout is a service's newest order.
+func (b *Board) Rollout(service string) pilotage.Rollout {
+	i, ok := b.set.Get(manifest.Key{Kind: manifest.Rollouts, Name: service})
+	if !ok {
+		return pilotage.Rollout{Service: service}
+	}
+	return pilotage.Read(i)
+}
+
+// Hosts are a service's as the rules are to have them: of versions that are neither settled nor on trial, of zones that are
+// evacuated, and silent ones take nothing. Those that ended are named once and then forgotten.
+func (b *Board) Hosts(service string) (all []router.Host) {
+	r := b.Rollout(service)
+	first, _ := b.set.Get(manifest.Key{Kind: manifest.Settled, Name: service})
+	settled := pilotage.Settled(first, r)
+	for _, id := range slices.Sorted(maps.Keys(b.hosts)) {
+		h := b.hosts[id]
+		if h.Service != service {
+			continue
+		}
+		x := router.Host{Name: h.ID, Address: h.Address, Size: float64(max(1, h.Slots)), Build: int(r.Build()),
+			Health: rules.Ready, Ring: b.ring(h.Zone)}
+		trial := r.State == pilotage.Running && h.Version == r.Target
+		if trial {
+			x.Build = int(r.Order)
+		}
+		switch {
+		case h.State == berths.Gone:
+			x.Health = rules.Gone
+			delete(b.hosts, id)
+		case h.State == berths.Draining, h.Silent, h.Version != settled && !trial, b.Evacuated(h.Zone):
+			x.Health = rules.Draining
+		}
+		all = append(all, x)
+	}
+	return all
+}
+
+// ring is how far a zone is: 0 this one, 1 in this region, 2 beyond.
+func (b *Board) ring(zone string) int {
+	switch {
+	case zone == b.self.Zone:
+		return 0
+	case b.regions[zone] == b.self.Region:
+		return 1
+	}
+	return 2
+}
+
+// Standing is the number of this router among those that are ready, how many there are, and how many in each zone. One that
+// isn't counted yet takes the place behind the others, and counts itself in.
+func (b *Board) Standing() (rank, count int, zones map[string]int) {
+	zones = map[string]int{}
+	ready := signals.Roster(b.fronts)
+	for _, f := range ready {
+		zones[f.Zone]++
+	}
+	rank = slices.IndexFunc(ready, func(f signals.Front) bool { return strings.EqualFold(f.Name, b.name) })
+	if count = len(ready); rank < 0 {
+		rank = count
+		count++
+		zones[b.self.Zone]++
+	}
+	return rank, count, zones
+}
--- /dev/null
+++ b/internal/harbour/fairway/fairway.go
@@ -0,0 +1,398 @@
+package fairway
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/convoy"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/papers"
+	"portflow/internal/harbour/sea"
+	"portflow/internal/harbour/signals"
+	"portflow/internal/parts/chance"
+	"portflow/internal/parts/hosts"
+	"portflow/internal/parts/room"
+	"portflow/internal/parts/router"
+	"portflow/rules"
+)
+
+// Options are how a process that carries traffic runs.
+type Options struct {
+	Boot papers.Boot
+	Sea  sea.Sea
+	Seed uint64
+}
+
+// Fairway is such a process.
+type Fairway struct {
+	Options
+	ctx    context.Context
+	clock  router.Clock
+	pool   *hosts.Pool
+	convoy *convoy.Convoy
+	room   *room.Room
+	server atomic.Pointer[http.Server]
+
+	mu       sync.Mutex // over the board and all that follows
+	board    *Board
+	services map[string]*service
+	link     *link
+	since    int64
+	changes  int
+
+	view    atomic.Pointer[view]
+	cutOff  atomic.Int64 // since when no control process in touch is heard, 0 for not
+	ready   atomic.Bool  // a snapshot has come
+	leaving atomic.Bool
+	open    atomic.Int64 // requests
+	held    atomic.Int64 // bytes of bodies
+	counts  counts
+	dice    sync.Mutex
+	chance  chance.Source
+}
+
+// view is what requests go by; it is replaced as a whole.
+type view struct {
+	chart    *manifest.Chart
+	services map[string]*service
+	zones    map[string]int
+	rank     int
+	count    int
+}
+
+const (
+	connectIn = 400 * time.Millisecond // beyond the longest way twice, and a packet sent again
+	hostIdle  = 8 * time.Second        // hosts close connections that stand idle for some seconds
+	largest   = 4 << 20                // bytes of a host's answer that is read whole
+)
+
+// Start brings the process up; it serves until Leave.
+func Start(ctx context.Context, o Options) (*Fairway, error) {
+	b := o.Boot
+	f := &Fairway{Options: o, ctx: ctx, clock: router.NewClock(), services: map[string]*service{}, since: time.Now().UnixNano()}
+	f.chance.Seed = ^o.Seed
+	f.board = NewBoard(b.Name, Place{b.Zone, b.Region}, b.Zones)
+	half := max(64, (b.Descriptors-300)/2)
+	f.room = room.New(half, half*3/4)
+	f.pool = hosts.New(hosts.Options{Protocol: speech{largest}, ConnectIn: connectIn, IdleIn: hostIdle, Most: half,
+		Dial: o.Sea.Dial, Panicked: func(v any, stack []byte) {
+			f.counts.panics.Add(1)
+			klog.ErrorS(fmt.Errorf("%v", v), "hand-off", "stack", string(stack))
+		}})
+	packets, err := o.Sea.Packet(net.JoinHostPort(b.IP, strconv.Itoa(b.Ports[1])))
+	if err != nil {
+		return nil, fmt.Errorf("network.internal-port-range: %w", err)
+	}
+	f.convoy = convoy.Start(convoy.Member{IP: b.IP, Kind: convoy.Traffic, Zone: b.Zone}, packets, [2]int{b.Ports[0], b.Ports[1]},
+		o.Seed, f.gossip)
+	for _, s := range b.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			f.convoy.Meet(convoy.Member{IP: host, Kind: convoy.Control})
+		}
+	}
+	var all []net.Listener
+	for _, name := range []string{"front", "readiness"} {
+		l, err := o.Sea.Listen(b.Listen[name])
+		if err != nil {
+			return nil, fmt.Errorf("network.listen-addresses.%s: %w", name, err)
+		}
+		all = append(all, l)
+	}
+	f.publish(Changes{Chart: true, Fronts: true})
+	f.serve(all[0], all[1])
+	go f.convoy.Run(ctx)
+	go f.follow()
+	go f.tick()
+	klog.InfoS("fairway serves", "node", b.Name, "zone", b.Zone)
+	return f, nil
+}
+
+// publish makes what the board now says what requests go by; the caller holds the lock, or nothing else runs yet.
+func (f *Fairway) publish(c Changes) {
+	old := f.view.Load()
+	v := view{}
+	if old != nil {
+		v = *old
+	}
+	if c.Chart || v.chart == nil {
+		v.chart = manifest.Draw(f.board.set)
+		for _, y := range v.chart.Yielding {
+			klog.InfoS("yields", "item", y)
+		}
+		for name := range v.chart.Services {
+			if f.services[name] == nil {
+				f.services[name] = f.enter(name)
+				if c.Services == nil {
+					c.Services = map[string]bool{}
+				}
+				c.Services[name] = true
+			}
+		}
+		v.services = make(map[string]*service, len(f.services))
+		for name, s := range f.services {
+			v.services[name] = s
+		}
+	}
+	if c.Fronts || v.zones == nil {
+		v.rank, v.count, v.zones = f.board.Standing()
+		for _, s := range f.services {
+			s.reducer.Post(router.Number{Rank: v.rank, Routers: v.count})
+		}
+	}
+	f.view.Store(&v)
+	for name := range c.Services {
+		s := f.services[name]
+		if s == nil {
+			continue
+		}
+		s.learn(f.board.hosts)
+		all := f.board.Hosts(name)
+		if r := f.board.Rollout(name); r != s.rollout {
+			if s.rollout.Order != r.Order || s.rollout.State != r.State {
+				klog.InfoS("rollout", "service", name, "order", r.Order, "target", r.Target, "state", r.State)
+			}
+			s.rollout = r
+			s.told(r.News(time.Now().UnixNano(), f.share()))
+		}
+		s.reducer.Post(router.List{Form: rules.Changes, Hosts: all})
+	}
+}
+
+// share is the part of its requests that a router gives to a version on trial: under the bound, as what is turned away
+// does not reach the service and yet was taken.
+func (f *Fairway) share() float64 { return 0.8 * f.Boot.Bounds.ExposureShare }
+
+// gossip hears what another router's rules say.
+func (f *Fairway) gossip(topic string, raw []byte) {
+	v := f.view.Load()
+	if s := v.services[topic]; s != nil && v.count > 1 {
+		s.reducer.Post(router.Heard{Peer: (v.rank + 1) % v.count, Message: raw})
+	}
+}
+
+// service is one service's rules, and what this router has at each of its hosts.
+type service struct {
+	f       *Fairway
+	name    string
+	reducer *router.Router
+	rollout pilotageRollout
+	news    atomic.Pointer[rules.News]
+
+	mu     sync.Mutex
+	berths map[string]*berth
+	bands  map[bandKey]int
+}
+
+// berth is one host as this router uses it.
+type berth struct {
+	berths.Host
+	open int
+	cold window
+}
+
+type bandKey struct {
+	safe            bool
+	timeout, target int64
+	rank            int
+}
+
+const bandsMost = 256 // different kinds of routes to a service; further ones share the last
+
+// enter begins a service: its rules run until the process ends.
+func (f *Fairway) enter(name string) *service {
+	s := &service{f: f, name: name, berths: map[string]*berth{}, bands: map[bandKey]int{}}
+	s.reducer = router.New(f.clock, quiet)
+	v := rules.News{Standing: rules.Released, Cap: 1, Age: 3600e9}
+	s.news.Store(&v)
+	set := rules.Settings{Routers: 1, Tick: int64(5e6), MaxHandOffs: 1, Recalls: true, Patient: true, MaxAdvice: int64(500e6),
+		Peers: true, Gate: rules.Share, OnVotes: voters, BackVotes: voters, VoteLife: voteLife, VoteWait: int64(500e6),
+		AgainSlack: f.Boot.Bounds.BudgetSlack / 2, FreeOfAll: f.Boot.Bounds.ExposureSlack * 0.7, FirstCap: f.share(), Beside: true}
+	go s.reducer.Run(f.ctx, router.Start{Settings: set, Seed: f.Seed ^ uint64(len(f.services)+1)<<32, News: router.News{News: v}},
+		router.Out{Hosts: s, Platform: s, Peers: s, List: s})
+	if old := f.view.Load(); old != nil && old.count > 0 {
+		s.reducer.Post(router.Number{Rank: old.rank, Routers: old.count})
+	}
+	return s
+}
+
+// told tells the rules how the rollout stands.
+func (s *service) told(n rules.News) {
+	s.news.Store(&n)
+	s.reducer.Post(router.News{News: n})
+}
+
+// learn takes up what is known of the hosts now.
+func (s *service) learn(all map[string]berths.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, h := range all {
+		if h.Service != s.name {
+			continue
+		}
+		if b := s.berths[id]; b != nil {
+			b.Host = h
+		} else {
+			s.berths[id] = &berth{Host: h}
+		}
+	}
+	for id, b := range s.berths {
+		if h, there := all[id]; b.open == 0 && (!there || h.State == berths.Gone) {
+			delete(s.berths, id)
+		}
+	}
+}
+
+// band is the number of a route's band in the rules.
+func (s *service) band(r *manifest.Route) int {
+	k := bandKey{r.Safe, r.Timeout, r.Target, r.Rank}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, ok := s.bands[k]
+	if !ok {
+		if n = len(s.bands); n >= bandsMost {
+			return bandsMost - 1
+		}
+		s.bands[k] = n
+		b := rules.Band{Contract: r.Target, CutOff: r.Timeout, Repeat: rules.SingleUse, Importance: math.Pow(2, -float64(r.Rank)), LateOf: 0.3}
+		if r.Safe {
+			b.Repeat = rules.Replayable
+		}
+		s.reducer.Post(router.Band{Band: b})
+	}
+	return n
+}
+
+// may tells whether a request with these homes may go to a host now, as far as this router's parts and the news go.
+func (s *service) may(h router.Host, homes []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.berths[h.Name]
+	if b == nil {
+		return false
+	}
+	f := s.f
+	if len(homes) > 0 && !slices.Contains(homes, f.Boot.Zones[b.Zone]) {
+		return false
+	}
+	v := f.view.Load()
+	p := f.part(b.Host, v)
+	if b.open >= p.Open {
+		return false
+	}
+	now := f.clock()
+	if b.ColdUntil <= now {
+		return true
+	}
+	return f.cutOff.Load() == 0 && b.cold.room(now, p.Cold)
+}
+
+func (f *Fairway) part(h berths.Host, v *view) Parts {
+	t := Terms{Overrun: f.Boot.Bounds.ColdOverrun, Slack: f.Boot.Bounds.ColdSlack, ColdPerS: v.chart.Services[h.Service].ColdPerS}
+	return Part(h, Place{f.Boot.Zone, f.Boot.Region}, f.Boot.Zones, v.zones, t)
+}
+
+// HandOff sends a request to a host; the rules chose it a moment ago.
+func (s *service) HandOff(to router.Host, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
+	s.mu.Lock()
+	b := s.berths[to.Name]
+	if b != nil {
+		b.open++
+		if now := s.f.clock(); b.ColdUntil > now {
+			b.cold.add(now)
+		}
+	}
+	s.mu.Unlock()
+	c := r.Cargo.(*cargo)
+	if c.tries++; c.tries > 1 {
+		s.f.counts.again.Add(1)
+	}
+	return s.f.pool.HandOff(to, r, left, func(o router.Outcome) {
+		if b != nil {
+			s.mu.Lock()
+			b.open--
+			s.mu.Unlock()
+		}
+		s.f.counts.endings[o.Ending].Add(1)
+		if a, ok := o.Reply.(*reply); ok && a.other && b != nil {
+			s.f.moved(to.Name)
+		}
+		done(o)
+	})
+}
+
+// Close closes the idle connections to an address.
+func (s *service) Close(address string) { s.f.pool.Close(address) }
+
+// Forget lets an address go.
+func (s *service) Forget(address string) { s.f.pool.Forget(address) }
+
+// Watch is not needed: news comes by itself.
+func (s *service) Watch(bool) {}
+
+// Vote tells control what this router wants of a rollout.
+func (s *service) Vote(v rules.Verdict, build, stage int) {
+	s.f.vote(signals.Poll{Service: s.name, Order: uint64(build), Verdict: uint8(v), At: time.Now().UnixNano()})
+	n := *s.news.Load()
+	n.Reply = true
+	go s.reducer.Post(router.News{News: n}) // the rules are in the middle of a step
+}
+
+// Tell gossips: while a version is on trial, as there is nothing to be said else.
+func (s *service) Tell(_ int, message []byte) {
+	if s.news.Load().Standing == rules.OnTrial {
+		s.f.convoy.Tell(s.name, message)
+	}
+}
+
+// moved notes that a host's address is another's: it has ended without a word.
+func (f *Fairway) moved(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h, ok := f.board.hosts[id]; ok && !h.Silent {
+		h.Silent = true
+		f.board.hosts[id] = h
+		f.publish(Changes{Services: map[string]bool{h.Service: true}})
+	}
+}
+
+// draw is a number from [0, 1) by chance.
+func (f *Fairway) draw() float64 {
+	f.dice.Lock()
+	defer f.dice.Unlock()
+	return f.chance.Next()
+}
+
+// tick writes the counters now and then.
+func (f *Fairway) tick() {
+	t := time.NewTicker(10 * time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f.Log()
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+// Log writes the counters on one line.
+func (f *Fairway) Log() {
+	f.mu.Lock()
+	hosts := len(f.board.hosts)
+	f.mu.Unlock()
+	v := f.view.Load()
+	klog.InfoS("counters", "open", f.open.Load(), "routers", v.count, "rank", v.rank, "hosts", hosts, "routes", len(v.chart.Routes),
+		"counts", f.counts.String())
+}
--- /dev/null
+++ b/internal/harbour/fairway/link.go
@@ -0,0 +1,195 @@
+package fairway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"portflow/internal/harbour/convoy"
+	"portflow/internal/harbour/lines"
+	"portflow/internal/harbour/pilotage"
+	"portflow/internal/harbour/signals"
+	"portflow/rules"
+
+	"github.com/rs/zerolog"
+)
+
+type pilotageRollout = pilotage.Rollout
+
+var quiet = zerolog.Nop() // the rules' notes: votes are counted by control
+
+const (
+	voters   = pilotage.Voters
+	voteLife = pilotage.Life
+)
+
+// link is the held connection to the control process that this router follows.
+type link struct {
+	ip       string
+	line     *lines.Line[signals.Word]
+	follower signals.Follower
+}
+
+const (
+	dialIn   = time.Second
+	patience = 600 * time.Millisecond // with a control process that is behind, or hears too few others
+)
+
+// candidates are the control processes that are known, the nearest first; among equals this router's own order, so that
+// many do not all hang on the same one.
+func (f *Fairway) candidates() []string {
+	f.mu.Lock()
+	known := map[string]string{} // ip: zone
+	for ip, zone := range f.board.set.Members() {
+		known[ip] = zone
+	}
+	f.mu.Unlock()
+	for _, m := range f.convoy.Members() {
+		if _, there := known[m.IP]; m.Kind == convoy.Control && (!there || m.Zone != "") {
+			known[m.IP] = m.Zone
+		}
+	}
+	for _, s := range f.Boot.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil {
+			if _, there := known[host]; !there {
+				known[host] = ""
+			}
+		}
+	}
+	far := func(ip string) int {
+		zone := known[ip]
+		switch {
+		case zone == f.Boot.Zone:
+			return 0
+		case f.Boot.Zones[zone] == f.Boot.Region:
+			return 1
+		}
+		return 2
+	}
+	var all []string
+	for ip := range known {
+		all = append(all, ip)
+	}
+	slices.SortFunc(all, func(a, b string) int {
+		if d := far(a) - far(b); d != 0 {
+			return d
+		}
+		return int(int64(mix(a, f.Seed)>>1) - int64(mix(b, f.Seed)>>1)>>32)
+	})
+	return all
+}
+
+func mix(text string, seed uint64) uint64 {
+	for _, c := range []byte(text) {
+		seed = (seed ^ uint64(c)) * 0x100000001b3
+	}
+	return seed ^ seed>>29
+}
+
+// follow keeps a line to a control process, for as long as this one runs: the nearest that takes it.
+func (f *Fairway) follow() {
+	avoid := map[string]time.Time{}
+	for f.ctx.Err() == nil {
+		all := f.candidates()
+		slices.SortStableFunc(all, func(a, b string) int { // those that failed lately come last
+			return int(min(1, max(0, time.Until(avoid[a])))) - int(min(1, max(0, time.Until(avoid[b]))))
+		})
+		if len(all) > 0 {
+			ip := all[0]
+			ctx, cancel := context.WithTimeout(f.ctx, dialIn)
+			c, err := f.Sea.Dial(ctx, "tcp", net.JoinHostPort(ip, strconv.Itoa(f.Boot.Ports[0])))
+			cancel()
+			if err == nil {
+				err = f.hang(ip, c)
+			}
+			klog.InfoS("line ended", "to", ip, "why", err)
+			avoid[ip] = time.Now().Add(3 * time.Second)
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-f.ctx.Done():
+		}
+	}
+}
+
+var errBehind = errors.New("it is behind, or hears too few others")
+
+// hang follows on one connection until it ends.
+func (f *Fairway) hang(ip string, c net.Conn) error {
+	l := lines.Open[signals.Word](c)
+	stop := context.AfterFunc(f.ctx, func() { l.Close(f.ctx.Err()) })
+	defer stop()
+	f.mu.Lock()
+	k := &link{ip: ip, line: l}
+	if f.link != nil {
+		k.follower = f.link.follower
+	}
+	f.link = k
+	hello := signals.Hello{Name: f.Boot.Name, IP: f.Boot.IP, Zone: f.Boot.Zone, Life: k.follower.Life, Have: k.follower.Have}
+	f.since, f.changes = time.Now().UnixNano(), 0
+	f.mu.Unlock()
+	l.Send(signals.Word{Hello: &hello})
+	f.tellSelf()
+	timer := time.AfterFunc(patience, func() { l.Close(errBehind) })
+	defer timer.Stop()
+	err := l.Run(func(w signals.Word) {
+		switch {
+		case w.Status != nil:
+			if w.Status.Whole && w.Status.Majority {
+				timer.Stop()
+				f.cutOff.Store(0)
+			} else {
+				timer.Reset(patience)
+			}
+		case w.News != nil:
+			f.hear(k, *w.News)
+		}
+	})
+	f.cutOff.CompareAndSwap(0, f.clock())
+	return err
+}
+
+// hear takes a batch of news.
+func (f *Fairway) hear(k *link, n signals.News) {
+	f.mu.Lock()
+	if !k.follower.Take(n.Life, n.From, n.To, n.Snapshot) {
+		f.mu.Unlock()
+		k.line.Close(errors.New("news does not follow"))
+		return
+	}
+	f.publish(f.board.Take(n.Notes, n.Snapshot))
+	k.line.Send(signals.Word{Ack: n.To})
+	f.mu.Unlock()
+	if n.Snapshot {
+		f.ready.Store(true)
+		f.tellSelf()
+	}
+}
+
+// tellSelf tells control how this router is.
+func (f *Fairway) tellSelf() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.link == nil {
+		return
+	}
+	f.changes++
+	f.link.line.Send(signals.Word{Front: &signals.Front{Name: f.Boot.Name, Zone: f.Boot.Zone, IP: f.Boot.IP,
+		Address: f.Boot.Listen["front"], Ready: f.ready.Load() && !f.leaving.Load(), Since: f.since, Change: f.changes}})
+}
+
+// vote tells control a vote.
+func (f *Fairway) vote(p signals.Poll) {
+	go func() { // the rules are in the middle of a step, and the lock may be held by who posts to them
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.link != nil && rules.Verdict(p.Verdict) <= rules.Back {
+			f.link.line.Send(signals.Word{Polls: []signals.Poll{p}})
+		}
+	}()
+}
--- /dev/null
+++ b/internal/harbour/fairway/serve.go
@@ -0,0 +1,306 @@
+package fairway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"portflow/internal/harbour/faults"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/parts/room"
+	"portflow/internal/parts/router"
+	"portflow/rules"
+)
+
+// counts are the counters of a process, by what became of requests and of hand-offs.
+type counts struct {
+	taken, answered, again, gone, panics atomic.Int64
+	faults                               [32]atomic.Int64
+	endings                              [16]atomic.Int64
+}
+
+var endingNames = [...]string{rules.Fulfilled: "fulfilled", rules.Failed: "failed", rules.TurnedAway: "turned_away", rules.TimedOut: "timed_out",
+	rules.NoConnect: "no_connect", rules.Reset: "reset", rules.Recalled: "recalled", rules.Unsent: "unsent", rules.Spoilt: "spoilt"}
+
+func (c *counts) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "taken=%d answered=%d again=%d gone=%d panics=%d", c.taken.Load(), c.answered.Load(), c.again.Load(), c.gone.Load(), c.panics.Load())
+	for _, k := range faults.All() {
+		if n := c.faults[k].Load(); n > 0 {
+			fmt.Fprintf(&b, " %s=%d", k, n)
+		}
+	}
+	for e, name := range endingNames {
+		if n := c.endings[e].Load(); n > 0 {
+			fmt.Fprintf(&b, " sent.%s=%d", name, n)
+		}
+	}
+	return b.String()
+}
+
+// serve begins to serve clients and the platform's checks.
+func (f *Fairway) serve(front, readiness net.Listener) {
+	r := chi.NewRouter()
+	r.Get("/-/readiness", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "0")
+		if !f.ready.Load() || f.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	checks := &http.Server{Handler: r, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second, ErrorLog: silent}
+	go checks.Serve(readiness)
+	go f.clients(front)
+	go func() {
+		<-f.ctx.Done()
+		checks.Close()
+		front.Close()
+		f.server.Load().Close()
+	}()
+}
+
+var silent = stdlog.New(io.Discard, "", 0) // what clients send wrong is counted, not logged
+
+// clients serves clients by the limits that stand now.
+func (f *Fairway) clients(l net.Listener) {
+	limits := f.view.Load().chart.Limits
+	s := &http.Server{Handler: f, ReadHeaderTimeout: time.Duration(limits.HeaderFor), IdleTimeout: time.Duration(limits.IdleFor),
+		MaxHeaderBytes: limits.Header, ErrorLog: silent, ConnState: note}
+	f.server.Store(s)
+	s.Serve(&quayside{l, f.room})
+}
+
+// quayside keeps clients' connections within their room.
+type quayside struct {
+	net.Listener
+	room *room.Room
+}
+
+func (q *quayside) Accept() (net.Conn, error) {
+	place := q.room.Enter(nil)
+	c, err := q.Listener.Accept()
+	if err != nil {
+		place.Leave()
+		return nil, err
+	}
+	v := &caller{Conn: c, place: place}
+	place.Fill(room.Silent, func() { v.Close() })
+	return v, nil
+}
+
+type caller struct {
+	net.Conn
+	place *room.Place
+}
+
+func (c *caller) Close() error {
+	defer c.place.Leave()
+	return c.Conn.Close()
+}
+
+func note(c net.Conn, s http.ConnState) {
+	v, ok := c.(*caller)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		v.place.Set(room.Busy)
+	case http.StateIdle:
+		v.place.Set(room.Idle)
+	}
+}
+
+// ServeHTTP takes a client's request and gives it its one final answer.
+func (f *Fairway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.counts.taken.Add(1)
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	began := f.clock()
+	v := f.view.Load()
+	if !f.ready.Load() {
+		f.refuse(w, faults.Unready, 0)
+		return
+	}
+	route := v.chart.Route(hostOf(r.Host), r.URL.EscapedPath())
+	if route == nil {
+		f.refuse(w, faults.Unroutable, 0)
+		return
+	}
+	left := route.Timeout
+	if t := r.Header.Get("Time-Remaining"); t != "" {
+		ms, err := strconv.ParseFloat(t, 64)
+		if err != nil || !(ms >= 0) || ms > 1e9 {
+			f.refuse(w, faults.Malformed, 0)
+			return
+		}
+		left = min(left, int64(ms*1e6))
+	}
+	body, fault := f.body(w, r, v.chart.Limits)
+	defer f.held.Add(-int64(len(body)))
+	if fault != faults.None {
+		f.refuse(w, fault, 0)
+		return
+	}
+	s := v.services[f.choose(route)]
+	if s == nil {
+		f.refuse(w, faults.Unserved, 0)
+		return
+	}
+	answers := make(router.Chan, 1)
+	c := &router.Command{Band: s.band(route), CutOff: began + left, Answer: answers, Most: route.Most,
+		May: func(h router.Host) bool { return s.may(h, route.Homes) },
+		Request: &router.Request{Method: r.Method, Target: r.RequestURI, Body: body,
+			Cargo: &cargo{host: r.Host, header: passed(r.Header), id: r.Header.Get("Attempt-Id")}}}
+	s.reducer.Post(router.Taken{Command: c})
+	select {
+	case a := <-answers:
+		f.answer(w, route, a, c)
+	case <-r.Context().Done():
+		f.counts.gone.Add(1)
+		s.reducer.Post(router.Left{Command: c})
+	}
+}
+
+func hostOf(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// bodyIn is for a body, beside a second for each megabyte of it that is stated.
+const bodyIn = 5 * time.Second
+
+// body reads a request's body whole. What all bodies together may hold is a quarter of the machine's memory.
+func (f *Fairway) body(w http.ResponseWriter, r *http.Request, l manifest.Bounds) ([]byte, faults.Kind) {
+	if r.ContentLength == 0 {
+		return nil, faults.None
+	}
+	if r.ContentLength > int64(l.Body) {
+		return nil, faults.Oversized
+	}
+	room := int64(f.Boot.MemoryMB) << 20 / 4
+	if f.held.Load()+max(0, r.ContentLength) > room {
+		return nil, faults.Crowded
+	}
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyIn + time.Duration(max(0, r.ContentLength)>>20)*time.Second))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, min(int64(l.Body), room)))
+	f.held.Add(int64(len(body)))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return body, faults.Oversized
+	case err != nil:
+		return body, faults.Malformed
+	}
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, faults.None
+}
+
+// choose is a route's service for one request, by the weights.
+func (f *Fairway) choose(r *manifest.Route) string {
+	if len(r.Split) == 1 {
+		return r.Split[0].Service
+	}
+	sum := 0.0
+	for _, w := range r.Split {
+		sum += w.Weight
+	}
+	at := f.draw() * sum
+	for _, w := range r.Split {
+		if at -= w.Weight; at < 0 {
+			return w.Service
+		}
+	}
+	return r.Split[0].Service
+}
+
+// answer gives a request's final answer.
+func (f *Fairway) answer(w http.ResponseWriter, route *manifest.Route, a router.Answer, c *router.Command) {
+	h, _ := a.Reply.(*reply)
+	switch {
+	case a.Kind == router.Fulfilled && h != nil:
+		f.pass(w, h)
+	case a.Kind == router.Dismissed:
+		f.refuse(w, faults.Crowded, a.Wait)
+	case h != nil && !h.unrun && !promises(h.status):
+		f.pass(w, h)
+	case f.clock() >= c.CutOff-int64(20e6):
+		if tries := c.Request.Cargo.(*cargo).tries; tries == 0 {
+			f.refuse(w, faults.Expired, 0)
+			return
+		}
+		f.refuse(w, faults.Late, 0)
+	default:
+		f.refuse(w, faults.Broken, 0)
+	}
+}
+
+// promises tells whether a status promises that the request hasn't run.
+func promises(status int) bool {
+	return status == 429 || status == 503 || status == 408 || status == 421
+}
+
+// pass gives a host's answer as it is.
+func (f *Fairway) pass(w http.ResponseWriter, a *reply) {
+	f.counts.answered.Add(1)
+	h := w.Header()
+	for name, values := range a.header {
+		h[name] = values
+	}
+	if _, ok := h["Date"]; !ok {
+		h["Date"] = nil
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	if f.leaving.Load() {
+		h["Connection"] = []string{"close"}
+	}
+	w.WriteHeader(a.status)
+	w.Write(a.body)
+}
+
+// refuse answers by the table of faults.
+func (f *Fairway) refuse(w http.ResponseWriter, k faults.Kind, wait time.Duration) {
+	f.counts.faults[k].Add(1)
+	a := k.Answer()
+	if wait <= 0 {
+		wait = a.Again
+	}
+	h := w.Header()
+	if wait > 0 {
+		h["Retry-After"] = []string{faults.RetryAfter(wait)}
+	}
+	if a.Close || f.leaving.Load() {
+		h["Connection"] = []string{"close"}
+	}
+	h["Content-Length"] = []string{"0"}
+	h["Date"] = nil
+	w.WriteHeader(a.Status)
+}
+
+// Leave ends the service: out of the directory and not ready at once, connections closed after their next answer, what was
+// taken is finished, and who still comes is answered until shortly before the grace ends.
+func (f *Fairway) Leave() {
+	f.leaving.Store(true)
+	f.tellSelf()
+	time.Sleep(time.Duration(f.Boot.Bounds.Grace)*3/4 - 200*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(f.Boot.Bounds.Grace)/5)
+	defer cancel()
+	f.server.Load().Shutdown(ctx)
+	f.Log()
+}
--- /dev/null
+++ b/internal/harbour/harbourmaster/calls.go
@@ -0,0 +1,223 @@
+package harbourmaster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/faults"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/rpc"
+)
+
+const (
+	small = 4 << 10
+	large = 8 << 20 // of a configuration: some ten thousand routes
+	// callers go on to the next process after a second of silence
+	answerIn = 850 * time.Millisecond
+)
+
+// calls are those of hosts and operators, each beside its handler.
+func (m *Master) calls() []rpc.Call {
+	return []rpc.Call{
+		{Name: "instances.heartbeat", Most: small, Do: m.heartbeat},
+		{Name: "instances.leave", Most: small, Do: m.leave},
+		{Name: "configuration.modify", Most: large, Do: m.modify},
+		{Name: "configuration.read", Most: small, Do: m.read},
+		{Name: "evacuation.begin", Most: small, Do: func(ctx context.Context, zone string, _ []byte) (any, error) {
+			return m.evacuate(ctx, zone, true)
+		}},
+		{Name: "evacuation.finish", Most: small, Do: func(ctx context.Context, zone string, _ []byte) (any, error) {
+			return m.evacuate(ctx, zone, false)
+		}},
+		{Name: "rollouts.begin", Most: small, Do: m.begin},
+		{Name: "rollouts.read", Most: small, Do: m.rollout},
+	}
+}
+
+// listen opens the ports that this process serves; what it returns begins to serve them.
+func (m *Master) listen() (func(), error) {
+	m.desk = rpc.New(m.calls()...)
+	r := chi.NewRouter()
+	m.desk.Mount(r)
+	r.Get("/-/resolution", m.resolve)
+	m.server = &http.Server{Handler: r, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 30 * time.Second,
+		MaxHeaderBytes: 16 << 10}
+	var all []net.Listener
+	for _, name := range []string{"control", "directory"} {
+		address := m.Boot.Listen[name]
+		if !slices.Contains(m.Boot.Serves, name) {
+			continue
+		}
+		l, err := m.Sea.Listen(address)
+		if err != nil {
+			return nil, fmt.Errorf("network.listen-addresses.%s: %w", name, err)
+		}
+		all = append(all, l)
+	}
+	return func() {
+		for _, l := range all {
+			go m.server.Serve(l)
+		}
+	}, nil
+}
+
+// resolve answers clients that ask where to go.
+func (m *Master) resolve(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	m.mu.Lock()
+	all := m.state.Addresses(q.Get("zone-name"), q.Get("region-name"), m.Boot.Zones)
+	m.mu.Unlock()
+	if len(all) == 0 {
+		a := faults.Unready.Answer()
+		w.Header().Set("Retry-After", faults.RetryAfter(a.Again))
+		rpc.Write(w, a.Status, map[string]string{"error": a.Name, "reason": "no router is ready"})
+		return
+	}
+	rpc.Write(w, http.StatusOK, map[string]any{"addresses": all, "lifetime-s": min(2, float64(m.Boot.Bounds.Lifetime)/1e9)})
+}
+
+func (m *Master) heartbeat(_ context.Context, id string, body []byte) (any, error) {
+	if id == "" || len(id) > 256 {
+		return nil, faults.New(faults.Malformed, "of: no id")
+	}
+	tree, err := rpc.Tree(body)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now().UnixNano()
+	h, err := berths.ReadBeat(id, tree, now)
+	if err != nil {
+		return nil, faults.Wrap(faults.Malformed, err, "the beat of %s", id)
+	}
+	m.mu.Lock()
+	h, changed := m.state.Register.Beat(now, h)
+	if changed {
+		m.state.TellHost(h, true)
+		m.wake()
+	}
+	_, known := m.state.Set.Get(manifest.Key{Kind: manifest.Settled, Name: h.Service})
+	ready := m.state.Standing() == InTouch
+	to := m.near(h.Zone)
+	m.mu.Unlock()
+	if !known && ready { // the first hosts' version is the one that is not on trial
+		go m.settle(h.Service, h.Version)
+	}
+	if to != "" {
+		return map[string]string{"heartbeat-address": to}, nil
+	}
+	return map[string]string{}, nil
+}
+
+// near is the control process that a host of a zone should beat to, empty for this one; the caller holds the lock.
+func (m *Master) near(zone string) string {
+	if zone == m.Boot.Zone {
+		return ""
+	}
+	best := ""
+	for ip, of := range m.state.Set.Members() {
+		if e := m.ends[ip]; e != nil && e.line != nil && of == zone && (best == "" || ip < best) {
+			best = ip
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	_, port, _ := net.SplitHostPort(m.Boot.Listen["control"])
+	return net.JoinHostPort(best, port)
+}
+
+func (m *Master) settle(service, version string) {
+	body, _ := json.Marshal(map[string]string{"version": version})
+	ctx, cancel := context.WithTimeout(m.ctx, answerIn)
+	defer cancel()
+	m.store(ctx, []manifest.Item{{Kind: manifest.Settled, Name: service, Version: 1, Body: body}})
+}
+
+func (m *Master) leave(_ context.Context, id string, _ []byte) (any, error) {
+	if id == "" || len(id) > 256 {
+		return nil, faults.New(faults.Malformed, "of: no id")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h, changed := m.state.Register.Leave(time.Now().UnixNano(), id); changed {
+		m.state.TellHost(h, true)
+		m.wake()
+	}
+	return nil, nil
+}
+
+// ready tells whether this process may take orders; the caller holds the lock.
+func (m *Master) ready() error {
+	if s := m.state.Standing(); s != InTouch {
+		return faults.New(faults.Unready, "this process is %v: it hears %d others of a core of %d", s, len(m.state.peers), m.state.size)
+	}
+	return nil
+}
+
+// modify takes a configuration.
+func (m *Master) modify(ctx context.Context, _ string, body []byte) (any, error) {
+	items, err := manifest.Read(body)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	err = m.ready()
+	if err == nil {
+		_, err = m.state.Set.Check(items)
+	}
+	m.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerIn)
+	defer cancel()
+	if err := m.store(ctx, items); err != nil {
+		return nil, faults.Wrap(faults.Unready, err, "not yet kept by more than half of the core")
+	}
+	return map[string]any{}, nil
+}
+
+// read tells all items that stand, as more than half of the core has them.
+func (m *Master) read(context.Context, string, []byte) (any, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.ready(); err != nil {
+		return nil, err
+	}
+	raw, err := m.state.Set.Write()
+	return json.RawMessage(raw), err
+}
+
+// evacuate begins or withdraws the evacuation of a zone. Its register's next version lies above any that was, by the time
+// of day, so that orders through two processes fall in their order.
+func (m *Master) evacuate(ctx context.Context, zone string, begun bool) (any, error) {
+	if _, ok := m.Boot.Zones[zone]; !ok {
+		return nil, faults.New(faults.Missing, "of: no zone %q", zone)
+	}
+	body, _ := json.Marshal(map[string]bool{"begun": begun})
+	m.mu.Lock()
+	err := m.ready()
+	old, there := m.state.Set.Get(manifest.Key{Kind: manifest.Evacuations, Name: zone})
+	m.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	i := manifest.Item{Kind: manifest.Evacuations, Name: zone, Version: max(old.Version+1, uint64(time.Now().UnixMilli())), Body: body}
+	if there && string(old.Body) == string(body) { // it stands: it is only to be kept by enough
+		i = old
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerIn)
+	defer cancel()
+	if err := m.store(ctx, []manifest.Item{i}); err != nil {
+		return nil, faults.Wrap(faults.Unready, err, "not yet kept by more than half of the core")
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/harbour/harbourmaster/state.go
@@ -0,0 +1,277 @@
+// Package harbourmaster is the control process: it knows which hosts and routers there are, keeps the items, takes orders
+// and tells the news. This file is its state machine; it does no I/O and has no clock.
+package harbourmaster
+
+import (
+	"slices"
+	"strings"
+
+	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/signals"
+)
+
+// Standing is how far a control process may be gone by.
+type Standing uint8
+
+const (
+	Adrift  Standing = iota // it may lack what was acknowledged: it feeds nobody and takes no order
+	Alone                   // it has heard from more than half of the core, and doesn't now
+	InTouch                 // it hears more than half
+)
+
+func (s Standing) String() string { return [...]string{"adrift", "alone", "in touch"}[s] }
+
+// peer is another control process, as it is heard over the line that this one dialled.
+type peer struct {
+	status signals.Status
+	synced bool // since this life began, all that differed was taken over from it
+}
+
+// State is what a control process knows. It is not safe for two goroutines.
+type State struct {
+	Self     signals.Hello
+	size     int // control processes of the core
+	Set      *manifest.Set
+	Register *berths.Register
+	Fronts   map[string]signals.Front
+	Ledger   *signals.Ledger
+	Polls    map[pollKey]signals.Poll
+	intact   bool // the disk held the whole state when it was opened, or this is the first start
+	whole    bool
+	peers    map[string]*peer // by IP, those that are heard now
+	synced   map[string]bool  // by IP, intact ones whose items were taken over in this life
+}
+
+type pollKey struct{ front, service string }
+
+const keptNews = 4096
+
+// NewState begins with what the disk held.
+func NewState(self signals.Hello, size int, items []manifest.Item, intact bool, beat int64) *State {
+	s := &State{Self: self, size: size, Set: manifest.NewSet(), Register: berths.New(self.Name, beat),
+		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(keptNews), Polls: map[pollKey]signals.Poll{},
+		intact: intact, peers: map[string]*peer{}, synced: map[string]bool{}}
+	for _, i := range items {
+		s.Set.Merge(i)
+	}
+	s.weigh()
+	return s
+}
+
+// Majority is how many of the core are more than half.
+func (s *State) Majority() int { return s.size/2 + 1 }
+
+// weigh finds out whether the state is whole. An intact disk and enough others are more than half; who lost its disk needs
+// so many others that any half that acknowledged something, less itself, is among them.
+func (s *State) weigh() {
+	need := s.Majority() - 1
+	if !s.intact {
+		need = s.size - s.Majority() + 1
+	}
+	s.whole = s.whole || len(s.synced) >= need
+}
+
+// Standing tells how far this process may be gone by.
+func (s *State) Standing() Standing {
+	switch {
+	case !s.whole:
+		return Adrift
+	case 1+len(s.counted()) < s.Majority():
+		return Alone
+	}
+	return InTouch
+}
+
+// counted are the peers that are heard and hold what they were told to keep.
+func (s *State) counted() (ips []string) {
+	for ip, p := range s.peers {
+		if p.status.Intact {
+			ips = append(ips, ip)
+		}
+	}
+	slices.Sort(ips)
+	return ips
+}
+
+// Counts tells whether an acknowledgement of a peer counts.
+func (s *State) Counts(ip string) bool {
+	p := s.peers[ip]
+	return p != nil && p.status.Intact
+}
+
+// Intact tells whether what this process keeps counts for more than half: its disk held all, or it has become whole.
+func (s *State) Intact() bool { return s.intact || s.whole }
+
+// Status is what others are told of this process.
+func (s *State) Status() signals.Status {
+	return signals.Status{Whole: s.whole, Intact: s.Intact(), Majority: s.Standing() == InTouch, Sum: s.Set.Sum()}
+}
+
+// Heard notes that a peer is heard, and how it stands; it tells whether its items should be asked for.
+func (s *State) Heard(ip string, st signals.Status) (differs bool) {
+	p := s.peers[ip]
+	if p == nil {
+		p = &peer{}
+		s.peers[ip] = p
+	}
+	p.status = st
+	if st.Sum == s.Set.Sum() {
+		s.Synced(ip)
+		return false
+	}
+	return true
+}
+
+// Synced notes that all that a peer has was taken over.
+func (s *State) Synced(ip string) {
+	p := s.peers[ip]
+	if p == nil {
+		return
+	}
+	p.synced = true
+	if p.status.Intact {
+		s.synced[ip] = true
+		s.weigh()
+	}
+}
+
+// Lost notes that a peer isn't heard any more: its hosts and routers are now for others to hear of.
+func (s *State) Lost(now int64, ip, name string) {
+	delete(s.peers, ip)
+	s.Register.Orphan(now, name)
+}
+
+// Found ends that.
+func (s *State) Found(name string) { s.Register.Return(name) }
+
+// Merge takes items in, and tells those that were new.
+func (s *State) Merge(items []manifest.Item) (news []manifest.Item) {
+	for _, i := range items {
+		if s.Set.Merge(i) {
+			news = append(news, i)
+		}
+	}
+	return news
+}
+
+// Publish tells items to the routers that hang here.
+func (s *State) Publish(items []manifest.Item) {
+	for _, i := range items {
+		if now, ok := s.Set.Get(i.Key()); ok && now.Same(i) {
+			s.Ledger.Add(signals.Note{Item: &now})
+		}
+	}
+}
+
+// TellHost makes news of a host that this process hears.
+func (s *State) TellHost(h berths.Host, first bool) {
+	s.Ledger.Add(signals.Note{Host: &h, First: first})
+}
+
+// TellFront takes up how a router that hangs here is.
+func (s *State) TellFront(f signals.Front, first bool) bool {
+	old, known := s.Fronts[f.Name]
+	if known && !f.Newer(old) {
+		return false
+	}
+	if f.Gone && first && known && old.Owner != s.Self.Name {
+		return false // it hangs elsewhere by now
+	}
+	s.Fronts[f.Name] = f
+	s.Ledger.Add(signals.Note{Front: &f, First: first})
+	return true
+}
+
+// TellPoll takes up a router's vote.
+func (s *State) TellPoll(p signals.Poll, first bool) {
+	k := pollKey{p.Front, p.Service}
+	if old, ok := s.Polls[k]; ok && old.At >= p.At {
+		return
+	}
+	s.Polls[k] = p
+	if first {
+		s.Ledger.Add(signals.Note{Poll: &p, First: true})
+	}
+}
+
+// Take takes a note of another control process in.
+func (s *State) Take(now int64, n signals.Note) {
+	switch {
+	case n.Host != nil:
+		if s.Register.Merge(now, *n.Host) {
+			s.TellHost(*n.Host, false)
+		}
+	case n.Front != nil:
+		s.TellFront(*n.Front, false)
+	case n.Poll != nil:
+		s.TellPoll(*n.Poll, false)
+	}
+}
+
+// Snapshot is all that a router must know, or a control process of what only this one hears.
+func (s *State) Snapshot(control bool) (notes []signals.Note) {
+	hosts := s.Register.All()
+	if control {
+		hosts = s.Register.Own()
+	} else {
+		for _, i := range s.Set.All() {
+			notes = append(notes, signals.Note{Item: &i})
+		}
+	}
+	for _, h := range hosts {
+		notes = append(notes, signals.Note{Host: &h})
+	}
+	var names []string
+	for name, f := range s.Fronts {
+		if !control || f.Owner == s.Self.Name {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		f := s.Fronts[name]
+		notes = append(notes, signals.Note{Front: &f})
+	}
+	if control {
+		for _, p := range s.Polls {
+			notes = append(notes, signals.Note{Poll: &p})
+		}
+	}
+	return notes
+}
+
+// Roster is the routers that are ready, as the design counts and numbers them.
+func (s *State) Roster() []signals.Front { return signals.Roster(s.Fronts) }
+
+// Members are the IP numbers of the core that are known, but this one.
+func (s *State) Members() (ips []string) {
+	for ip := range s.Set.Members() {
+		if ip != s.Self.IP {
+			ips = append(ips, ip)
+		}
+	}
+	return ips
+}
+
+// Addresses answers the directory: ready fronts of the client's zone; where none is, of its region; else all.
+func (s *State) Addresses(zone, region string, regions map[string]string) (all []string) {
+	far := 0
+	for _, f := range s.Roster() {
+		near := 1
+		switch {
+		case f.Zone == zone:
+			near = 3
+		case regions[f.Zone] == region && region != "":
+			near = 2
+		}
+		if near > far {
+			far, all = near, all[:0]
+		}
+		if near == far {
+			all = append(all, f.Address)
+		}
+	}
+	slices.SortFunc(all, strings.Compare)
+	return all[:min(len(all), 64)]
+}
--- /dev/null
+++ b/internal/harbour/lines/lines.go
@@ -0,0 +1,182 @@
+// Package lines holds connections between the system's processes open: frames of JSON both ways, a beat where there is
+// nothing to say, and an end as soon as the other side has been silent for too long.
+package lines
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	Beat    = 500 * time.Millisecond  // of a side that has nothing to say
+	Silence = 1800 * time.Millisecond // after which the other side is taken for lost
+	largest = 8 << 20                 // bytes of a frame, inflated
+	waiting = 1024                    // frames that may wait to be written
+	deflate = 512                     // frames from so many bytes on are deflated
+)
+
+// ErrSilent says that the other side said nothing for too long.
+var ErrSilent = errors.New("the other side is silent")
+
+// Foreign counts frames and openings that were none of ours.
+var Foreign atomic.Int64
+
+// Line is one held connection. T is what is said on it.
+type Line[T any] struct {
+	conn net.Conn
+	out  chan []byte
+	done chan struct{}
+	once sync.Once
+	err  error
+	In   atomic.Int64 // bytes read and written
+	Out  atomic.Int64
+}
+
+// magic opens each side's talk, so that foreign bytes are known at once.
+var magic = []byte("pfl1")
+
+// Open takes a connection up. Run reads it.
+func Open[T any](c net.Conn) *Line[T] {
+	l := &Line[T]{conn: c, out: make(chan []byte, waiting), done: make(chan struct{})}
+	go l.write()
+	return l
+}
+
+// Send says something; it never waits. A side that doesn't take what it is told is lost.
+func (l *Line[T]) Send(v T) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		l.Close(err)
+		return
+	}
+	select {
+	case l.out <- raw:
+	case <-l.done:
+	default:
+		l.Close(errors.New("the other side takes nothing up"))
+	}
+}
+
+// Close ends the line, once, for the reason given.
+func (l *Line[T]) Close(err error) {
+	l.once.Do(func() {
+		l.err = err
+		close(l.done)
+		l.conn.Close()
+	})
+}
+
+// Done is closed at the end.
+func (l *Line[T]) Done() <-chan struct{} { return l.done }
+
+// Err is why it ended, after Done.
+func (l *Line[T]) Err() error { return l.err }
+
+// Peer is the other side's address.
+func (l *Line[T]) Peer() string { return l.conn.RemoteAddr().String() }
+
+// frame is a length, of which the highest bit says that what follows is deflated, and the bytes.
+func frame(raw []byte) []byte {
+	head := uint32(len(raw))
+	if len(raw) >= deflate {
+		var b bytes.Buffer
+		w, _ := flate.NewWriter(&b, flate.BestSpeed)
+		w.Write(raw)
+		w.Close()
+		if b.Len() < len(raw) {
+			raw, head = b.Bytes(), uint32(b.Len())|1<<31
+		}
+	}
+	return append(binary.BigEndian.AppendUint32(nil, head), raw...)
+}
+
+func (l *Line[T]) write() {
+	beat := time.NewTicker(Beat)
+	defer beat.Stop()
+	said := time.Now()
+	next := append([]byte(nil), magic...)
+	for {
+		l.conn.SetWriteDeadline(time.Now().Add(Silence))
+		n, err := l.conn.Write(next)
+		if l.Out.Add(int64(n)); err != nil {
+			l.Close(fmt.Errorf("writing: %w", err))
+			return
+		}
+		said = time.Now()
+		for next = nil; next == nil; {
+			select {
+			case raw := <-l.out:
+				next = frame(raw)
+			case <-beat.C:
+				if time.Since(said) >= Beat-Beat/8 {
+					next = make([]byte, 4)
+				}
+			case <-l.done:
+				return
+			}
+		}
+	}
+}
+
+// Run hands what is said to take until the line ends; its error says why.
+func (l *Line[T]) Run(take func(T)) error {
+	head := make([]byte, 4)
+	read := func(b []byte) error {
+		l.conn.SetReadDeadline(time.Now().Add(Silence))
+		n, err := io.ReadFull(l.conn, b)
+		l.In.Add(int64(n))
+		if e := net.Error(nil); errors.As(err, &e) && e.Timeout() {
+			return ErrSilent
+		}
+		return err
+	}
+	err := read(head)
+	if err == nil && !bytes.Equal(head, magic) {
+		Foreign.Add(1)
+		err = errors.New("the other side speaks something else")
+	}
+	for err == nil {
+		if err = read(head); err != nil {
+			break
+		}
+		n := binary.BigEndian.Uint32(head)
+		packed := n&(1<<31) != 0
+		if n &^= 1 << 31; n == 0 {
+			continue
+		}
+		if n > largest {
+			Foreign.Add(1)
+			err = fmt.Errorf("a frame of %d bytes", n)
+			break
+		}
+		raw := make([]byte, n)
+		if err = read(raw); err != nil {
+			break
+		}
+		if packed {
+			if raw, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(raw)), largest+1)); err == nil && len(raw) > largest {
+				err = errors.New("a frame that inflates too far")
+			}
+		}
+		var v T
+		if err == nil {
+			if err = json.Unmarshal(raw, &v); err == nil {
+				take(v)
+				continue
+			}
+		}
+		Foreign.Add(1)
+	}
+	l.Close(err)
+	<-l.done
+	return l.err
+}
--- /dev/null
+++ b/internal/harbour/logbook/logbook.go
@@ -0,0 +1,100 @@
+// Package logbook keeps the items on disk, by goleveldb, synced before anybody is told that they last.
+package logbook
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/errors"
+	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+
+	"portflow/internal/harbour/manifest"
+)
+
+// Book is an open logbook. Its methods wait for the disk.
+type Book struct {
+	db       *leveldb.DB
+	Syncs    int // orders synced
+	Repaired bool
+}
+
+// The keys: items, this acceptor's cells of registers, and that this disk has held the whole state since its last loss.
+const (
+	itemKey  = "i/"
+	cellKey  = "c/"
+	wholeKey = "w"
+)
+
+var options = &opt.Options{WriteBuffer: 1 << 20, BlockCacheCapacity: 256 << 10, OpenFilesCacheCapacity: 16,
+	CompactionTableSize: 1 << 20, DisableSeeksCompaction: true}
+
+// Open opens the logbook in a folder, and reads all items. What can't be read is repaired as far as it can be, and said so:
+// the rest comes from the other control processes, as whole is false then.
+func Open(s storage.Storage) (b *Book, items []manifest.Item, cells map[string][]byte, whole bool, err error) {
+	b, cells = &Book{}, map[string][]byte{}
+	b.db, err = leveldb.Open(s, options)
+	if errors.IsCorrupted(err) {
+		b.Repaired = true
+		b.db, err = leveldb.Recover(s, options)
+	}
+	if err != nil {
+		return nil, nil, nil, false, fmt.Errorf("logbook: %w", err)
+	}
+	it := b.db.NewIterator(nil, nil)
+	defer it.Release()
+	for it.Next() {
+		key := string(it.Key())
+		if key == wholeKey {
+			whole = !b.Repaired
+			continue
+		}
+		if register, ok := strings.CutPrefix(key, cellKey); ok {
+			cells[register] = append([]byte(nil), it.Value()...)
+			continue
+		}
+		var i manifest.Item
+		if json.Unmarshal(it.Value(), &i) != nil || key != name(i) {
+			b.Repaired, whole = true, false
+			continue
+		}
+		items = append(items, i)
+	}
+	if err := it.Error(); err != nil {
+		b.Repaired = true
+	}
+	return b, items, cells, whole && !b.Repaired, nil
+}
+
+// Folder is the logbook's storage in a folder.
+func Folder(path string) (storage.Storage, error) { return storage.OpenFile(path, false) }
+
+func name(i manifest.Item) string { return itemKey + i.Kind + "/" + i.Name }
+
+// Write writes items, cells of registers, and whether the disk now holds all, in one synced step.
+func (b *Book) Write(items []manifest.Item, cells map[string][]byte, whole bool) error {
+	batch := new(leveldb.Batch)
+	for _, i := range items {
+		raw, err := json.Marshal(i)
+		if err != nil {
+			return fmt.Errorf("logbook: %s %s: %w", i.Kind, i.Name, err)
+		}
+		batch.Put([]byte(name(i)), raw)
+	}
+	for name, raw := range cells {
+		batch.Put([]byte(cellKey+name), raw)
+	}
+	if whole {
+		batch.Put([]byte(wholeKey), []byte{1})
+	}
+	b.Syncs++
+	if err := b.db.Write(batch, &opt.WriteOptions{Sync: true}); err != nil {
+		return fmt.Errorf("logbook: %w", err)
+	}
+	return nil
+}
+
+// Close closes it.
+func (b *Book) Close() error { return b.db.Close() }
--- /dev/null
+++ b/internal/harbour/manifest/manifest.go
@@ -0,0 +1,174 @@
+// Package manifest is the control state that lasts: items that carry versions of their own and are merged one by one.
+// There is no log and no leader: two sets that hold the same items are the same, whatever way the items came.
+package manifest
+
+import (
+	"bytes"
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"strings"
+)
+
+// The kinds of items.
+const (
+	Routes      = "routes"
+	Services    = "services"
+	Limits      = "limits"      // one, by the name of its kind
+	Evacuations = "evacuations" // by zone: begun or withdrawn
+	Rollouts    = "rollouts"    // by service: the newest order, and how it ended
+	Settled     = "settled"     // by service: the version that is not on trial
+)
+
+// Item is one of them. Body is JSON with its fields in the order of their names, so that equal ones are equal bytes.
+type Item struct {
+	Kind    string          `json:"k"`
+	Name    string          `json:"n"`
+	Version uint64          `json:"v"`
+	Dropped bool            `json:"d,omitempty"`
+	Body    json.RawMessage `json:"b,omitempty"`
+}
+
+// Key is an item's place.
+type Key struct{ Kind, Name string }
+
+// Key is where the item belongs.
+func (i Item) Key() Key { return Key{i.Kind, i.Name} }
+
+// Newer tells whether i holds against j, of the same key. The higher version holds. Two of one version, as two operators
+// may send at once, are told apart by what they say alone: one that is set goes before one that is dropped, then the
+// greater bytes, so that every place decides alike.
+func (i Item) Newer(j Item) bool {
+	switch {
+	case i.Version != j.Version:
+		return i.Version > j.Version
+	case i.Dropped != j.Dropped:
+		return j.Dropped
+	}
+	return bytes.Compare(i.Body, j.Body) > 0
+}
+
+// Same tells whether two items say the same.
+func (i Item) Same(j Item) bool {
+	return i.Key() == j.Key() && i.Version == j.Version && i.Dropped == j.Dropped && bytes.Equal(i.Body, j.Body)
+}
+
+func (i Item) sum() uint64 {
+	f := fnv.New64a()
+	f.Write([]byte(i.Kind))
+	f.Write([]byte{0})
+	f.Write([]byte(i.Name))
+	for s := range 8 {
+		f.Write([]byte{byte(i.Version >> (8 * s))})
+	}
+	if i.Dropped {
+		f.Write([]byte{1})
+	}
+	f.Write(i.Body)
+	return f.Sum64()
+}
+
+// Parts is into how many parts a set's sums are split, by which two holders find what differs.
+const Parts = 64
+
+func (k Key) part() int {
+	f := fnv.New32a()
+	f.Write([]byte(k.Kind))
+	f.Write([]byte(k.Name))
+	return int(f.Sum32() % Parts)
+}
+
+// Set is the items that are known, dropped ones too, so that nothing older comes back. It is not safe for two goroutines.
+type Set struct {
+	items map[Key]Item
+	sums  [Parts]uint64
+}
+
+// NewSet makes an empty set.
+func NewSet() *Set { return &Set{items: map[Key]Item{}} }
+
+// Merge takes an item in if it is newer than what stands, and tells whether it was.
+func (s *Set) Merge(i Item) bool {
+	k := i.Key()
+	old, there := s.items[k]
+	if there && !i.Newer(old) {
+		return false
+	}
+	p := k.part()
+	if there {
+		s.sums[p] ^= old.sum()
+	}
+	s.sums[p] ^= i.sum()
+	s.items[k] = i
+	return true
+}
+
+// Get is the item at a key.
+func (s *Set) Get(k Key) (Item, bool) {
+	i, ok := s.items[k]
+	return i, ok
+}
+
+// Len is how many items there are, dropped ones too.
+func (s *Set) Len() int { return len(s.items) }
+
+// All are the items, in the order of their keys.
+func (s *Set) All() []Item {
+	all := make([]Item, 0, len(s.items))
+	for _, i := range s.items {
+		all = append(all, i)
+	}
+	sortItems(all)
+	return all
+}
+
+func sortItems(all []Item) {
+	slices.SortFunc(all, func(a, b Item) int {
+		if c := strings.Compare(a.Kind, b.Kind); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+}
+
+// Standing are the items of a kind that are not dropped, by name.
+func (s *Set) Standing(kind string) (all []Item) {
+	for k, i := range s.items {
+		if k.Kind == kind && !i.Dropped {
+			all = append(all, i)
+		}
+	}
+	sortItems(all)
+	return all
+}
+
+// Sums are the sums over the parts; two sets with the same are taken to be the same.
+func (s *Set) Sums() [Parts]uint64 { return s.sums }
+
+// Sum is one number over all.
+func (s *Set) Sum() (sum uint64) {
+	for p, x := range s.sums {
+		sum ^= x * uint64(2*p+1)
+	}
+	return sum
+}
+
+// Differing are the items in the parts whose sums are not those of another holder.
+func (s *Set) Differing(theirs [Parts]uint64) (all []Item) {
+	for k, i := range s.items {
+		if p := k.part(); s.sums[p] != theirs[p] {
+			all = append(all, i)
+		}
+	}
+	sortItems(all)
+	return all
+}
+
+// Clone is a copy, for trying out what a change would make of it.
+func (s *Set) Clone() *Set {
+	c := &Set{items: make(map[Key]Item, len(s.items)), sums: s.sums}
+	for k, i := range s.items {
+		c.items[k] = i
+	}
+	return c
+}
--- /dev/null
+++ b/internal/harbour/pilotage/pilotage.go
@@ -0,0 +1,159 @@
+// Package pilotage is a rollout as the control processes see it: an order, the votes of designated routers, and an end that
+// is decided once. It is pure; the routers' own judgement is the rules'.
+package pilotage
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/signals"
+	"portflow/rules"
+)
+
+// State is where a rollout stands.
+type State uint8
+
+const (
+	None State = iota
+	Running
+	Completed
+	RolledBack
+)
+
+var names = [...]string{None: "none", Running: "running", Completed: "completed", RolledBack: "rolled_back"}
+
+func (s State) String() string { return names[s] }
+
+// Parse reads a state's name.
+func Parse(name string) State {
+	for s, n := range names {
+		if n == name {
+			return State(s)
+		}
+	}
+	return None
+}
+
+// Rollout is one order. Times are nanoseconds.
+type Rollout struct {
+	Service string `json:"-"`
+	Order   uint64 `json:"order"` // counts the service's orders, from 1
+	From    string `json:"from"`
+	Base    uint64 `json:"base"` // the order that brought From in, 0 for none
+	Target  string `json:"target"`
+	Began   int64  `json:"began"` // Unix
+	Term    int64  `json:"term"`
+	State   State  `json:"state"`
+}
+
+// Read is a rollout's item.
+func Read(i manifest.Item) (r Rollout) {
+	if json.Unmarshal(i.Body, &r) != nil || r.State > RolledBack {
+		return Rollout{Service: i.Name}
+	}
+	r.Service = i.Name
+	return r
+}
+
+// Item is the rollout as it is kept. The end holds against the order, whichever way it came.
+func (r Rollout) Item() manifest.Item {
+	body, _ := json.Marshal(r)
+	version := r.Order * 2
+	if r.State > Running {
+		version++
+	}
+	return manifest.Item{Kind: manifest.Rollouts, Name: r.Service, Version: version, Body: body}
+}
+
+// Register is the name under which its end is decided.
+func (r Rollout) Register() string { return fmt.Sprintf("%s#%d", r.Service, r.Order) }
+
+// Settled is a service's version that is not on trial: where the newest rollout completed, its target.
+func Settled(first manifest.Item, r Rollout) string {
+	switch r.State {
+	case Completed:
+		return r.Target
+	case Running, RolledBack:
+		return r.From
+	}
+	var v struct {
+		Version string `json:"version"`
+	}
+	json.Unmarshal(first.Body, &v)
+	return v.Version
+}
+
+// Build is the number of the settled version's build, as the routers' rules count builds: that of the order that brought it
+// in.
+func (r Rollout) Build() uint64 {
+	if r.State == Completed {
+		return r.Order
+	}
+	return r.Base
+}
+
+// News is what the rules are told of the rollout. Before the first order the settled build has run for long.
+func (r Rollout) News(now int64, share float64) rules.News {
+	n := rules.News{Build: int(r.Order), Standing: rules.Released, Cap: 1, Age: now - r.Began}
+	switch r.State {
+	case None:
+		n.Age = int64(3600e9)
+	case Running:
+		n.Standing, n.Cap = rules.OnTrial, share
+	case RolledBack:
+		n.Standing, n.Cap = rules.Withdrawn, 0
+	}
+	return n
+}
+
+const (
+	// Voters is how many votes it takes: two, so that no router alone can end a rollout; the rules have one voter more, as
+	// one may be cut off.
+	Voters = 2
+	// Life is for how long a vote stands; the rules renew it after half of that.
+	Life = int64(2e9)
+	// turn is how long each control process waits for the one before it.
+	turn = int64(400e6)
+	// Early is the part of the term after which a good version is let through: an earlier end gains nothing, and a build
+	// may turn bad late.
+	Early = 0.8
+	// last is what is left of the term when a rollout without clear votes is ended.
+	last = int64(1200e6)
+)
+
+// Judge tells how a rollout should end by the votes, or that it runs on. Only routers that control counts may vote.
+func Judge(now int64, r Rollout, votes []signals.Poll, roster []signals.Front, before int) State {
+	counted := make(map[string]bool, len(roster))
+	for _, f := range roster {
+		counted[f.Name] = true
+	}
+	on, back := 0, 0
+	newest := int64(0)
+	for _, p := range votes {
+		if !counted[p.Front] || now-p.At > Life {
+			continue
+		}
+		switch rules.Verdict(p.Verdict) {
+		case rules.On:
+			on++
+		case rules.Back:
+			back++
+			newest = max(newest, p.At)
+		}
+	}
+	need := min(Voters, max(1, len(roster)))
+	wait := int64(before) * turn
+	age := now - r.Began
+	switch {
+	case back >= need && now-newest >= min(wait, Life/2):
+		return RolledBack
+	case on >= need && back == 0 && age >= int64(Early*float64(r.Term))+wait:
+		return Completed
+	case age >= r.Term-last+wait && back > 0:
+		return RolledBack
+	case age >= r.Term-last/2+wait: // nobody found out: what is not known to be good doesn't replace what is
+		return RolledBack
+	}
+	return Running
+}
--- /dev/null
+++ b/internal/harbour/signals/signals.go
@@ -0,0 +1,110 @@
+// Package signals is news in numbers: what a control process tells the others and the routers that hang on it. Who is
+// behind by more than is kept takes a snapshot, then follows. It is pure.
+package signals
+
+import (
+	"slices"
+	"strings"
+
+	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/manifest"
+)
+
+// Front is a router that carries traffic, as the control process that it hangs on knows it.
+type Front struct {
+	Name    string `json:"n"`
+	Zone    string `json:"z"`
+	IP      string `json:"p"`
+	Address string `json:"a"` // of its front
+	Ready   bool   `json:"r,omitempty"`
+	Gone    bool   `json:"g,omitempty"` // it hangs here no longer
+	Since   int64  `json:"s"`           // when it came, Unix nanoseconds: the later holds
+	Change  int    `json:"c,omitempty"` // counts its changes since then
+	Owner   string `json:"o"`
+}
+
+// Newer tells whether a holds against b, of one name.
+func (a Front) Newer(b Front) bool {
+	return a.Since > b.Since || a.Since == b.Since && a.Change > b.Change
+}
+
+// Poll is a router's vote on a rollout: it stands until it lapses.
+type Poll struct {
+	Front   string  `json:"f"`
+	Service string  `json:"s"`
+	Order   uint64  `json:"o"` // the rollout's number
+	Verdict uint8   `json:"v"`
+	At      int64   `json:"t"` // Unix nanoseconds
+	State   float64 `json:"e,omitempty"`
+	Count   float64 `json:"c,omitempty"`
+}
+
+// Note is one piece of news.
+type Note struct {
+	Item  *manifest.Item `json:"i,omitempty"`
+	Host  *berths.Host   `json:"h,omitempty"`
+	Front *Front         `json:"f,omitempty"`
+	Poll  *Poll          `json:"p,omitempty"`
+	First bool           `json:"-"` // first-hand: other control processes don't know it yet
+}
+
+// Ledger numbers the news of one life of a control process. It is not safe for two goroutines.
+type Ledger struct {
+	most int
+	last uint64
+	kept []Note
+}
+
+// NewLedger keeps so many changes for those who are behind.
+func NewLedger(most int) *Ledger { return &Ledger{most: most} }
+
+// Add gives a note the next number.
+func (l *Ledger) Add(n Note) uint64 {
+	l.last++
+	if l.kept = append(l.kept, n); len(l.kept) > l.most+l.most/2 { // moved now and then, not each time
+		l.kept = append([]Note(nil), l.kept[len(l.kept)-l.most:]...)
+	}
+	return l.last
+}
+
+// Last is the newest number.
+func (l *Ledger) Last() uint64 { return l.last }
+
+// After are the notes with numbers above n; ok is false where they are not all kept any more.
+func (l *Ledger) After(n uint64) (notes []Note, ok bool) {
+	missing := l.last - n
+	if n > l.last || missing > uint64(len(l.kept)) {
+		return nil, false
+	}
+	return l.kept[uint64(len(l.kept))-missing:], true
+}
+
+// Follower is where one who hears the news has come.
+type Follower struct {
+	Life string // of whom it hears
+	Have uint64
+}
+
+// Take tells whether a batch of news follows on what is had: a snapshot always does. A batch that has been had is none.
+func (f *Follower) Take(life string, from, to uint64, snapshot bool) bool {
+	if snapshot {
+		f.Life, f.Have = life, to
+		return true
+	}
+	if life != f.Life || from != f.Have || to < from {
+		return false
+	}
+	f.Have = to
+	return true
+}
+
+// Roster counts and numbers the routers that are ready: by name, the first has number 0.
+func Roster(fronts map[string]Front) (ready []Front) {
+	for _, f := range fronts {
+		if f.Ready && !f.Gone {
+			ready = append(ready, f)
+		}
+	}
+	slices.SortFunc(ready, func(a, b Front) int { return strings.Compare(a.Name, b.Name) })
+	return ready
+}
--- /dev/null
+++ b/internal/harbour/signals/words.go
@@ -0,0 +1,53 @@
+package signals
+
+import "portflow/internal/harbour/manifest"
+
+// Word is what is said on a held connection. Who dials follows; who is dialled tells the news.
+type Word struct {
+	Hello  *Hello          `json:"h,omitempty"` // first, from each side
+	News   *News           `json:"n,omitempty"` // down
+	Status *Status         `json:"s,omitempty"` // down, at each change and now and then
+	Ack    uint64          `json:"a,omitempty"` // up: the number up to which the news was taken
+	Front  *Front          `json:"f,omitempty"` // up, from a router: how it is
+	Polls  []Poll          `json:"p,omitempty"` // up, from a router
+	Store  *Store          `json:"o,omitempty"` // up, between control processes: to be kept on disk
+	Stored uint64          `json:"k,omitempty"` // down: it is
+	Want   []uint64        `json:"w,omitempty"` // up: the sums of what is had, for what differs
+	Items  []manifest.Item `json:"i,omitempty"` // down: what differs
+	Given  bool            `json:"g,omitempty"` // down: that was all of it
+	Ask    *Ask            `json:"q,omitempty"` // up, between control processes: a step of a register
+	Reply  *Reply          `json:"r,omitempty"` // down
+}
+
+// Hello is who speaks.
+type Hello struct {
+	Name    string `json:"n"`
+	IP      string `json:"p"`
+	Zone    string `json:"z"`
+	Control bool   `json:"c,omitempty"`
+	Life    string `json:"l,omitempty"` // whose news it has, and up to which number
+	Have    uint64 `json:"h,omitempty"`
+}
+
+// News is a batch: all numbers after From up to To, or a snapshot as of To.
+type News struct {
+	Life     string `json:"l"`
+	From     uint64 `json:"f,omitempty"`
+	To       uint64 `json:"t"`
+	Snapshot bool   `json:"s,omitempty"`
+	Notes    []Note `json:"n,omitempty"`
+}
+
+// Status is how a control process stands.
+type Status struct {
+	Whole    bool   `json:"w,omitempty"` // it knows all that more than half of the core has acknowledged
+	Intact   bool   `json:"i,omitempty"` // its disk has been whole since its last loss
+	Majority bool   `json:"m,omitempty"` // it hears more than half of the core
+	Sum      uint64 `json:"s,omitempty"`
+}
+
+// Store is an order to keep items on disk.
+type Store struct {
+	ID    uint64          `json:"i"`
+	Items []manifest.Item `json:"s"`
+}
--- a/internal/parts/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -280,6 +280,9 @@
 	defer resp.Body.Close()
 	o, err := p.Protocol.Answer(r, resp)
 	if err != nil {
+		if c := h.conn.Load(); c != nil { // what else comes on it belongs to no request
+			c.Close()
+		}
 		return router.Outcome{Ending: h.broken(ctx, err)}
 	}
 	return o
--- a/internal/parts/router/events.go
+++ b/internal/parts/router/events.go
@@ -106,6 +106,10 @@
 	}
 	// News brings what the platform says, unasked or in reply to a vote.
 	News struct{ rules.News }
+	// Band adds a band; its number is the next one.
+	Band struct{ rules.Band }
+	// Number tells how many routers there are, and which of them this one is.
+	Number struct{ Rank, Routers int }
 	// Flagged tells that a host's answer was found wrong.
 	Flagged struct {
 		Host string
--- a/internal/parts/router/router.go
+++ b/internal/parts/router/router.go
@@ -91,7 +91,7 @@
 func (r *Router) Post(e Event) {
 	queue := r.ordinary
 	switch e.(type) {
-	case List, News, Flagged, Heard:
+	case List, News, Flagged, Heard, Band, Number:
 		queue = r.urgent
 	}
 	select {
@@ -306,6 +306,10 @@
 
 func (e News) apply(r *Router) { r.module.Hear(r.clock(), e.News) }
 
+func (e Band) apply(r *Router) { r.module.Append(e.Band) }
+
+func (e Number) apply(r *Router) { r.module.Numbered(r.clock(), e.Rank, e.Routers) }
+
 func (e Flagged) apply(r *Router) {
 	if id, ok := r.names[e.Host]; ok {
 		r.module.Flagged(r.clock(), id, e.Band, e.Age)
--- a/rules/door.go
+++ b/rules/door.go
@@ -119,6 +119,8 @@
 	Copies        bool // two hand-offs at once are allowed
 	Recalls       bool
 	Peers         bool
+	Patient       bool    // a host that works is left to it until the cut-off
+	AgainSlack    float64 // what all routers may hand off again at once, 0 for a usual number at each
 	MaxAdvice     int64
 	Gate          Gate
 	OnVotes       int
@@ -127,6 +129,7 @@
 	VoteLife      int64
 	VoteWait      int64
 	Free          float64 // exposure: hand-offs beyond the cap
+	FreeOfAll     float64 // the same for all routers together, 0 where Free says it for each
 	FirstCap      float64
 	CapByBand     bool
 	Beside        bool // the earlier hosts stay until the release
@@ -350,6 +353,14 @@
 	if rank >= 0 && rank < routers {
 		r.now = now
 		r.set.Rank, r.set.Routers = rank, routers
+		if r.set.AgainSlack > 0 {
+			r.again.top = r.set.AgainSlack / float64(routers)
+			r.again.add(0)
+		}
+		if r.set.FreeOfAll > 0 {
+			r.exposed.top = r.set.FreeOfAll / float64(routers)
+			r.exposed.add(0)
+		}
 	}
 }
 
