--- a/internal/harbour/manifest/change.go
+++ b/internal/harbour/manifest/change.go
@@ -54,14 +54,19 @@
 	if err := r.Err(); err != nil {
 		return nil, faults.Wrap(faults.Invalid, err, "the change is invalid")
 	}
-	seen := map[Key]bool{}
+	return newest(all), nil
+}
+
+// newest leaves the one of each name that holds: a call may name one twice, to drop it, say.
+func newest(all []Item) (out []Item) {
 	for _, i := range all {
-		if seen[i.Key()] {
-			return nil, faults.New(faults.Invalid, "%s %s: there twice", i.Kind, i.Name)
+		if at := slices.IndexFunc(out, func(x Item) bool { return x.Key() == i.Key() }); at < 0 {
+			out = append(out, i)
+		} else if i.Newer(out[at]) {
+			out[at] = i
 		}
-		seen[i.Key()] = true
 	}
-	return all, nil
+	return out
 }
 
 // rows reads items that come as columns and rows.
@@ -185,7 +190,7 @@
 		t["version"] = Digits(i.Version)
 		set[Limits] = t
 	}
-	return json.Marshal(papers.Tree{"set-items": set})
+	return json.Marshal(set)
 }
 
 // Digits is a version as it stands in bodies.
