A build is let on only when its states are surely under the threshold; cold parts settle first

In the system waiting is cheap before the term: settings.Certain wants mean + error under the threshold; control acts at 2.6 s before the term and rolls back what stays open at 1.5 s. A part that has grown is now used after 1.3 s; who is cut off, just back or not counted has none. Routers of a control process that is lost are taken for gone after 1.2 s unless they hang elsewhere.

--- a/internal/harbour/fairway/board.go
+++ b/internal/harbour/fairway/board.go
@@ -170,17 +170,18 @@
 
 // Standing is the number of this router among those that are ready, how many there are, and how many in each zone. One that
 // isn't counted yet takes the place behind the others, and counts itself in.
-func (b *Board) Standing() (rank, count int, zones map[string]int) {
+func (b *Board) Standing() (rank, count int, zones map[string]int, counted bool) {
 	zones = map[string]int{}
 	ready := signals.Roster(b.fronts)
 	for _, f := range ready {
 		zones[f.Zone]++
 	}
 	rank = slices.IndexFunc(ready, func(f signals.Front) bool { return strings.EqualFold(f.Name, b.name) })
-	if count = len(ready); rank < 0 {
+	count, counted = len(ready), rank >= 0
+	if !counted {
 		rank = count
 		count++
 		zones[b.self.Zone]++
 	}
-	return rank, count, zones
+	return rank, count, zones, counted
 }
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"k8s.io/klog/v2"
 
 	"portflow/internal/harbour/berths"
@@ -49,17 +50,18 @@
 	services map[string]*service
 	link     *link
 	since    int64
-	changes  int
-
-	view    atomic.Pointer[view]
-	cutOff  atomic.Int64 // since when no control process in touch is heard, 0 for not
-	ready   atomic.Bool  // a snapshot has come
-	leaving atomic.Bool
-	open    atomic.Int64 // requests
-	held    atomic.Int64 // bytes of bodies
-	counts  counts
-	dice    sync.Mutex
-	chance  chance.Source
+	past     []former
+
+	view     atomic.Pointer[view]
+	cutOff   atomic.Int64 // since when no control process in touch is heard, 0 for not
+	ready    atomic.Bool  // a snapshot has come
+	leaving  atomic.Bool
+	rejoined atomic.Int64 // when one was heard again
+	open     atomic.Int64 // requests
+	held     atomic.Int64 // bytes of bodies
+	counts   counts
+	dice     sync.Mutex
+	chance   chance.Source
 }
 
 // view is what requests go by; it is replaced as a whole.
@@ -69,8 +71,21 @@
 	zones    map[string]int
 	rank     int
 	count    int
+	counted  bool
+	former   []former
 }
 
+// former is how many routers there were in each zone, until it was replaced.
+type former struct {
+	zones   map[string]int
+	counted bool
+	until   int64
+}
+
+// settling is for how long a part that has grown is not used: the others shrink theirs as they hear, and what they sent
+// before that arrives.
+const settling = second + second/3
+
 const (
 	connectIn = 400 * time.Millisecond // beyond the longest way twice, and a packet sent again
 	hostIdle  = 8 * time.Second        // hosts close connections that stand idle for some seconds
@@ -145,7 +160,11 @@
 		}
 	}
 	if c.Fronts || v.zones == nil {
-		v.rank, v.count, v.zones = f.board.Standing()
+		now := f.clock()
+		f.past = slices.DeleteFunc(f.past, func(p former) bool { return now-p.until > settling })
+		f.past = append(f.past, former{v.zones, v.counted, now})
+		v.former = slices.Clone(f.past)
+		v.rank, v.count, v.zones, v.counted = f.board.Standing()
 		for _, s := range f.services {
 			s.reducer.Post(router.Number{Rank: v.rank, Routers: v.count})
 		}
@@ -212,10 +231,10 @@
 // enter begins a service: its rules run until the process ends.
 func (f *Fairway) enter(name string) *service {
 	s := &service{f: f, name: name, berths: map[string]*berth{}, bands: map[bandKey]int{}}
-	s.reducer = router.New(f.clock, quiet)
+	s.reducer = router.New(f.clock, zerolog.New(notes{name}))
 	v := rules.News{Standing: rules.Released, Cap: 1, Age: 3600e9}
 	s.news.Store(&v)
-	set := rules.Settings{Routers: 1, Tick: int64(5e6), MaxHandOffs: 1, Recalls: true, Patient: true, MaxAdvice: int64(500e6),
+	set := rules.Settings{Routers: 1, Tick: int64(5e6), MaxHandOffs: 1, Recalls: true, Patient: true, Certain: true, MaxAdvice: int64(500e6),
 		Peers: true, Gate: rules.Share, OnVotes: voters, BackVotes: voters, VoteLife: voteLife, VoteWait: int64(500e6),
 		AgainSlack: f.Boot.Bounds.BudgetSlack / 2, FreeOfAll: f.Boot.Bounds.ExposureSlack * 0.7, FirstCap: f.share(), Beside: true}
 	go s.reducer.Run(f.ctx, router.Start{Settings: set, Seed: f.Seed ^ uint64(len(f.services)+1)<<32, News: router.News{News: v}},
@@ -286,7 +305,7 @@
 		return false
 	}
 	v := f.view.Load()
-	p := f.part(b.Host, v)
+	p := f.part(b.Host, v, v.zones)
 	if b.open >= p.Open {
 		return false
 	}
@@ -294,12 +313,30 @@
 	if b.ColdUntil <= now {
 		return true
 	}
-	return f.cutOff.Load() == 0 && b.cold.room(now, p.Cold)
+	return b.cold.room(now, min(p.Cold, f.cold(now, b.Host, v)))
 }
 
-func (f *Fairway) part(h berths.Host, v *view) Parts {
+func (f *Fairway) part(h berths.Host, v *view, zones map[string]int) Parts {
 	t := Terms{Overrun: f.Boot.Bounds.ColdOverrun, Slack: f.Boot.Bounds.ColdSlack, ColdPerS: v.chart.Services[h.Service].ColdPerS}
-	return Part(h, Place{f.Boot.Zone, f.Boot.Region}, f.Boot.Zones, v.zones, t)
+	return Part(h, Place{f.Boot.Zone, f.Boot.Region}, f.Boot.Zones, zones, t)
+}
+
+// cold is the least part of a cold host that this router has had of late: one that is cut off, has just come back, or isn't
+// counted yet has none.
+func (f *Fairway) cold(now int64, h berths.Host, v *view) int {
+	if f.cutOff.Load() != 0 || now-f.rejoined.Load() < settling || !v.counted {
+		return 0
+	}
+	least := math.MaxInt
+	for _, p := range v.former {
+		if now-p.until < settling {
+			if !p.counted {
+				return 0
+			}
+			least = min(least, f.part(h, v, p.zones).Cold)
+		}
+	}
+	return least
 }
 
 // HandOff sends a request to a host; the rules chose it a moment ago.
--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -15,13 +16,17 @@
 	"portflow/internal/harbour/pilotage"
 	"portflow/internal/harbour/signals"
 	"portflow/rules"
-
-	"github.com/rs/zerolog"
 )
 
 type pilotageRollout = pilotage.Rollout
 
-var quiet = zerolog.Nop() // the rules' notes: votes are counted by control
+// notes takes what the rules note: a vote that has changed, with what it goes by.
+type notes struct{ service string }
+
+func (n notes) Write(line []byte) (int, error) {
+	klog.InfoS("rules", "service", n.service, "note", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
 
 const (
 	voters   = pilotage.Voters
@@ -131,7 +136,7 @@
 	}
 	f.link = k
 	hello := signals.Hello{Name: f.Boot.Name, IP: f.Boot.IP, Zone: f.Boot.Zone, Life: k.follower.Life, Have: k.follower.Have}
-	f.since, f.changes = time.Now().UnixNano(), 0
+	f.since = time.Now().UnixNano()
 	f.mu.Unlock()
 	l.Send(signals.Word{Hello: &hello})
 	f.tellSelf()
@@ -142,7 +147,9 @@
 		case w.Status != nil:
 			if w.Status.Whole && w.Status.Majority {
 				timer.Stop()
-				f.cutOff.Store(0)
+				if f.cutOff.Swap(0) != 0 {
+					f.rejoined.Store(f.clock()) // others may have taken its parts over
+				}
 			} else {
 				timer.Reset(patience)
 			}
@@ -178,9 +185,8 @@
 	if f.link == nil {
 		return
 	}
-	f.changes++
 	f.link.line.Send(signals.Word{Front: &signals.Front{Name: f.Boot.Name, Zone: f.Boot.Zone, IP: f.Boot.IP,
-		Address: f.Boot.Listen["front"], Ready: f.ready.Load() && !f.leaving.Load(), Since: f.since, Change: f.changes}})
+		Address: f.Boot.Listen["front"], Ready: f.ready.Load() && !f.leaving.Load(), Since: f.since}})
 }
 
 // vote tells control a vote.
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -397,9 +397,9 @@
 	defer m.mu.Unlock()
 	if f.front.Name != "" { // it hangs here no longer
 		gone := f.front
-		gone.Gone = true
-		gone.Change++
-		if m.state.TellFront(gone, true) {
+		if old := m.state.Fronts[gone.Name]; old.Since == gone.Since && old.Owner == m.Boot.Name {
+			gone.Gone, gone.Change = true, old.Change+1
+			m.state.TellFront(gone, true)
 			m.wake()
 		}
 	}
@@ -497,11 +497,16 @@
 		kind := convoy.Traffic
 		if w.Hello.Control {
 			kind = convoy.Control
+			m.state.Renew()
+			m.wake()
 		}
 		m.convoy.Meet(convoy.Member{IP: w.Hello.IP, Kind: kind, Zone: w.Hello.Zone})
 	case w.Front != nil && f.who.Name != "" && !f.who.Control:
 		x := *w.Front
-		x.Name, x.Owner, x.Gone = f.who.Name, m.Boot.Name, false
+		x.Name, x.Owner, x.Gone, x.Change = f.who.Name, m.Boot.Name, false, 0
+		if old := m.state.Fronts[x.Name]; old.Since == x.Since {
+			x.Change = old.Change + 1
+		}
 		f.front = x
 		if m.state.TellFront(x, true) {
 			m.wake()
@@ -546,6 +551,9 @@
 			m.state.TellHost(h, true)
 			m.wake()
 		}
+		if m.state.Tick(time.Now().UnixNano()) {
+			m.wake()
+		}
 		m.change()
 		m.mu.Unlock()
 		m.steer()
--- a/internal/harbour/harbourmaster/state.go
+++ b/internal/harbour/harbourmaster/state.go
@@ -40,6 +40,7 @@
 	intact   bool // the disk held the whole state when it was opened, or this is the first start
 	whole    bool
 	peers    map[string]*peer // by IP, those that are heard now
+	lost     map[string]int64 // by name, control processes that are not heard, since when
 	synced   map[string]bool  // by IP, intact ones whose items were taken over in this life
 }
 
@@ -51,7 +52,7 @@
 func NewState(self signals.Hello, size int, items []manifest.Item, intact bool, beat int64) *State {
 	s := &State{Self: self, size: size, Set: manifest.NewSet(), Register: berths.New(self.Name, beat),
 		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(keptNews), Polls: map[pollKey]signals.Poll{},
-		intact: intact, peers: map[string]*peer{}, synced: map[string]bool{}}
+		intact: intact, peers: map[string]*peer{}, lost: map[string]int64{}, synced: map[string]bool{}}
 	for _, i := range items {
 		s.Set.Merge(i)
 	}
@@ -139,11 +140,40 @@
 // Lost notes that a peer isn't heard any more: its hosts and routers are now for others to hear of.
 func (s *State) Lost(now int64, ip, name string) {
 	delete(s.peers, ip)
+	s.lost[name] = now
 	s.Register.Orphan(now, name)
 }
 
 // Found ends that.
-func (s *State) Found(name string) { s.Register.Return(name) }
+func (s *State) Found(name string) {
+	delete(s.lost, name)
+	s.Register.Return(name)
+}
+
+// adrift is for how long the routers that hung on a control process which isn't heard any more may be on their way to
+// another before they are taken for gone.
+const adriftFor = int64(1200e6)
+
+// Tick finds routers that went down with the control process that they hung on.
+func (s *State) Tick(now int64) (changed bool) {
+	for _, f := range s.Fronts {
+		if at, lost := s.lost[f.Owner]; lost && !f.Gone && now-at > adriftFor {
+			f.Gone = true
+			changed = s.TellFront(f, false) || changed
+		}
+	}
+	return changed
+}
+
+// Renew has this process's own routers told anew to another that was away: it may have taken them for gone.
+func (s *State) Renew() {
+	for _, f := range s.Fronts {
+		if f.Owner == s.Self.Name && !f.Gone {
+			f.Change++
+			s.TellFront(f, true)
+		}
+	}
+}
 
 // Merge takes items in, and tells those that were new.
 func (s *State) Merge(items []manifest.Item) (news []manifest.Item) {
@@ -175,9 +205,6 @@
 	if known && !f.Newer(old) {
 		return false
 	}
-	if f.Gone && first && known && old.Owner != s.Self.Name {
-		return false // it hangs elsewhere by now
-	}
 	s.Fronts[f.Name] = f
 	s.Ledger.Add(signals.Note{Front: &f, First: first})
 	return true
--- a/internal/harbour/pilotage/pilotage.go
+++ b/internal/harbour/pilotage/pilotage.go
@@ -115,11 +115,11 @@
 	Life = int64(2e9)
 	// turn is how long each control process waits for the one before it.
 	turn = int64(400e6)
-	// Early is the part of the term after which a good version is let through: an earlier end gains nothing, and a build
-	// may turn bad late.
-	Early = 0.8
-	// last is what is left of the term when a rollout without clear votes is ended.
-	last = int64(1200e6)
+	// late is how long before the term a good version is let through, at the earliest: an earlier end gains nothing, and a
+	// build may turn bad late. Deciding takes two rounds through the core, and a turn more where a process is lost.
+	late = int64(2600e6)
+	// last is what is left of the term when a rollout without clear votes is ended: operators look about once a second.
+	last = int64(1500e6)
 )
 
 // Judge tells how a rollout should end by the votes, or that it runs on. Only routers that control counts may vote.
@@ -148,11 +148,9 @@
 	switch {
 	case back >= need && now-newest >= min(wait, Life/2):
 		return RolledBack
-	case on >= need && back == 0 && age >= int64(Early*float64(r.Term))+wait:
+	case on >= need && back == 0 && age >= max(r.Term-late, r.Term*3/4)+wait:
 		return Completed
-	case age >= r.Term-last+wait && back > 0:
-		return RolledBack
-	case age >= r.Term-last/2+wait: // nobody found out: what is not known to be good doesn't replace what is
+	case age >= r.Term-last+wait: // nobody found out: what is not known to be good doesn't replace what is
 		return RolledBack
 	}
 	return Running
--- a/internal/harbour/signals/signals.go
+++ b/internal/harbour/signals/signals.go
@@ -25,7 +25,13 @@
 
 // Newer tells whether a holds against b, of one name.
 func (a Front) Newer(b Front) bool {
-	return a.Since > b.Since || a.Since == b.Since && a.Change > b.Change
+	switch {
+	case a.Since != b.Since:
+		return a.Since > b.Since
+	case a.Change != b.Change:
+		return a.Change > b.Change
+	}
+	return a.Gone && !b.Gone
 }
 
 // Poll is a router's vote on a rollout: it stands until it lapses.
--- a/rules/trial.go
+++ b/rules/trial.go
@@ -190,7 +190,7 @@
 		return
 	}
 	d.dip()
-	doubt, worry := d.proof > proven, false
+	doubt, worry, clear := d.proof > proven, false, true
 	// what one router saw must not pass for many: gossip takes longer to spread it among hundreds
 	spreading := max(1, 3*math.Log2(float64(d.set.Routers))-8)
 	for k := range d.state {
@@ -201,6 +201,7 @@
 		some := (d.condemned || d.count[k]*d.company >= enough) && (k == failing || d.warm > 2)
 		doubt = doubt || some && mean-sure[k]*err > threshold[k]
 		worry = worry || mean-err > threshold[k]
+		clear = clear && mean+err <= threshold[k]
 	}
 	if d.doubtful++; !doubt {
 		d.doubtful = 0
@@ -209,7 +210,10 @@
 	d.condemned = (d.pastAt > 0 || d.news.Standing == Released) && float64(d.doubtful) > mixing+spreading-1
 	age := d.now - d.newest
 	ready := !worry && (some && age >= 2*second || age >= 7*second/2) || age >= 6*second // the page's on-rule
-	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1                // as one may be cut off
+	if d.set.Certain {
+		ready = clear && some && age >= 3*second
+	}
+	voters := max(1, d.set.OnVotes, d.set.BackVotes, d.set.HoldVotes) + 1 // as one may be cut off
 	verdict := NoVote
 	switch {
 	case d.set.Rank >= voters:
