A control process that was cut off no longer tells hosts silent; shedding goes by the mean contract

The log shows a control process, cut off for 4.8 s and just back, telling 40 hosts silent that beat elsewhere. A process in the minority judges nobody and answers beats with 503, so that hosts go on to another; who hears a host says so anew when another takes it for silent. And the pressure went by the shortest contract of any band, idle routes too, so that fare-office (0.55 s beside 0.8) always shed some.

--- a/internal/harbour/berths/berths.go
+++ b/internal/harbour/berths/berths.go
@@ -130,19 +130,23 @@
 	return h, true
 }
 
-// Merge takes in what another control process knows, and tells whether it was new.
-func (r *Register) Merge(now int64, h Host) bool {
+// Merge takes in what another control process knows, and tells whether it was new, or whether the others must hear of the
+// host from here, as one took it for silent that is heard here.
+func (r *Register) Merge(now int64, h Host) (news, tell bool) {
 	old, known := r.hosts[h.ID]
 	if known && !Newer(h, old) {
-		return false
+		return false, h.Silent && old.Owner == r.self && !old.Silent && old.State != Gone
 	}
 	if h.Owner != r.self {
 		delete(r.heard, h.ID)
 	}
 	r.put(now, h)
-	return true
+	return true, false
 }
 
+// Host is one host as it is known.
+func (r *Register) Host(id string) Host { return r.hosts[id] }
+
 func (r *Register) put(now int64, h Host) {
 	if r.hosts[h.ID] = h; h.State == Gone {
 		delete(r.heard, h.ID)
@@ -171,10 +175,15 @@
 	}
 }
 
-// Tick finds hosts that have become silent, and forgets those that ended long ago.
-func (r *Register) Tick(now int64) (silent []Host) {
+// Tick finds hosts that have become silent, and forgets those that ended long ago. A process that hears too few others
+// can't judge the hosts that beat elsewhere: judge is false then, and their time begins anew.
+func (r *Register) Tick(now int64, judge bool) (silent []Host) {
 	for id, at := range r.heard {
 		h := r.hosts[id]
+		if !judge && h.Owner != r.self {
+			r.heard[id] = now
+			continue
+		}
 		if now-at > r.missed && !h.Silent {
 			h.Silent = true
 			r.hosts[id] = h
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -234,7 +234,7 @@
 	s.reducer = router.New(f.clock, zerolog.New(notes{name}))
 	v := rules.News{Standing: rules.Released, Cap: 1, Age: 3600e9}
 	s.news.Store(&v)
-	set := rules.Settings{Routers: 1, Tick: int64(5e6), MaxHandOffs: 1, Recalls: true, Patient: true, Certain: true, MaxAdvice: int64(500e6),
+	set := rules.Settings{Routers: 1, Tick: int64(5e6), MaxHandOffs: 1, Recalls: true, Patient: true, Mixed: true, Certain: true, MaxAdvice: int64(500e6),
 		Peers: true, Gate: rules.Share, OnVotes: voters, BackVotes: voters, VoteLife: voteLife, VoteWait: int64(500e6),
 		AgainSlack: f.Boot.Bounds.BudgetSlack / 2, FreeOfAll: f.Boot.Bounds.ExposureSlack * 0.7, FirstCap: f.share(), Beside: true}
 	go s.reducer.Run(f.ctx, router.Start{Settings: set, Seed: f.Seed ^ uint64(len(f.services)+1)<<32, News: router.News{News: v}},
@@ -350,6 +350,7 @@
 		}
 	}
 	s.mu.Unlock()
+	s.f.counts.rings[to.Ring].Add(1)
 	c := r.Cargo.(*cargo)
 	if c.tries++; c.tries > 1 {
 		s.f.counts.again.Add(1)
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -27,6 +27,7 @@
 	taken, answered, again, gone, panics atomic.Int64
 	faults                               [32]atomic.Int64
 	endings                              [16]atomic.Int64
+	rings                                [3]atomic.Int64 // hand-offs to this zone, its region, beyond
 }
 
 var endingNames = [...]string{rules.Fulfilled: "fulfilled", rules.Failed: "failed", rules.TurnedAway: "turned_away", rules.TimedOut: "timed_out",
@@ -45,6 +46,7 @@
 			fmt.Fprintf(&b, " sent.%s=%d", name, n)
 		}
 	}
+	fmt.Fprintf(&b, " sent.zone=%d sent.region=%d sent.beyond=%d", c.rings[0].Load(), c.rings[1].Load(), c.rings[2].Load())
 	return b.String()
 }
 
--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -98,16 +98,19 @@
 		return nil, faults.Wrap(faults.Malformed, err, "the beat of %s", id)
 	}
 	m.mu.Lock()
+	if err := m.ready(); err != nil { // what is told here reaches nobody: the host goes on to another process
+		m.mu.Unlock()
+		return nil, err
+	}
 	h, changed := m.state.Register.Beat(now, h)
 	if changed {
 		m.state.TellHost(h, true)
 		m.wake()
 	}
 	_, known := m.state.Set.Get(manifest.Key{Kind: manifest.Settled, Name: h.Service})
-	ready := m.state.Standing() == InTouch
 	to := m.near(h.Zone)
 	m.mu.Unlock()
-	if !known && ready { // the first hosts' version is the one that is not on trial
+	if !known { // the first hosts' version is the one that is not on trial
 		go m.settle(h.Service, h.Version)
 	}
 	if to != "" {
@@ -147,6 +150,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.ready(); err != nil {
+		return nil, err
+	}
 	if h, changed := m.state.Register.Leave(time.Now().UnixNano(), id); changed {
 		m.state.TellHost(h, true)
 		m.wake()
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -546,9 +546,9 @@
 			return
 		}
 		m.mu.Lock()
-		for _, h := range m.state.Register.Tick(time.Now().UnixNano()) {
+		for _, h := range m.state.Register.Tick(time.Now().UnixNano(), m.state.Standing() == InTouch) {
 			klog.InfoS("host silent", "host", h.ID, "service", h.Service, "zone", h.Zone)
-			m.state.TellHost(h, true)
+			m.state.TellHost(h, h.Owner == m.Boot.Name)
 			m.wake()
 		}
 		if m.state.Tick(time.Now().UnixNano()) {
--- a/internal/harbour/harbourmaster/state.go
+++ b/internal/harbour/harbourmaster/state.go
@@ -226,8 +226,11 @@
 func (s *State) Take(now int64, n signals.Note) {
 	switch {
 	case n.Host != nil:
-		if s.Register.Merge(now, *n.Host) {
+		news, tell := s.Register.Merge(now, *n.Host)
+		if news {
 			s.TellHost(*n.Host, false)
+		} else if tell {
+			s.TellHost(s.Register.Host(n.Host.ID), true)
 		}
 	case n.Front != nil:
 		s.TellFront(*n.Front, false)
--- a/rules/door.go
+++ b/rules/door.go
@@ -119,6 +119,7 @@
 	Copies        bool // two hand-offs at once are allowed
 	Recalls       bool
 	Peers         bool
+	Mixed         bool    // bands' contracts differ widely: the pressure goes by their mean over the commands
 	Certain       bool    // waiting is cheap: a build is let on only once its states are surely under the threshold
 	Patient       bool    // a host that works is left to it until the cut-off
 	AgainSlack    float64 // what all routers may hand off again at once, 0 for a usual number at each
--- a/rules/repeats.go
+++ b/rules/repeats.go
@@ -72,7 +72,7 @@
 // sheds turns away the commands worth least for their work while answers come too late, by Little's law (some
 // past 0.7 of the shortest contract, most past 1.15), or half of the room is taken. Own figures are newer.
 func (d *decider) sheds(c *command) bool {
-	over, contract, below, all := 0, math.Inf(1), 0.0, 0.0
+	over, contract, below, all, sum := 0, math.Inf(1), 0.0, 0.0, 0.0
 	if d.beyond(c) || c.cutOff < c.contract { // clients that give up early have their work done for nothing
 		over = 1
 	}
@@ -85,8 +85,12 @@
 			if all += b.rate[i]; value(b, i) < value(c.band, over) {
 				below += b.rate[i]
 			}
+			sum += b.rate[i] * float64(b.Contract)
 		}
 	}
+	if d.set.Mixed && all > 0 {
+		contract = sum / all
+	}
 	is, routers, waiting := d.load, d.company, d.load[open]
 	if d.own[open] >= 5 {
 		is, routers, waiting = d.mine, 1, d.own[open]
