--- a/internal/harbour/fairway/board.go
+++ b/internal/harbour/fairway/board.go
@@ -129,7 +129,7 @@
 }
 
 // Hosts are a service's as the rules are to have them: of versions that are neither settled nor on trial, of zones that are
-// evacuated, and silent ones take nothing. Those that ended are named once and then forgotten.
+// evacuated, and silent ones take nothing.
 func (b *Board) Hosts(service string) (all []router.Host) {
 	r := b.Rollout(service)
 	first, _ := b.set.Get(manifest.Key{Kind: manifest.Settled, Name: service})
@@ -148,7 +148,6 @@
 		switch {
 		case h.State == berths.Gone:
 			x.Health = rules.Gone
-			delete(b.hosts, id)
 		case h.State == berths.Draining, h.Silent, h.Version != settled && !trial, b.Evacuated(h.Zone):
 			x.Health = rules.Draining
 		}
@@ -157,6 +156,11 @@
 	return all
 }
 
+// Forget forgets a service's hosts that ended, once the rules have been told.
+func (b *Board) Forget(service string) {
+	maps.DeleteFunc(b.hosts, func(_ string, h berths.Host) bool { return h.Service == service && h.State == berths.Gone })
+}
+
 // ring is how far a zone is: 0 this one, 1 in this region, 2 beyond.
 func (b *Board) ring(zone string) int {
 	switch {
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -185,6 +185,7 @@
 			s.told(r.News(time.Now().UnixNano(), f.share()))
 		}
 		s.reducer.Post(router.List{Form: rules.Changes, Hosts: all})
+		f.board.Forget(name)
 	}
 }
 
@@ -411,6 +412,18 @@
 	return f.chance.Next()
 }
 
+// Usable is how many hosts of a service this router may use as far as control has told.
+func (f *Fairway) Usable(service string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.board.Hosts(service) {
+		if h.Health == rules.Ready {
+			n++
+		}
+	}
+	return n
+}
+
 // tick writes the counters now and then.
 func (f *Fairway) tick() {
 	t := time.NewTicker(10 * time.Second)
--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -186,7 +186,7 @@
 		return
 	}
 	f.link.line.Send(signals.Word{Front: &signals.Front{Name: f.Boot.Name, Zone: f.Boot.Zone, IP: f.Boot.IP,
-		Address: f.Boot.Listen["front"], Ready: f.ready.Load() && !f.leaving.Load(), Since: f.since}})
+		Address: f.Boot.Listen["front"], Ready: f.Ready(), Since: f.since}})
 }
 
 // vote tells control a vote.
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -55,7 +55,7 @@
 	r := chi.NewRouter()
 	r.Get("/-/readiness", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "0")
-		if !f.ready.Load() || f.leaving.Load() {
+		if !f.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -295,6 +295,12 @@
 	w.WriteHeader(a.Status)
 }
 
+// Ready tells whether the process takes requests.
+func (f *Fairway) Ready() bool { return f.ready.Load() && !f.leaving.Load() }
+
+// Close lets the connections to hosts go; the context that it was started with has ended.
+func (f *Fairway) Close() { f.pool.End() }
+
 // Leave ends the service: out of the directory and not ready at once, connections closed after their next answer, what was
 // taken is finished, and who still comes is answered until shortly before the grace ends.
 func (f *Fairway) Leave() {
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -129,12 +129,20 @@
 		listener.Close()
 		m.server.Close()
 		close(m.keeper.stop)
+		book.Close()
 	}()
 	klog.InfoS("harbourmaster serves", "node", b.Name, "zone", b.Zone, "items", len(items), "intact", intact, "whole", whole,
 		"core", m.state.size, "start_ms", time.Since(began).Milliseconds())
 	return m, nil
 }
 
+// Standing tells how far this process may be gone by.
+func (m *Master) Standing() Standing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Standing()
+}
+
 func (m *Master) undo(err error) error {
 	m.cancel()
 	return err
--- /dev/null
+++ b/internal/lab/basin/basin_test.go
@@ -0,0 +1,197 @@
+package basin
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var small = Layout{Zones: 4, Routers: 2, Hosts: 2, Services: []string{"desk"}, Work: 80 * time.Millisecond, Slots: 3, Rate: 4, Seed: 1}
+
+var (
+	look  = Route{Name: "safe-look", Prefix: "/look/", Service: "desk", Version: "00000001", Safe: true}
+	issue = Route{Name: "issue", Prefix: "/issue/", Service: "desk", Version: "00000001"}
+)
+
+// day plays a day on a harbour in virtual time: it is started, configured, has traffic in all zones for so long, and what
+// happens happens beside that. At the end no rule may be broken.
+func day(t *testing.T, l Layout, lasts time.Duration, happens func(c *qt.C, h *Harbour), good float64) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := New(l)
+		c.Assert(h.Start(), qt.IsNil)
+		defer h.Stop()
+		time.Sleep(2 * time.Second)
+		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look, issue), 5*time.Second, 0)
+		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+		time.Sleep(2 * time.Second)
+		var tally Tally
+		for z := range l.Zones {
+			h.Traffic(&tally, z, look, 2*l.Rate, lasts)
+			h.Traffic(&tally, z, issue, l.Rate, lasts)
+		}
+		time.Sleep(time.Second)
+		happens(c, h)
+		h.all.Go(func() { time.Sleep(lasts + 4*time.Second) })
+		time.Sleep(lasts + 4*time.Second)
+		c.Logf("%d of %d good: %v, slowest %v", tally.Good, tally.Asked, tally.By, tally.Slowest)
+		c.Check(h.Judge(), qt.HasLen, 0)
+		c.Check(float64(tally.Good) >= good*float64(tally.Asked), qt.IsTrue, qt.Commentf("%d of %d good: %v, slowest %v", tally.Good, tally.Asked, tally.By, tally.Slowest))
+	})
+}
+
+func TestCalmDay(t *testing.T) {
+	day(t, small, 6*time.Second, func(c *qt.C, h *Harbour) {}, 1)
+}
+
+func TestRouterRestarted(t *testing.T) {
+	day(t, small, 10*time.Second, func(c *qt.C, h *Harbour) {
+		for _, f := range h.Fairways[:3] {
+			f.Kill()
+			time.Sleep(500 * time.Millisecond)
+			c.Assert(f.Start(), qt.IsNil)
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		for _, f := range h.Fairways {
+			c.Check(f.Running.Ready(), qt.IsTrue)
+		}
+	}, 0.95)
+}
+
+// A core process loses its disk right after it acknowledged, and all others lose power: what was acknowledged stands, and
+// the one without a disk counts only once it has it again.
+func TestWipedAfterAcknowledging(t *testing.T) {
+	day(t, small, 14*time.Second, func(c *qt.C, h *Harbour) {
+		changed := issue
+		changed.Version, changed.Prefix = "00000005", "/issued/"
+		status, by, _ := h.Order("configuration.modify", "", h.Configure(false, changed), 3*time.Second, 2)
+		c.Assert(status, qt.Equals, 200)
+		for i, m := range h.Masters {
+			m.Kill()
+			if i == by {
+				m.Disk.Wipe()
+			} else {
+				m.Disk.PowerLoss(i%2 == 0)
+			}
+		}
+		time.Sleep(time.Second)
+		c.Assert(h.Masters[by].Start(), qt.IsNil)
+		time.Sleep(time.Second)
+		c.Check(h.Masters[by].Standing(), qt.Equals, "adrift") // alone it knows nothing
+		for i, m := range h.Masters {
+			if i != by {
+				c.Assert(m.Start(), qt.IsNil)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for _, m := range h.Masters {
+			c.Check(m.Standing(), qt.Equals, "in touch")
+		}
+		for i := range h.Masters {
+			status, at, answer := h.Order("configuration.read", "", nil, time.Second, i)
+			c.Check(status, qt.Equals, 200)
+			c.Check(at, qt.Equals, i)
+			c.Check(string(answer), qt.Contains, "/issued/")
+		}
+	}, 0.5)
+}
+
+// A control process is cut off from the others and comes back: it takes no order meanwhile, and it must not tell of hosts
+// that beat elsewhere. Its hosts go on to others, so that all are known throughout.
+func TestControlProcessCutOff(t *testing.T) {
+	l := small
+	l.Zones = 6
+	day(t, l, 19*time.Second, func(c *qt.C, h *Harbour) {
+		cut := func(on bool) {
+			for i := range 5 {
+				h.Sea.Cut(h.Masters[5].Boot.IP, h.Masters[i].Boot.IP, on)
+			}
+		}
+		cut(true)
+		time.Sleep(7 * time.Second)
+		c.Check(h.Masters[5].Standing(), qt.Equals, "alone")
+		status, by, _ := h.Order("evacuation.begin", "z0", nil, 3*time.Second, 5)
+		c.Check(status, qt.Equals, 200)
+		c.Check(by, qt.Not(qt.Equals), 5)
+		time.Sleep(time.Second)
+		cut(false)
+		for range 12 {
+			time.Sleep(500 * time.Millisecond)
+			for _, f := range h.Fairways {
+				usable := f.Running.Usable("desk")
+				c.Check(usable >= 10, qt.IsTrue, qt.Commentf("%s: %d of 12 hosts", f.Boot.Name, usable))
+			}
+		}
+	}, 0.96)
+}
+
+// A version whose answers fail is rolled back, and a good one is completed by its term, with a control process lost in the
+// middle; nothing reaches a version that is neither settled nor on trial.
+func TestRollouts(t *testing.T) {
+	for name, bad := range map[string]bool{"good": false, "bad": true} {
+		t.Run(name, func(t *testing.T) {
+			day(t, small, 22*time.Second, func(c *qt.C, h *Harbour) {
+				var trial []*Quay
+				for z := range h.Zones {
+					q := h.Host("desk", z, "v2", time.Second)
+					q.Fail = bad
+					trial = append(trial, q)
+				}
+				time.Sleep(2 * time.Second)
+				for _, q := range trial {
+					c.Check(q.Runs, qt.Equals, 0, qt.Commentf("before the order"))
+				}
+				status, _, _ := h.Order("rollouts.begin", "", []byte(`{"service":"desk","target-version":"v2","duration-s":14}`), 2*time.Second, 1)
+				c.Assert(status, qt.Equals, 200)
+				time.Sleep(5 * time.Second)
+				h.Masters[0].Kill()
+				time.Sleep(4 * time.Second)
+				runs := 0
+				for _, q := range trial {
+					runs += q.Runs
+				}
+				c.Check(runs > 5 && runs < 90, qt.IsTrue, qt.Commentf("%d on trial", runs))
+				time.Sleep(5 * time.Second)
+				_, _, answer := h.Order("rollouts.read", "desk", nil, 2*time.Second, 2)
+				want := map[bool]string{false: "completed", true: "rolled_back"}[bad]
+				c.Check(string(answer), qt.Contains, want)
+			}, 0.95)
+		})
+	}
+}
+
+// A zone comes back cold while its routers restart: over all routers together its hosts get no more than they bear, though
+// the routers' parts change hands.
+func TestZoneBackCold(t *testing.T) {
+	l := small
+	l.Routers, l.Rate, l.Work = 3, 16, 40*time.Millisecond
+	for seed := range uint64(4) {
+		l.Seed = seed + 1
+		day(t, l, 16*time.Second, func(c *qt.C, h *Harbour) {
+			var ours []*Quay
+			for _, q := range h.Quays {
+				if q.Zone == "z1" {
+					ours = append(ours, q)
+				}
+			}
+			for _, q := range ours {
+				q.Crash()
+			}
+			for _, f := range h.Fairways[3:6] {
+				f.Kill()
+			}
+			time.Sleep(4 * time.Second)
+			for range ours {
+				h.Host("desk", 1, "v1", 4*time.Second)
+			}
+			for _, f := range h.Fairways[3:6] {
+				time.Sleep(300 * time.Millisecond)
+				c.Assert(f.Start(), qt.IsNil)
+			}
+			time.Sleep(6 * time.Second)
+		}, 0.8)
+	}
+}
--- a/internal/parts/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -66,6 +66,7 @@
 	Options
 	room  *room.Room
 	work  chan func() // for goroutines that are idle
+	over  chan struct{}
 	idle  atomic.Int32
 	mu    sync.Mutex
 	hosts map[string]*host // by address, so that one host's connections can be closed
@@ -73,7 +74,7 @@
 
 // New makes an empty pool.
 func New(o Options) *Pool {
-	p := &Pool{Options: o, room: room.New(o.Most, o.Most), work: make(chan func()), hosts: map[string]*host{}}
+	p := &Pool{Options: o, room: room.New(o.Most, o.Most), work: make(chan func()), over: make(chan struct{}), hosts: map[string]*host{}}
 	if p.Dial == nil {
 		dialer := net.Dialer{KeepAlive: -1} // silent hosts are found by hand-offs' time-outs
 		dialer.SetMultipathTCP(false)
@@ -123,6 +124,18 @@
 	}
 }
 
+// End closes all idle connections; what is out ends by itself. The pool is not used after it.
+func (p *Pool) End() {
+	close(p.over)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, h := range p.hosts {
+		delete(p.hosts, address)
+		h.gone.Store(true)
+		go h.closeIdle()
+	}
+}
+
 func (h *host) closeIdle() {
 	for c := h.take(); c != nil; c = h.take() {
 		c.Close()
@@ -216,7 +229,11 @@
 	default:
 		go func() {
 			for f(); p.idle.Add(1) <= kept; f() {
-				f = <-p.work
+				select {
+				case f = <-p.work:
+				case <-p.over:
+					return
+				}
 				p.idle.Add(-1)
 			}
 			p.idle.Add(-1)
