--- a/internal/parts/router/router.go
+++ b/internal/parts/router/router.go
@@ -190,13 +190,20 @@
 }
 
 // may asks the command's maker about a host, where there is one to ask.
-func (r *Router) may(c *Command) func(host uint32) bool {
+func (r *Router) may(c *Command) rules.Question {
 	if c.May == nil {
 		return nil
 	}
-	return func(host uint32) bool { return c.May(r.hosts[host]) }
+	return question{r, c}
 }
 
+type question struct {
+	router  *Router
+	command *Command
+}
+
+func (q question) May(host uint32) bool { return q.command.May(q.router.hosts[host]) }
+
 func (e Left) apply(r *Router) {
 	c := e.Command
 	if c.over {
--- a/rules/door.go
+++ b/rules/door.go
@@ -161,12 +161,15 @@
 	Band    int
 	Carrier int
 	Key     uint64
-	Left    int64                  // until the client gives up this try
-	Hint    int64                  // expected work, 0 for none
-	Most    int                    // hand-offs that it may have, 0 for as many as the settings say
-	May     func(host uint32) bool // whether it may go to a host now, nil for any
+	Left    int64    // until the client gives up this try
+	Hint    int64    // expected work, 0 for none
+	Most    int      // hand-offs that it may have, 0 for as many as the settings say
+	May     Question // asked about each host that it might go to, nil for none
 }
 
+// Question tells whether a command may go to a host now.
+type Question interface{ May(host uint32) bool }
+
 // Listed is a host as the list shows it.
 type Listed struct {
 	ID      uint32
--- a/rules/picking.go
+++ b/rules/picking.go
@@ -75,7 +75,7 @@
 
 // usable tells whether the rules allow a hand-off of c to h.
 func (d *decider) usable(c *command, h *host, stuck int) bool {
-	if h.health != Ready || h.build < stuck || !d.room(h) || c.may != nil && !c.may(h.id) {
+	if h.health != Ready || h.build < stuck || !d.room(h) || c.may != nil && !c.may.May(h.id) {
 		return false
 	}
 	if h.trial && (c.band.exposure.have < 1 || d.cap <= 0 ||
--- a/rules/state.go
+++ b/rules/state.go
@@ -63,7 +63,7 @@
 	cutOff   int64
 	contract int64
 	most     int
-	may      func(host uint32) bool
+	may      Question
 	handOffs []*handOff
 	out      int
 	next     *host // wanted hand-off
