Routers move to a nearer control process once one is known; lines of the core beat slower

They look for a nearer one every 1.5 s. Lines of the core beat once a second and are taken for lost after 2.8 s; status every 3 s unless it changes.

--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -1,8 +1,10 @@
 package fairway
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -41,18 +43,16 @@
 }
 
 const (
-	dialIn   = time.Second
-	patience = 600 * time.Millisecond // with a control process that is behind, or hears too few others
+	dialIn    = time.Second
+	avoidFor  = 3 * time.Second         // a control process that failed is asked after the others
+	lookEvery = 1500 * time.Millisecond // for a nearer one
+	patience  = 600 * time.Millisecond  // with a control process that is behind, or hears too few others
 )
 
-// candidates are the control processes that are known, the nearest first; among equals this router's own order, so that
-// many do not all hang on the same one.
-func (f *Fairway) candidates() []string {
+// known are the control processes, by IP number, with their zones as far as they are known.
+func (f *Fairway) known() map[string]string {
 	f.mu.Lock()
-	known := map[string]string{} // ip: zone
-	for ip, zone := range f.board.set.Members() {
-		known[ip] = zone
-	}
+	known := f.board.set.Members()
 	f.mu.Unlock()
 	for _, m := range f.convoy.Members() {
 		if _, there := known[m.IP]; m.Kind == convoy.Control && (!there || m.Zone != "") {
@@ -66,9 +66,14 @@
 			}
 		}
 	}
-	far := func(ip string) int {
-		zone := known[ip]
-		switch {
+	return known
+}
+
+// distances tells how far control processes are: 0 this zone, 1 this region, 2 beyond.
+func (f *Fairway) distances() func(ip string) int {
+	known := f.known()
+	return func(ip string) int {
+		switch zone := known[ip]; {
 		case zone == f.Boot.Zone:
 			return 0
 		case f.Boot.Zones[zone] == f.Boot.Region:
@@ -76,15 +81,20 @@
 		}
 		return 2
 	}
-	var all []string
-	for ip := range known {
+}
+
+// candidates are the control processes that are known, the nearest first; among equals this router's own order, so that
+// many do not all hang on the same one.
+func (f *Fairway) candidates() (all []string) {
+	far := f.distances()
+	for ip := range f.known() {
 		all = append(all, ip)
 	}
 	slices.SortFunc(all, func(a, b string) int {
 		if d := far(a) - far(b); d != 0 {
 			return d
 		}
-		return int(int64(mix(a, f.Seed)>>1) - int64(mix(b, f.Seed)>>1)>>32)
+		return cmp.Compare(mix(a, f.Seed), mix(b, f.Seed))
 	})
 	return all
 }
@@ -110,10 +120,12 @@
 			c, err := f.Sea.Dial(ctx, "tcp", net.JoinHostPort(ip, strconv.Itoa(f.Boot.Ports[0])))
 			cancel()
 			if err == nil {
-				err = f.hang(ip, c)
+				err = f.hang(ip, c, avoid)
 			}
 			klog.InfoS("line ended", "to", ip, "why", err)
-			avoid[ip] = time.Now().Add(3 * time.Second)
+			if err != errNearer {
+				avoid[ip] = time.Now().Add(avoidFor)
+			}
 		}
 		select {
 		case <-time.After(50 * time.Millisecond):
@@ -124,9 +136,31 @@
 
 var errBehind = errors.New("it is behind, or hears too few others")
 
+var errNearer = errors.New("a nearer one is known")
+
+// nearer ends the line once a nearer control process is known that has not failed this router of late. Who starts knows
+// seeds only, and would else follow one of another region for good.
+func (f *Fairway) nearer(l *lines.Line[signals.Word], ip string, avoid map[string]time.Time) {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-l.Done():
+			return
+		}
+		all := f.candidates()
+		far := f.distances()
+		if len(all) > 0 && far(all[0]) < far(ip) && time.Now().After(avoid[all[0]]) {
+			l.Close(errNearer)
+			return
+		}
+	}
+}
+
 // hang follows on one connection until it ends.
-func (f *Fairway) hang(ip string, c net.Conn) error {
-	l := lines.Open[signals.Word](c)
+func (f *Fairway) hang(ip string, c net.Conn, avoid map[string]time.Time) error {
+	l := lines.Open[signals.Word](c, lines.Quick)
 	stop := context.AfterFunc(f.ctx, func() { l.Close(f.ctx.Err()) })
 	defer stop()
 	f.mu.Lock()
@@ -140,6 +174,8 @@
 	f.mu.Unlock()
 	l.Send(signals.Word{Hello: &hello})
 	f.tellSelf()
+	tried := maps.Clone(avoid)
+	go f.nearer(l, ip, tried)
 	timer := time.AfterFunc(patience, func() { l.Close(errBehind) })
 	defer timer.Stop()
 	err := l.Run(func(w signals.Word) {
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -254,7 +254,7 @@
 
 // hang follows on one connection until it ends.
 func (m *Master) hang(e *end, c net.Conn) {
-	l := lines.Open[signals.Word](c)
+	l := lines.Open[signals.Word](c, lines.Slow)
 	stop := context.AfterFunc(m.ctx, func() { l.Close(m.ctx.Err()) })
 	defer stop()
 	hello := m.state.Self
@@ -390,11 +390,14 @@
 	}
 }
 
-const statusEvery = time.Second
+const (
+	statusEvery = 3 * time.Second // where nothing has changed
+	statusSoon  = 200 * time.Millisecond
+)
 
 // feed tells the news on one line until it ends.
 func (m *Master) feed(c net.Conn) {
-	l := lines.Open[signals.Word](c)
+	l := lines.Open[signals.Word](c, lines.Quick) // until it has said who it is
 	stop := context.AfterFunc(m.ctx, func() { l.Close(m.ctx.Err()) })
 	defer stop()
 	self := m.state.Self
@@ -441,7 +444,7 @@
 	for {
 		m.mu.Lock()
 		news, st := m.news, m.state.Status()
-		if st != said && (!who.Control || time.Since(saidAt) > statusEvery/10 || st.Whole != said.Whole ||
+		if st != said && (!who.Control || time.Since(saidAt) > statusSoon || st.Whole != said.Whole ||
 			st.Majority != said.Majority || st.Intact != said.Intact) || time.Since(saidAt) >= statusEvery {
 			if !who.Control {
 				st.Sum = 0 // of no use to a router
@@ -510,6 +513,7 @@
 		kind := convoy.Traffic
 		if w.Hello.Control {
 			kind = convoy.Control
+			f.line.SetPace(lines.Slow)
 			m.state.Renew()
 			m.wake()
 		}
@@ -582,5 +586,5 @@
 	defer m.mu.Unlock()
 	klog.InfoS("counters", "standing", m.state.Standing(), "items", m.state.Set.Len(), "hosts", len(m.state.Register.All()),
 		"routers", len(m.state.Roster()), "core", len(m.state.peers)+1, "news", m.state.Ledger.Last(),
-		"syncs", m.keeper.book.Syncs, "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "calls", m.desk.Counts())
+		"syncs", m.keeper.book.Syncs, "said", lines.Said.Load(), "said_bytes", lines.SaidBytes.Load(), "beats", lines.Beats.Load(), "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "calls", m.desk.Counts())
 }
--- a/internal/harbour/lines/lines.go
+++ b/internal/harbour/lines/lines.go
@@ -17,11 +17,17 @@
 )
 
 const (
-	Beat    = 500 * time.Millisecond  // of a side that has nothing to say
-	Silence = 1800 * time.Millisecond // after which the other side is taken for lost
-	largest = 8 << 20                 // bytes of a frame, inflated
-	waiting = 1024                    // frames that may wait to be written
-	deflate = 512                     // frames from so many bytes on are deflated
+	largest = 8 << 20 // bytes of a frame, inflated
+	waiting = 1024    // frames that may wait to be written
+	deflate = 512     // frames from so many bytes on are deflated
+)
+
+// Pace is how often a side beats that has nothing to say, and after how long the other side is taken for lost.
+type Pace struct{ Beat, Silence time.Duration }
+
+var (
+	Quick = Pace{500 * time.Millisecond, 1800 * time.Millisecond} // of routers: they move on soon
+	Slow  = Pace{time.Second, 2800 * time.Millisecond}            // between control processes, that are far from each other
 )
 
 // ErrSilent says that the other side said nothing for too long.
@@ -30,9 +36,14 @@
 // Foreign counts frames and openings that were none of ours.
 var Foreign atomic.Int64
 
+// Said and Beats count all frames of this process that were written, and the bytes of those that said something.
+var Said, Beats, SaidBytes atomic.Int64
+
 // Line is one held connection. T is what is said on it.
 type Line[T any] struct {
 	conn net.Conn
+	pace Pace
+	slow atomic.Bool
 	out  chan []byte
 	done chan struct{}
 	once sync.Once
@@ -45,12 +56,29 @@
 var magic = []byte("pfl1")
 
 // Open takes a connection up. Run reads it.
-func Open[T any](c net.Conn) *Line[T] {
-	l := &Line[T]{conn: c, out: make(chan []byte, waiting), done: make(chan struct{})}
+func Open[T any](c net.Conn, p Pace) *Line[T] {
+	l := &Line[T]{conn: c, pace: p, out: make(chan []byte, waiting), done: make(chan struct{})}
 	go l.write()
 	return l
 }
 
+// SetPace changes the pace, as both sides do once they know who the other is.
+func (l *Line[T]) SetPace(p Pace) { l.slow.Store(p == Slow) }
+
+func (l *Line[T]) silence() time.Duration {
+	if l.slow.Load() {
+		return Slow.Silence
+	}
+	return l.pace.Silence
+}
+
+func (l *Line[T]) beat() time.Duration {
+	if l.slow.Load() {
+		return Slow.Beat
+	}
+	return l.pace.Beat
+}
+
 // Send says something; it never waits. A side that doesn't take what it is told is lost.
 func (l *Line[T]) Send(v T) {
 	raw, err := json.Marshal(v)
@@ -100,14 +128,20 @@
 }
 
 func (l *Line[T]) write() {
-	beat := time.NewTicker(Beat)
+	beat := time.NewTicker(l.pace.Beat)
 	defer beat.Stop()
 	said := time.Now()
 	next := append([]byte(nil), magic...)
 	for {
-		l.conn.SetWriteDeadline(time.Now().Add(Silence))
+		l.conn.SetWriteDeadline(time.Now().Add(l.silence()))
 		n, err := l.conn.Write(next)
-		if l.Out.Add(int64(n)); err != nil {
+		if l.Out.Add(int64(n)); len(next) > 4 {
+			Said.Add(1)
+			SaidBytes.Add(int64(n))
+		} else {
+			Beats.Add(1)
+		}
+		if err != nil {
 			l.Close(fmt.Errorf("writing: %w", err))
 			return
 		}
@@ -117,7 +151,7 @@
 			case raw := <-l.out:
 				next = frame(raw)
 			case <-beat.C:
-				if time.Since(said) >= Beat-Beat/8 {
+				if time.Since(said) >= l.beat()*7/8 {
 					next = make([]byte, 4)
 				}
 			case <-l.done:
@@ -131,7 +165,7 @@
 func (l *Line[T]) Run(take func(T)) error {
 	head := make([]byte, 4)
 	read := func(b []byte) error {
-		l.conn.SetReadDeadline(time.Now().Add(Silence))
+		l.conn.SetReadDeadline(time.Now().Add(l.silence()))
 		n, err := io.ReadFull(l.conn, b)
 		l.In.Add(int64(n))
 		if e := net.Error(nil); errors.As(err, &e) && e.Timeout() {
