--- a/internal/balancer/clients/conns.go
+++ b/internal/balancer/clients/conns.go
@@ -1,13 +1,13 @@
 package clients
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"sync"
 
 	"portflow/internal/balancer/flow"
 	"portflow/internal/balancer/flow/export"
+	"portflow/internal/parts/framing"
 	"portflow/internal/parts/room"
 )
 
@@ -39,7 +39,7 @@
 	place *room.Place
 	flow  *export.Conn
 	mu    sync.Mutex
-	head  head
+	head  framing.Head
 	taken bool          // a command is whole, and not answered
 	more  chan struct{} // gets one for what comes then
 }
@@ -56,11 +56,11 @@
 			default:
 			}
 		} else {
-			if !c.head.begun {
-				c.head.begun = true
+			if !c.head.Begun {
+				c.head.Begun = true
 				c.place.Set(room.Begun)
 			}
-			c.head.read(b[:n])
+			c.head.Read(b[:n])
 		}
 	}
 	return n, err
@@ -82,7 +82,7 @@
 func (c *clientConn) take(body int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.taken = c.head.after == body && c.head.lengths <= 1
+	c.taken = c.head.After == body && c.head.Lengths <= 1
 	if c.taken {
 		c.place.Set(room.Busy)
 	}
@@ -94,7 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.flow.Answered()
-	c.taken, c.head = false, head{}
+	c.taken, c.head = false, framing.Head{}
 	select {
 	case <-c.more:
 	default:
@@ -102,37 +102,6 @@
 	c.place.Set(room.Idle)
 }
 
-// head finds the end of a command's head.
-type head struct {
-	begun, over bool
-	line        []byte // the beginning of the present line, as long as the name below
-	lengths     int    // lines that state a length
-	after       int    // bytes after the head
-}
-
-var length = []byte("content-length")
-
-func (h *head) read(b []byte) {
-	for !h.over && len(b) > 0 {
-		i := bytes.IndexByte(b, '\n')
-		part := b
-		if i >= 0 {
-			part = b[:i]
-		}
-		h.line = append(h.line, part[:min(len(part), len(length)-len(h.line))]...)
-		if i < 0 {
-			return
-		}
-		if bytes.EqualFold(h.line, length) {
-			h.lengths++
-		}
-		h.over = len(h.line) == 0 || string(h.line) == "\r"
-		h.line = h.line[:0]
-		b = b[i+1:]
-	}
-	h.after += len(b)
-}
-
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"portflow/internal/harbour/faults"
 	"portflow/internal/harbour/manifest"
+	"portflow/internal/parts/framing"
 	"portflow/internal/parts/room"
 	"portflow/internal/parts/router"
 	"portflow/rules"
@@ -78,15 +80,16 @@
 func (f *Fairway) clients(l net.Listener) {
 	limits := f.view.Load().chart.Limits
 	s := &http.Server{Handler: f, ReadHeaderTimeout: time.Duration(limits.HeaderFor), IdleTimeout: time.Duration(limits.IdleFor),
-		MaxHeaderBytes: limits.Header, ErrorLog: silent, ConnState: note}
+		MaxHeaderBytes: limits.Header, ErrorLog: silent, ConnState: note, ConnContext: withCaller}
 	f.server.Store(s)
-	s.Serve(&quayside{l, f.room})
+	s.Serve(&quayside{l, f.room, func() manifest.Bounds { return f.view.Load().chart.Limits }})
 }
 
 // quayside keeps clients' connections within their room.
 type quayside struct {
 	net.Listener
-	room *room.Room
+	room   *room.Room
+	limits func() manifest.Bounds
 }
 
 func (q *quayside) Accept() (net.Conn, error) {
@@ -96,14 +99,61 @@
 		place.Leave()
 		return nil, err
 	}
-	v := &caller{Conn: c, place: place}
+	v := &caller{Conn: c, place: place, limits: q.limits}
 	place.Fill(room.Silent, func() { v.Close() })
 	return v, nil
 }
 
+// caller is a client's connection. It sees how a request is framed, which net/http doesn't tell.
 type caller struct {
 	net.Conn
-	place *room.Place
+	place  *room.Place
+	limits func() manifest.Bounds
+	mu     sync.Mutex
+	taken  bool // a request's head has been read: what comes is its body, or the next request
+	idle   bool
+	head   framing.Head
+}
+
+func (c *caller) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle = false; n > 0 && !c.taken {
+		c.head.Read(b[:n])
+	}
+	return n, err
+}
+
+// SetReadDeadline has a connection stand idle for as long as the limits that stand now say.
+func (c *caller) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if c.idle && !t.IsZero() {
+		t = time.Now().Add(time.Duration(c.limits().IdleFor))
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// take begins a request, and tells whether its framing can be read in two ways: a length there twice, or beside chunks.
+func (c *caller) take() (twice bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	twice = c.head.Lengths > 1 || c.head.Codings > 1 || c.head.Lengths > 0 && c.head.Codings > 0
+	c.taken, c.head = true, framing.Head{}
+	return twice
+}
+
+func (c *caller) rest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken, c.idle, c.head = false, true, framing.Head{}
+}
+
+type callerKey struct{}
+
+func withCaller(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, c)
 }
 
 func (c *caller) Close() error {
@@ -120,6 +170,7 @@
 	case http.StateActive:
 		v.place.Set(room.Busy)
 	case http.StateIdle:
+		v.rest()
 		v.place.Set(room.Idle)
 	}
 }
@@ -131,6 +182,14 @@
 	defer f.open.Add(-1)
 	began := f.clock()
 	v := f.view.Load()
+	if c, ok := r.Context().Value(callerKey{}).(*caller); ok && c.take() {
+		f.refuse(w, faults.Malformed, 0)
+		return
+	}
+	if size(r) > v.chart.Limits.Header {
+		f.refuse(w, faults.Overhead, 0)
+		return
+	}
 	if !f.ready.Load() {
 		f.refuse(w, faults.Unready, 0)
 		return
@@ -175,6 +234,17 @@
 	}
 }
 
+// size is about how many bytes a request's head has.
+func size(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + 20
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
 func hostOf(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
--- a/internal/lab/basin/basin_test.go
+++ b/internal/lab/basin/basin_test.go
@@ -1,11 +1,18 @@
 package basin
 
 import (
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/lines"
 )
 
 var small = Layout{Zones: 4, Routers: 2, Hosts: 2, Services: []string{"desk"}, Work: 80 * time.Millisecond, Slots: 3, Rate: 4, Seed: 1}
@@ -195,3 +202,59 @@
 		}, 0.8)
 	}
 }
+
+// What a client sends wrong gets its answer and no more than its time, and others are not delayed by it; foreign bytes on
+// the internal ports are dropped and counted.
+func TestBadInput(t *testing.T) {
+	day(t, small, 20*time.Second, func(c *qt.C, h *Harbour) {
+		f := h.Fairways[0]
+		p := h.Sea.Process("10.1.201.1")
+		long := strings.Repeat("x", 20000)
+		for name, x := range map[string]struct {
+			raw  string
+			want string
+		}{
+			"fine":               {"GET /look/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: safe-1\r\n\r\n", "200"},
+			"no route":           {"GET /nowhere HTTP/1.1\r\nHost: desk.example\r\n\r\n", "404"},
+			"no host":            {"GET /look/x HTTP/1.1\r\n\r\n", "400"},
+			"no HTTP":            {"what is this\r\n\r\n", "400"},
+			"time is no number":  {"GET /look/x HTTP/1.1\r\nHost: desk.example\r\nTime-Remaining: soon\r\n\r\n", "400"},
+			"two lengths":        {"POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", "400"},
+			"one length twice":   {"POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab", "400"},
+			"length and chunks":  {"POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+			"a body too long":    {"POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 99999999\r\n\r\nab", "413"},
+			"a head too long":    {"GET /look/x HTTP/1.1\r\nHost: desk.example\r\nX: " + long + "\r\n\r\n", "431"},
+			"broken chunks":      {"POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+			"half a head":        {"GET /look/x HT", "400"},
+			"half a body":        {"POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 20\r\n\r\nab", "400"},
+			"nothing":            {"", "end"},
+			"unknown coding":     {"POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: gzip\r\n\r\nab", "501"},
+			"space in the field": {"GET /look/x HTTP/1.1\r\nHost : desk.example\r\n\r\n", "400"},
+		} {
+			began := time.Now()
+			conn, err := p.Dial(context.Background(), "tcp", f.Boot.Listen["front"])
+			c.Assert(err, qt.IsNil)
+			conn.Write([]byte(x.raw))
+			head := make([]byte, 12)
+			conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			got := "end"
+			if _, err := io.ReadFull(conn, head); err == nil {
+				got = string(head[9:])
+			}
+			conn.Close()
+			c.Check(got, qt.Equals, x.want, qt.Commentf(name))
+			c.Check(time.Since(began) < 6*time.Second, qt.IsTrue, qt.Commentf("%s took %v", name, time.Since(began)))
+		}
+		before := lines.Foreign.Load()
+		conn, err := p.Dial(context.Background(), "tcp", net.JoinHostPort(h.Masters[0].Boot.IP, strconv.Itoa(firstPort)))
+		c.Assert(err, qt.IsNil)
+		conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		time.Sleep(time.Second)
+		conn.Close()
+		c.Check(lines.Foreign.Load()-before, qt.Equals, int64(1))
+		for call, want := range map[string]int{"nothing.known": 404, "instances.heartbeat": 400, "configuration.modify": 400, "rollouts.begin": 400} {
+			status, _, _ := h.Order(call, "i", []byte(`{"half":`), time.Second, 0)
+			c.Check(status, qt.Equals, want, qt.Commentf(call))
+		}
+	}, 0.99)
+}
