Clocks that step or differ move no router, vote, cold host or ballot; old hosts are left before the word

Control now claims who hangs on it above whatever is known, votes carry the receiver's time, processes go by a clock anchored once, cold hosts stay cold half a second longer, ballots end in the proposer's IP number. On completed the old hosts stop at once, whatever they have in work: operators hear it 0.8 s after the routers.

--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -82,6 +82,9 @@
 	until   int64
 }
 
+// skew is by how much the clocks of machines may differ.
+const skew = second / 2
+
 // settling is for how long a part that has grown is not used: the others shrink theirs as they hear, and what they sent
 // before that arrives.
 const settling = second + second/3
@@ -182,7 +185,7 @@
 				klog.InfoS("rollout", "service", name, "order", r.Order, "target", r.Target, "state", r.State)
 			}
 			s.rollout = r
-			s.told(r.News(time.Now().UnixNano(), f.share()))
+			s.told(r.News(f.clock(), f.share()))
 		}
 		s.reducer.Post(router.List{Form: rules.Changes, Hosts: all})
 		f.board.Forget(name)
@@ -311,7 +314,7 @@
 		return false
 	}
 	now := f.clock()
-	if b.ColdUntil <= now {
+	if b.ColdUntil+skew <= now {
 		return true
 	}
 	return b.cold.room(now, min(p.Cold, f.cold(now, b.Host, v)))
@@ -346,7 +349,7 @@
 	b := s.berths[to.Name]
 	if b != nil {
 		b.open++
-		if now := s.f.clock(); b.ColdUntil > now {
+		if now := s.f.clock(); b.ColdUntil+skew > now {
 			b.cold.add(now)
 		}
 	}
@@ -381,7 +384,7 @@
 
 // Vote tells control what this router wants of a rollout.
 func (s *service) Vote(v rules.Verdict, build, stage int) {
-	s.f.vote(signals.Poll{Service: s.name, Order: uint64(build), Verdict: uint8(v), At: time.Now().UnixNano()})
+	s.f.vote(signals.Poll{Service: s.name, Order: uint64(build), Verdict: uint8(v), At: s.f.clock()})
 	n := *s.news.Load()
 	n.Reply = true
 	go s.reducer.Post(router.News{News: n}) // the rules are in the middle of a step
--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now().UnixNano()
+	now := m.clock()
 	h, err := berths.ReadBeat(id, tree, now)
 	if err != nil {
 		return nil, faults.Wrap(faults.Malformed, err, "the beat of %s", id)
@@ -154,7 +154,7 @@
 	if err := m.ready(); err != nil {
 		return nil, err
 	}
-	if h, changed := m.state.Register.Leave(time.Now().UnixNano(), id); changed {
+	if h, changed := m.state.Register.Leave(m.clock(), id); changed {
 		m.state.TellHost(h, true)
 		m.wake()
 	}
@@ -217,7 +217,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := manifest.Item{Kind: manifest.Evacuations, Name: zone, Version: max(old.Version+1, uint64(time.Now().UnixMilli())), Body: body}
+	i := manifest.Item{Kind: manifest.Evacuations, Name: zone, Version: max(old.Version+1, uint64(m.clock()/1e6)), Body: body}
 	if there && string(old.Body) == string(body) { // it stands: it is only to be kept by enough
 		i = old
 	}
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -23,6 +23,7 @@
 	"portflow/internal/harbour/rpc"
 	"portflow/internal/harbour/sea"
 	"portflow/internal/harbour/signals"
+	"portflow/internal/parts/router"
 )
 
 var errFull = errors.New("too many orders wait for the disk")
@@ -53,6 +54,7 @@
 	rounds map[string]bool // registers that this process proposes for now
 	stands Standing
 
+	clock   router.Clock // anchored once: a step of the time of day changes nothing
 	refused atomic.Int64 // writes by the disk
 	keeper  *keeper
 	convoy  *convoy.Convoy
@@ -90,7 +92,7 @@
 	self := signals.Hello{Name: b.Name, IP: b.IP, Zone: b.Zone, Control: true}
 	m := &Master{Options: o, ctx: ctx, cancel: cancel, news: make(chan struct{}), ends: map[string]*end{},
 		waits: map[uint64]*wait{}, hung: map[*follower]bool{}, cells: map[string]signals.Cell{}, rounds: map[string]bool{},
-		life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
+		clock: router.NewClock(), life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
 	intact := whole || b.FirstStart
 	m.state = NewState(self, len(b.Zones)*max(1, o.PerZone), items, intact, b.Heartbeat)
 	for name, raw := range cells {
@@ -267,7 +269,7 @@
 	defer m.mu.Unlock()
 	if e.line == l {
 		e.line = nil
-		m.state.Lost(time.Now().UnixNano(), e.ip, e.name)
+		m.state.Lost(m.clock(), e.ip, e.name)
 		klog.InfoS("line lost", "to", e.name, "why", err)
 		m.change()
 	}
@@ -296,7 +298,7 @@
 	case w.News != nil:
 		if e.follower.Take(w.News.Life, w.News.From, w.News.To, w.News.Snapshot) {
 			for _, n := range w.News.Notes {
-				m.state.Take(now.UnixNano(), n)
+				m.state.Take(m.clock(), n)
 			}
 			m.wake()
 			l.Send(signals.Word{Ack: w.News.To})
@@ -428,6 +430,7 @@
 	who   signals.Hello
 	front signals.Front // as it told
 	acked uint64
+	in    int64 // bytes that had come when it was last looked at
 }
 
 // tell sends news as it comes: all that is there at once goes into one batch.
@@ -520,17 +523,12 @@
 		m.convoy.Meet(convoy.Member{IP: w.Hello.IP, Kind: kind, Zone: w.Hello.Zone})
 	case w.Front != nil && f.who.Name != "" && !f.who.Control:
 		x := *w.Front
-		x.Name, x.Owner, x.Gone, x.Change = f.who.Name, m.Boot.Name, false, 0
-		if old := m.state.Fronts[x.Name]; old.Since == x.Since {
-			x.Change = old.Change + 1
-		}
-		f.front = x
-		if m.state.TellFront(x, true) {
-			m.wake()
-		}
+		x.Name, x.Owner, x.Gone, x.Since = f.who.Name, m.Boot.Name, false, f.front.Since
+		f.front = m.state.Claim(m.clock(), x)
+		m.wake()
 	case w.Polls != nil && !f.who.Control:
 		for _, p := range w.Polls {
-			p.Front = f.who.Name
+			p.Front, p.At = f.who.Name, m.clock()
 			m.state.TellPoll(p, true)
 		}
 		m.wake()
@@ -563,14 +561,17 @@
 			return
 		}
 		m.mu.Lock()
-		for _, h := range m.state.Register.Tick(time.Now().UnixNano(), m.state.Standing() == InTouch) {
+		for _, h := range m.state.Register.Tick(m.clock(), m.state.Standing() == InTouch) {
 			klog.InfoS("host silent", "host", h.ID, "service", h.Service, "zone", h.Zone)
 			m.state.TellHost(h, h.Owner == m.Boot.Name)
 			m.wake()
 		}
-		if m.state.Tick(time.Now().UnixNano()) {
+		if m.state.Tick(m.clock()) {
 			m.wake()
 		}
+		if n%5 == 4 {
+			m.reclaim()
+		}
 		m.change()
 		m.mu.Unlock()
 		m.steer()
@@ -580,6 +581,19 @@
 	}
 }
 
+// reclaim tells anew of routers that are heard here and were taken for gone elsewhere; the caller holds the lock.
+func (m *Master) reclaim() {
+	for f := range m.hung {
+		in := f.line.In.Load()
+		x, known := m.state.Fronts[f.front.Name]
+		if known && (x.Gone || x.Owner != m.Boot.Name) && in > f.in {
+			f.front = m.state.Claim(m.clock(), f.front)
+			m.wake()
+		}
+		f.in = in
+	}
+}
+
 // log writes the counters on one line.
 func (m *Master) log() {
 	m.mu.Lock()
--- a/internal/harbour/harbourmaster/rollouts.go
+++ b/internal/harbour/harbourmaster/rollouts.go
@@ -24,7 +24,7 @@
 	if err := r.Err(); err != nil {
 		return nil, faults.Wrap(faults.Invalid, err, "the order is invalid")
 	}
-	now := time.Now()
+	now := m.clock()
 	m.mu.Lock()
 	err = m.ready()
 	old, _ := m.state.Set.Get(manifest.Key{Kind: manifest.Rollouts, Name: service})
@@ -45,7 +45,7 @@
 	case was.State == pilotage.Running:
 		return nil, faults.New(faults.UnderWay, "%s is being moved to %s", service, was.Target)
 	default:
-		i = pilotage.Rollout{Service: service, Order: was.Order + 1, From: settled, Base: was.Build(), Target: target, Began: now.UnixNano(), Term: term,
+		i = pilotage.Rollout{Service: service, Order: was.Order + 1, From: settled, Base: was.Build(), Target: target, Began: now, Term: term,
 			State: pilotage.Running}.Item()
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerIn)
@@ -73,7 +73,7 @@
 		return nil, faults.New(faults.Missing, "of: no rollout of %q", service)
 	}
 	r := pilotage.Read(i)
-	return map[string]string{"server-state": r.State.String(), "target-version": r.Target}, nil
+	return map[string]string{"server-state": r.Told(m.clock()).String(), "target-version": r.Target}, nil
 }
 
 // steer looks at the votes on each rollout that runs, and has the register decide where they say so.
@@ -83,7 +83,7 @@
 	if m.state.Standing() != InTouch {
 		return
 	}
-	now := time.Now().UnixNano()
+	now := m.clock()
 	for _, i := range m.state.Set.Standing(manifest.Rollouts) {
 		r := pilotage.Read(i)
 		if r.State != pilotage.Running || m.rounds[r.Register()] {
@@ -123,8 +123,7 @@
 	ctx, cancel := context.WithTimeout(m.ctx, 3*time.Second)
 	defer cancel()
 	m.mu.Lock()
-	round := signals.NewRound(max(uint64(time.Now().UnixMilli())<<8, m.cells[r.Register()].Promised+256)&^255|uint64(m.index()),
-		m.state.Majority(), want.String())
+	round := signals.NewRound(signals.Ballot(m.cells[r.Register()].Promised, m.clock(), m.Boot.IP), m.state.Majority(), want.String())
 	m.mu.Unlock()
 	for round.State() < signals.Decided {
 		if !m.step(ctx, r.Register(), round) {
@@ -134,20 +133,10 @@
 	if round.State() != signals.Decided {
 		return
 	}
-	r.State = pilotage.Parse(round.Value())
+	r.State, r.Ended = pilotage.Parse(round.Value()), m.clock()
 	m.store(ctx, []manifest.Item{r.Item()})
 }
 
-// index is this process's place among the core, for ballots that no other uses; the caller holds the lock.
-func (m *Master) index() (n int) {
-	for _, ip := range m.state.Members() {
-		if ip < m.Boot.IP {
-			n++
-		}
-	}
-	return n
-}
-
 // step asks all of the core, this process too, and waits until the round has moved on.
 func (m *Master) step(ctx context.Context, name string, round *signals.Round) bool {
 	moved := make(chan struct{})
--- a/internal/harbour/harbourmaster/state.go
+++ b/internal/harbour/harbourmaster/state.go
@@ -44,6 +44,9 @@
 	synced   map[string]bool  // by IP, intact ones whose items were taken over in this life
 }
 
+// Front is a router as control knows it.
+type Front = signals.Front
+
 type pollKey struct{ front, service string }
 
 const keptNews = 4096
@@ -199,6 +202,19 @@
 	s.Ledger.Add(signals.Note{Host: &h, First: first})
 }
 
+// Claim takes a router up that hangs here: whatever is known of it from elsewhere, or from before a step of its clock, is
+// older than what is heard now.
+func (s *State) Claim(now int64, f Front) Front {
+	old, known := s.Fronts[f.Name]
+	if f.Since == 0 || known && (old.Owner != f.Owner || old.Gone) {
+		f.Since, f.Change = max(now, old.Since+1), 0
+	} else if known {
+		f.Since, f.Change = old.Since, old.Change+1
+	}
+	s.TellFront(f, true)
+	return f
+}
+
 // TellFront takes up how a router that hangs here is.
 func (s *State) TellFront(f signals.Front, first bool) bool {
 	old, known := s.Fronts[f.Name]
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strings"
-	"time"
 
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/pilotage"
@@ -70,7 +69,7 @@
 func (m *Master) survey(context.Context, string, []byte) (any, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now().UnixNano()
+	now := m.clock()
 	s := Survey{Node: m.Boot.Name, Standing: m.state.Standing().String(), Items: m.state.Set.Len(), News: m.state.Ledger.Last(),
 		Syncs: m.keeper.book.Syncs, Yielding: manifest.Draw(m.state.Set).Yielding}
 	for ip, zone := range m.state.Set.Members() {
--- a/internal/harbour/pilotage/pilotage.go
+++ b/internal/harbour/pilotage/pilotage.go
@@ -45,6 +45,7 @@
 	Began   int64  `json:"began"` // Unix
 	Term    int64  `json:"term"`
 	State   State  `json:"state"`
+	Ended   int64  `json:"ended,omitempty"` // Unix, when that was decided
 }
 
 // Read is a rollout's item.
@@ -69,6 +70,18 @@
 // Register is the name under which its end is decided.
 func (r Rollout) Register() string { return fmt.Sprintf("%s#%d", r.Service, r.Order) }
 
+// switching is how long the routers have to leave the old hosts before operators hear that a rollout is completed: those
+// hosts stop on the word, whatever they have in work.
+const switching = int64(800e6)
+
+// Told is the state as operators hear it.
+func (r Rollout) Told(now int64) State {
+	if r.State == Completed && now-r.Ended < switching {
+		return Running
+	}
+	return r.State
+}
+
 // Settled is a service's version that is not on trial: where the newest rollout completed, its target.
 func Settled(first manifest.Item, r Rollout) string {
 	switch r.State {
@@ -117,7 +130,7 @@
 	turn = int64(400e6)
 	// late is how long before the term a good version is let through, at the earliest: an earlier end gains nothing, and a
 	// build may turn bad late. Deciding takes two rounds through the core, and a turn more where a process is lost.
-	late = int64(2600e6)
+	late = int64(3200e6)
 	// last is what is left of the term when a rollout without clear votes is ended: operators look about once a second.
 	last = int64(1500e6)
 )
--- a/internal/harbour/signals/register.go
+++ b/internal/harbour/signals/register.go
@@ -1,5 +1,7 @@
 package signals
 
+import "net/netip"
+
 // Ask is a step of a register: a value that is decided once by more than half of the core, for ever. It goes by prepare
 // and accept, as in single-decree agreement; there is no log and no leader.
 type Ask struct {
@@ -25,6 +27,18 @@
 	Value    string `json:"s,omitempty"`
 }
 
+// Ballot is a proposer's next one: above what was promised here, by the time, and no other proposer's, as it ends in the
+// lower 24 bits of its IP number.
+func Ballot(promised uint64, now int64, ip string) uint64 {
+	own := uint64(0)
+	if a, err := netip.ParseAddr(ip); err == nil {
+		for _, b := range a.AsSlice() {
+			own = (own<<8 | uint64(b)) & (1<<24 - 1)
+		}
+	}
+	return max(uint64(now/1e7), promised>>24+1)<<24 | own
+}
+
 // Take is the acceptor's only step.
 func (c Cell) Take(a Ask) (Cell, Reply) {
 	if a.Accept == "" && a.Ballot > c.Promised {
--- a/internal/harbour/signals/signals_test.go
+++ b/internal/harbour/signals/signals_test.go
@@ -133,3 +133,19 @@
 		t.Errorf("only %d of 3000 runs decided anything", decidedRuns)
 	}
 }
+
+// No two proposers ever use one ballot, and each is above what was promised.
+func TestBallots(t *testing.T) {
+	c := qt.New(t)
+	seen := map[uint64]string{}
+	for z := range 9 {
+		for now := range int64(50) {
+			ip := fmt.Sprintf("10.%d.0.%d", z+1, z%3+1)
+			b := Ballot(uint64(now)<<24, 1e18+now*1e7, ip)
+			c.Check(seen[b], qt.Equals, "")
+			c.Check(b > uint64(now)<<24, qt.IsTrue)
+			seen[b] = ip
+		}
+	}
+	c.Check(Ballot(1<<62, 0, "10.0.0.1") > 1<<62, qt.IsTrue)
+}
--- a/internal/lab/basin/basin_test.go
+++ b/internal/lab/basin/basin_test.go
@@ -43,9 +43,10 @@
 		happens(c, h)
 		h.all.Go(func() { time.Sleep(lasts + 4*time.Second) })
 		time.Sleep(lasts + 4*time.Second)
-		c.Logf("%d of %d good: %v, slowest %v", tally.Good, tally.Asked, tally.By, tally.Slowest)
+		served, asked, how := tally.Counts()
+		c.Logf("%d of %d good: %s", served, asked, how)
 		c.Check(h.Judge(), qt.HasLen, 0)
-		c.Check(float64(tally.Good) >= good*float64(tally.Asked), qt.IsTrue, qt.Commentf("%d of %d good: %v, slowest %v", tally.Good, tally.Asked, tally.By, tally.Slowest))
+		c.Check(float64(served) >= good*float64(asked), qt.IsTrue, qt.Commentf("%d of %d good: %s", served, asked, how))
 	})
 }
 
@@ -149,7 +150,7 @@
 				}
 				time.Sleep(2 * time.Second)
 				for _, q := range trial {
-					c.Check(q.Runs, qt.Equals, 0, qt.Commentf("before the order"))
+					c.Check(q.Ran(), qt.Equals, 0, qt.Commentf("before the order"))
 				}
 				status, _, _ := h.Order("rollouts.begin", "", []byte(`{"service":"desk","target-version":"v2","duration-s":14}`), 2*time.Second, 1)
 				c.Assert(status, qt.Equals, 200)
@@ -158,7 +159,7 @@
 				time.Sleep(4 * time.Second)
 				runs := 0
 				for _, q := range trial {
-					runs += q.Runs
+					runs += q.Ran()
 				}
 				c.Check(runs > 5 && runs < 90, qt.IsTrue, qt.Commentf("%d on trial", runs))
 				time.Sleep(5 * time.Second)
--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -214,19 +214,24 @@
 		cancel()
 		return err
 	}
+	f.h.mu.Lock()
+	defer f.h.mu.Unlock()
 	f.Running, f.cancel = r, cancel
 	return nil
 }
 
 // Kill ends it at once.
 func (f *Fairway) Kill() {
-	if f.cancel == nil {
+	f.h.mu.Lock()
+	cancel := f.cancel
+	f.cancel = nil
+	f.h.mu.Unlock()
+	if cancel == nil {
 		return
 	}
 	f.process.Kill()
-	f.cancel()
+	cancel()
 	f.Running.Close()
-	f.cancel = nil
 }
 
 // Quay is a host.
@@ -246,7 +251,7 @@
 	sequence      int
 	arrivals      []time.Time
 	cancel        context.CancelFunc
-	Runs          int
+	runs          int
 }
 
 // Host starts a host of a service and a version; one that starts cold says so.
@@ -273,6 +278,13 @@
 	return q
 }
 
+// Ran is how many requests it has run.
+func (q *Quay) Ran() int {
+	q.h.mu.Lock()
+	defer q.h.mu.Unlock()
+	return q.runs
+}
+
 // Drain has it say that it is leaving.
 func (q *Quay) Drain() {
 	q.mu.Lock()
@@ -350,7 +362,7 @@
 	id := r.Header.Get("Attempt-Id")
 	q.h.mu.Lock()
 	q.h.runs[id]++
-	q.Runs++
+	q.runs++
 	fail := q.Fail
 	q.h.mu.Unlock()
 	select {
@@ -469,6 +481,8 @@
 
 // pick is a ready router of a zone, or any other, as the directory says.
 func (h *Harbour) pick(z int) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	var near, all []string
 	for _, f := range h.Fairways {
 		if f.cancel == nil || !f.Running.Ready() {
@@ -485,8 +499,6 @@
 	if len(all) == 0 {
 		return h.Fairways[0].Boot.Listen["front"]
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	return all[int(h.draw.Next()*float64(len(all)))]
 }
 
@@ -530,6 +542,13 @@
 	}
 }
 
+// Counts tells how many of how many requests were served, and how.
+func (t *Tally) Counts() (good, asked int, how string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Good, t.Asked, fmt.Sprintf("%v, slowest %v", t.By, t.Slowest)
+}
+
 // Judge holds what happened against the rules, once all has ended.
 func (h *Harbour) Judge() []string {
 	h.mu.Lock()
