--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -415,6 +415,19 @@
 	return f.chance.Next()
 }
 
+// Versions are those of the routes that this router goes by, dropped ones too.
+func (f *Fairway) Versions() map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := map[string]uint64{}
+	for _, i := range f.board.set.All() {
+		if i.Kind == manifest.Routes {
+			all[i.Name] = i.Version
+		}
+	}
+	return all
+}
+
 // Usable is how many hosts of a service this router may use as far as control has told.
 func (f *Fairway) Usable(service string) (n int) {
 	f.mu.Lock()
--- a/internal/lab/basin/disk.go
+++ b/internal/lab/basin/disk.go
@@ -39,6 +39,13 @@
 	d.files, d.meta = map[storage.FileDesc]*file{}, storage.FileDesc{}
 }
 
+// set makes syncs take so long, and has it refuse to write or not.
+func (d *Disk) set(delay time.Duration, refuse bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Delay, d.Refuse = delay, refuse
+}
+
 // PowerLoss keeps what was synced; torn says that half of what was written since stays too.
 func (d *Disk) PowerLoss(torn bool) {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/lab/basin/drawn_test.go
@@ -0,0 +1,252 @@
+package basin
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/parts/chance"
+)
+
+var (
+	seeds = flag.Int("seeds", 4, "drawn days to play")
+	from  = flag.Int("from", 1, "the first of them")
+)
+
+// operator sends changes and remembers what was sent and acknowledged.
+type operator struct {
+	h     *Harbour
+	draw  chance.Source
+	sent  map[string]map[string]bool // by route and version: the prefixes that were sent
+	acked map[string]string          // by route: the newest version that was acknowledged
+	next  int
+	late  int // orders that a calm core did not take in time
+	took  []time.Duration
+	evac  string // the state that z0 was last ordered into, if that was acknowledged
+}
+
+func (o *operator) n(n int) int { return int(o.draw.Next() * float64(n)) }
+
+// change sends one change of one of four routes to a control process by chance; twice sends another of the same version to
+// another at once.
+func (o *operator) change(twice bool) {
+	o.next += 1 + o.n(3)
+	version := manifest.Digits(uint64(o.next))
+	route := fmt.Sprintf("r%d", o.n(4))
+	many := 1
+	if twice {
+		many = 2
+	}
+	done := make(chan bool, many)
+	for k := range many {
+		prefix := fmt.Sprintf("/%s-%s-%d/", route, version, k)
+		if o.sent[route+version] == nil {
+			o.sent[route+version] = map[string]bool{}
+		}
+		o.sent[route+version][prefix] = true
+		first := o.n(len(o.h.Masters))
+		body := o.h.Configure(false, Route{Name: route, Prefix: prefix, Service: "desk", Version: version})
+		go func() {
+			status, _, _ := o.h.Order("configuration.modify", "", body, 8*time.Second, first)
+			done <- status == 200
+		}()
+	}
+	began := time.Now()
+	for range many {
+		if <-done {
+			o.acked[route] = max(o.acked[route], version)
+		} else {
+			o.late++
+		}
+	}
+	o.took = append(o.took, time.Since(began))
+}
+
+func (o *operator) evacuate() {
+	call := []string{"evacuation.begin", "evacuation.finish"}[o.n(2)]
+	o.evac = ""
+	if status, _, _ := o.h.Order(call, "z0", nil, 8*time.Second, o.n(len(o.h.Masters))); status == 200 {
+		o.evac = call
+	} else {
+		o.late++
+	}
+}
+
+// harm does one harm of those that the settings tolerate, and undoes it. It tells what it did.
+func (o *operator) harm() string {
+	h := o.h
+	at := o.n(len(h.Masters))
+	m := h.Masters[at]
+	lasts := time.Duration(1+o.n(4)) * time.Second
+	switch kind := o.n(8); kind {
+	case 0, 1: // killed, or without power
+		m.Kill()
+		if kind == 1 {
+			h.Sea.Down(m.Boot.IP, true)
+			m.Disk.PowerLoss(o.n(2) == 0)
+		}
+		time.Sleep(lasts)
+		h.Sea.Down(m.Boot.IP, false)
+		m.mustStart()
+		return fmt.Sprint("down ", m.Boot.IP)
+	case 2:
+		m.Kill()
+		m.Disk.Wipe()
+		time.Sleep(lasts)
+		m.mustStart()
+		return fmt.Sprint("wiped ", m.Boot.IP)
+	case 3, 4: // cut off from the others, or from half of them
+		for i, x := range h.Masters {
+			if x != m && (kind == 3 || i%2 == 0) {
+				h.Sea.Cut(m.Boot.IP, x.Boot.IP, true)
+			}
+		}
+		time.Sleep(lasts + 2*time.Second)
+		for _, x := range h.Masters {
+			h.Sea.Cut(m.Boot.IP, x.Boot.IP, false)
+		}
+		return fmt.Sprint("cut ", m.Boot.IP)
+	case 5:
+		m.Disk.set(125*time.Millisecond, false)
+		time.Sleep(lasts)
+		m.Disk.set(5*time.Millisecond, false)
+		return fmt.Sprint("slow disk ", m.Boot.IP)
+	case 6:
+		m.Disk.set(5*time.Millisecond, true)
+		time.Sleep(lasts)
+		m.Disk.set(5*time.Millisecond, false)
+		return fmt.Sprint("refusing disk ", m.Boot.IP)
+	default: // all at once; the disks stay
+		for _, x := range h.Masters {
+			x.Kill()
+		}
+		time.Sleep(time.Second)
+		for _, x := range h.Masters {
+			x.mustStart()
+		}
+		return "all killed"
+	}
+}
+
+// drawn plays one day of a seed: changes, races, evacuations and harms, a closing fault right after an acknowledgement, and
+// then all is held against what was acknowledged.
+func drawn(t *testing.T, seed int) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := small
+		l.Zones, l.Routers, l.Hosts, l.Seed = 6, 1, 1, uint64(seed)
+		h := New(l)
+		c.Assert(h.Start(), qt.IsNil)
+		defer h.Stop()
+		time.Sleep(2 * time.Second)
+		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, acked: map[string]string{}}
+		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look), 5*time.Second, 0)
+		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+		watching, watched := make(chan bool), make(chan bool)
+		go func() { // no router goes back
+			defer close(watched)
+			seen := map[string]uint64{}
+			for {
+				select {
+				case <-watching:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+				for _, f := range h.Fairways {
+					for name, v := range f.Running.Versions() {
+						k := f.Boot.Name + " " + name
+						if v < seen[k] {
+							h.broken("CONFIG: %s went back from %d to %d", k, seen[k], v)
+						}
+						seen[k] = max(seen[k], v)
+					}
+				}
+			}
+		}()
+		var harms []string
+		for range 3 {
+			over := make(chan bool)
+			go func() {
+				defer close(over)
+				time.Sleep(time.Duration(o.n(500)) * time.Millisecond)
+				harms = append(harms, o.harm())
+			}()
+			for range 6 {
+				time.Sleep(time.Duration(100+o.n(500)) * time.Millisecond)
+				if o.n(4) == 0 {
+					o.evacuate()
+				} else {
+					o.change(o.n(4) == 0)
+				}
+			}
+			<-over
+			time.Sleep(5 * time.Second) // back for good before the next
+		}
+		o.change(false)
+		closing := o.n(3)
+		for i, m := range h.Masters {
+			m.Kill()
+			if closing > 0 {
+				m.Disk.PowerLoss(i%2 == 0)
+			}
+		}
+		if closing == 2 {
+			h.Masters[o.n(len(h.Masters))].Disk.Wipe()
+		}
+		time.Sleep(1300 * time.Millisecond)
+		for _, m := range h.Masters {
+			m.mustStart()
+		}
+		time.Sleep(5 * time.Second)
+		close(watching)
+		<-watched
+		c.Check(h.Broken, qt.HasLen, 0)
+		c.Check(o.late, qt.Equals, 0, qt.Commentf("orders not taken; %v", harms))
+		var first string
+		for i := range h.Masters {
+			status, by, answer := h.Order("configuration.read", "", nil, time.Second, i)
+			c.Assert([2]int{status, by}, qt.Equals, [2]int{200, i}, qt.Commentf("%v, closing %d: %s is %s", harms, closing, h.Masters[i].Boot.Name, h.Masters[i].Standing()))
+			if first == "" {
+				first = string(answer)
+			}
+			c.Check(string(answer), qt.Equals, first, qt.Commentf("%v", harms))
+		}
+		items, err := manifest.Read([]byte(`{"set-items":` + first + `}`))
+		c.Assert(err, qt.IsNil)
+		now := map[string]manifest.Item{}
+		for _, i := range items {
+			now[i.Name] = i
+		}
+		for route, version := range o.acked {
+			i, there := now[route]
+			c.Check(there && manifest.Digits(i.Version) >= version, qt.IsTrue,
+				qt.Commentf("LOST: %s %s was acknowledged, %d stands; %v, closing %d", route, version, i.Version, harms, closing))
+			prefix, _ := i.Tree()["path-prefix"].(string)
+			c.Check(o.sent[route+manifest.Digits(i.Version)][prefix], qt.IsTrue, qt.Commentf("%s %s was never sent", route, prefix))
+		}
+		if o.evac != "" {
+			_, _, answer := h.Order("harbour.read", "", nil, time.Second, 0)
+			var s struct{ Evacuated []string }
+			c.Assert(json.Unmarshal(answer, &s), qt.IsNil)
+			c.Check(len(s.Evacuated) == 1, qt.Equals, o.evac == "evacuation.begin", qt.Commentf("LOST: %s; %v", o.evac, harms))
+		}
+		for _, f := range h.Fairways {
+			for name, v := range f.Running.Versions() {
+				c.Check(v, qt.Equals, now[name].Version, qt.Commentf("%s has %s", f.Boot.Name, name))
+			}
+		}
+	})
+}
+
+// Days drawn by seeds; -args -seeds 1000 plays as many.
+func TestDrawnDays(t *testing.T) {
+	for seed := *from; seed < *from+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { drawn(t, seed) })
+	}
+}
--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -197,6 +197,13 @@
 	m.cancel = nil
 }
 
+// mustStart is Start where nothing can be done about an error.
+func (m *Master) mustStart() {
+	if err := m.Start(); err != nil {
+		m.h.broken("a control process does not start: %v", err)
+	}
+}
+
 // Standing is how far it may be gone by, as it says of itself.
 func (m *Master) Standing() string {
 	if m.cancel == nil {
