--- a/internal/lab/basin/drawn_test.go
+++ b/internal/lab/basin/drawn_test.go
@@ -28,6 +28,7 @@
 	next  int
 	late  int // orders that a calm core did not take in time
 	took  []time.Duration
+	by    int    // who acknowledged last
 	evac  string // the state that z0 was last ordered into, if that was acknowledged
 }
 
@@ -53,7 +54,8 @@
 		first := o.n(len(o.h.Masters))
 		body := o.h.Configure(false, Route{Name: route, Prefix: prefix, Service: "desk", Version: version})
 		go func() {
-			status, _, _ := o.h.Order("configuration.modify", "", body, 8*time.Second, first)
+			status, by, _ := o.h.Order("configuration.modify", "", body, 8*time.Second, first)
+			o.by = max(0, by)
 			done <- status == 200
 		}()
 	}
@@ -134,6 +136,26 @@
 	}
 }
 
+// check reads the configuration at one control process; if it answers, nothing acknowledged may be missing.
+func (o *operator) check(c *qt.C, at int, harms []string) {
+	client := o.h.client(o.h.Sea.Process("10.200.0.2"), time.Second)
+	defer client.CloseIdleConnections()
+	status, raw, err := post(o.h.ctx, client, o.h.Masters[at].Boot.Listen["control"], "configuration.read", "", nil)
+	if err != nil || status != 200 {
+		return
+	}
+	items, err := manifest.Read([]byte(`{"set-items":` + string(raw) + `}`))
+	c.Assert(err, qt.IsNil)
+	now := map[string]uint64{}
+	for _, i := range items {
+		now[i.Name] = i.Version
+	}
+	for route, version := range o.acked {
+		c.Check(manifest.Digits(now[route]) >= version, qt.IsTrue, qt.Commentf("LOST: %s answered without %s %s; %v",
+			o.h.Masters[at].Boot.Name, route, version, harms))
+	}
+}
+
 // drawn plays one day of a seed: changes, races, evacuations and harms, a closing fault right after an acknowledgement, and
 // then all is held against what was acknowledged.
 func drawn(t *testing.T, seed int) {
@@ -197,13 +219,18 @@
 			}
 		}
 		if closing == 2 {
-			h.Masters[o.n(len(h.Masters))].Disk.Wipe()
+			h.Masters[o.by].Disk.Wipe()
 		}
 		time.Sleep(1300 * time.Millisecond)
 		for _, m := range h.Masters {
 			m.mustStart()
+			time.Sleep(time.Duration(o.n(150)) * time.Millisecond)
+		}
+		for i := range 60 { // whoever answers knows all that was acknowledged, from its first answer on
+			o.check(c, i%len(h.Masters), harms)
+			time.Sleep(50 * time.Millisecond)
 		}
-		time.Sleep(5 * time.Second)
+		time.Sleep(2 * time.Second)
 		close(watching)
 		<-watched
 		c.Check(h.Broken, qt.HasLen, 0)
