--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -92,7 +92,7 @@
 const (
 	connectIn = 400 * time.Millisecond // beyond the longest way twice, and a packet sent again
 	hostIdle  = 8 * time.Second        // hosts close connections that stand idle for some seconds
-	largest   = 4 << 20                // bytes of a host's answer that is read whole
+	largest   = 256 << 10              // bytes of a host's answer that is read whole; longer ones are passed on as they come
 )
 
 // Start brings the process up; it serves until Leave.
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -223,11 +223,14 @@
 	c := &router.Command{Band: s.band(route), CutOff: began + left, Answer: answers, Most: route.Most,
 		May: func(h router.Host) bool { return s.may(h, route.Homes) },
 		Request: &router.Request{Method: r.Method, Target: r.RequestURI, Body: body,
-			Cargo: &cargo{host: r.Host, header: passed(r.Header), id: r.Header.Get("Attempt-Id")}}}
+			Cargo: &cargo{host: r.Host, header: passed(r.Header), id: r.Header.Get("Attempt-Id"), stream: make(chan *stream, 4)}}}
 	s.reducer.Post(router.Taken{Command: c})
 	select {
 	case a := <-answers:
 		f.answer(w, route, a, c)
+	case t := <-c.Request.Cargo.(*cargo).stream:
+		s.reducer.Post(router.Streams{Command: c})
+		f.passOn(w, t)
 	case <-r.Context().Done():
 		f.counts.gone.Add(1)
 		s.reducer.Post(router.Left{Command: c})
@@ -346,6 +349,30 @@
 	w.Write(a.body)
 }
 
+// passOn gives a long answer as it comes. One that breaks off ends the connection, so that it doesn't look complete.
+func (f *Fairway) passOn(w http.ResponseWriter, t *stream) {
+	f.counts.answered.Add(1)
+	h := w.Header()
+	for name, values := range t.header {
+		h[name] = values
+	}
+	if t.length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(t.length, 10)}
+	}
+	if f.leaving.Load() {
+		h["Connection"] = []string{"close"}
+	}
+	w.WriteHeader(t.status)
+	_, err := w.Write(t.body)
+	if err == nil {
+		_, err = io.Copy(w, t.rest)
+	}
+	if t.done <- err; err != nil {
+		f.counts.faults[faults.Broken].Add(1)
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // refuse answers by the table of faults.
 func (f *Fairway) refuse(w http.ResponseWriter, k faults.Kind, wait time.Duration) {
 	f.counts.faults[k].Add(1)
--- a/internal/harbour/fairway/speech.go
+++ b/internal/harbour/fairway/speech.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -20,8 +19,17 @@
 type cargo struct {
 	host   string
 	header http.Header
-	id     string // of this try
-	tries  int    // hand-offs so far
+	id     string       // of this try
+	tries  int          // hand-offs so far
+	stream chan *stream // gets an answer that is too long to be read whole
+}
+
+// stream is an answer of which only the beginning has been read. Whoever takes it up reads the rest and says when it is done.
+type stream struct {
+	*reply
+	length int64 // -1 where it isn't stated
+	rest   io.Reader
+	done   chan error
 }
 
 // reply is a host's whole answer.
@@ -80,22 +88,18 @@
 var (
 	errOther   = errors.New("the answer is another request's")
 	errSeal    = errors.New("a success without a seal")
+	errLong    = errors.New("a refusal or an error that doesn't end")
 	errEncoded = errors.New("an encoding that nobody asked for")
 )
 
 // Answer reads a host's answer whole, and checks that it is one, and the one to this request.
 func (s speech) Answer(r *router.Request, resp *http.Response) (router.Outcome, error) {
 	c := r.Cargo.(*cargo)
-	if resp.ContentLength > s.largest {
-		return router.Outcome{}, fmt.Errorf("a body of %d bytes", resp.ContentLength)
-	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.largest+1))
-	switch {
-	case err != nil:
+	if err != nil {
 		return router.Outcome{}, err
-	case int64(len(body)) > s.largest:
-		return router.Outcome{}, errors.New("a body that doesn't end")
 	}
+	long := int64(len(body)) > s.largest
 	a := &reply{status: resp.StatusCode, header: passed(resp.Header), body: body,
 		unrun: resp.Header.Get("Request-Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 		other: resp.StatusCode == http.StatusMisdirectedRequest}
@@ -114,5 +118,15 @@
 	case a.status < 300, a.status >= 400 && a.status < 500:
 		o.Ending = rules.Fulfilled
 	}
+	if long {
+		if o.Ending != rules.Fulfilled {
+			return router.Outcome{}, errLong
+		}
+		t := &stream{reply: a, length: resp.ContentLength, rest: resp.Body, done: make(chan error, 1)}
+		c.stream <- t
+		if err := <-t.done; err != nil {
+			return router.Outcome{}, err
+		}
+	}
 	return o, nil
 }
--- a/internal/lab/basin/basin_test.go
+++ b/internal/lab/basin/basin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -259,3 +260,36 @@
 		}
 	}, 0.99)
 }
+
+// A long answer is passed on as it comes, a little of it at a time in memory; one that breaks off never looks complete, and
+// is not asked for again elsewhere.
+func TestLongAnswers(t *testing.T) {
+	for _, cut := range []int{0, 3 << 20} {
+		day(t, small, 4*time.Second, func(c *qt.C, h *Harbour) {
+			f := h.Fairways[0]
+			for _, q := range h.Quays {
+				q.Crash()
+			}
+			time.Sleep(4 * time.Second)
+			for z := range h.Zones {
+				q := h.Host("desk", z, "v1", 0)
+				q.Long, q.Cut = 10<<20, cut
+			}
+			time.Sleep(2 * time.Second)
+			client := h.client(h.Sea.Process("10.1.201.2"), 0)
+			defer client.CloseIdleConnections()
+			req, _ := http.NewRequest("GET", "http://"+f.Boot.Listen["front"]+"/look/x", nil)
+			req.Host = "desk.example"
+			req.Header.Set("Attempt-Id", "safe-long")
+			resp, err := client.Do(req)
+			c.Assert(err, qt.IsNil)
+			n, err := io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			c.Check(err == nil, qt.Equals, cut == 0, qt.Commentf("%v", err))
+			c.Check(n == 10<<20, qt.Equals, cut == 0, qt.Commentf("%d bytes", n))
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			c.Check(h.runs["safe-long"], qt.Equals, 1)
+		}, 0)
+	}
+}
--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -248,6 +248,7 @@
 	Zone, Version string
 	Address       string
 	Fail          bool          // its answers are errors
+	Long, Cut     int           // bytes of its answers, and after how many it breaks off, 0 for never
 	Work          time.Duration // a request's
 	process       *Process
 	server        *http.Server
@@ -383,9 +384,27 @@
 		return
 	}
 	w.Header().Set("Server-Seal", q.ID)
+	if q.Long > 0 {
+		q.long(w)
+		return
+	}
 	fmt.Fprintf(w, "%s ran %s", q.ID, id)
 }
 
+// long answers with many bytes.
+func (q *Quay) long(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", strconv.Itoa(q.Long))
+	part := bytes.Repeat([]byte("0123456789abcdef"), 4096)
+	for sent := 0; sent < q.Long; sent += len(part) {
+		if q.Cut > 0 && sent >= q.Cut {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(part[:min(len(part), q.Long-sent)]); err != nil {
+			return
+		}
+	}
+}
+
 // arrived counts what a cold host gets within a second.
 func (q *Quay) arrived() {
 	q.mu.Lock()
--- a/internal/parts/router/events.go
+++ b/internal/parts/router/events.go
@@ -93,6 +93,8 @@
 	Taken struct{ *Command }
 	// Left tells that a client has gone.
 	Left struct{ *Command }
+	// Streams tells that the latest hand-off's answer has begun to go to the client: nothing else can be given any more.
+	Streams struct{ *Command }
 	// Ended brings a hand-off's outcome.
 	Ended struct {
 		Command *Command
--- a/internal/parts/router/router.go
+++ b/internal/parts/router/router.go
@@ -218,6 +218,13 @@
 	r.forget(c)
 }
 
+func (e Streams) apply(r *Router) {
+	if !e.Command.over {
+		r.module.Begun(r.clock(), e.Command.id, len(e.Command.handOffs)-1)
+		Left(e).apply(r)
+	}
+}
+
 func (e Ended) apply(r *Router) {
 	c := e.Command
 	c.out--
