--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -384,7 +384,7 @@
 
 // Vote tells control what this router wants of a rollout.
 func (s *service) Vote(v rules.Verdict, build, stage int) {
-	s.f.vote(signals.Poll{Service: s.name, Order: uint64(build), Verdict: uint8(v), At: s.f.clock()})
+	s.f.Vote(signals.Poll{Service: s.name, Order: uint64(build), Verdict: uint8(v), At: s.f.clock()})
 	n := *s.news.Load()
 	n.Reply = true
 	go s.reducer.Post(router.News{News: n}) // the rules are in the middle of a step
--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -225,8 +225,8 @@
 		Address: f.Boot.Listen["front"], Ready: f.Ready(), Since: f.since}})
 }
 
-// vote tells control a vote.
-func (f *Fairway) vote(p signals.Poll) {
+// Vote tells control a vote, as the rules do.
+func (f *Fairway) Vote(p signals.Poll) {
 	go func() { // the rules are in the middle of a step, and the lock may be held by who posts to them
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/harbour/pilotage/pilotage.go
+++ b/internal/harbour/pilotage/pilotage.go
@@ -161,9 +161,9 @@
 	switch {
 	case back >= need && now-newest >= min(wait, Life/2):
 		return RolledBack
-	case on >= need && back == 0 && age >= max(r.Term-late, r.Term*3/4)+wait:
+	case on >= need && back == 0 && age >= r.Term-min(late, r.Term/2)+wait:
 		return Completed
-	case age >= r.Term-last+wait: // nobody found out: what is not known to be good doesn't replace what is
+	case age >= r.Term-min(last, r.Term/5)+wait: // nobody found out: what is not known to be good doesn't replace what is
 		return RolledBack
 	}
 	return Running
--- a/internal/harbour/pilotage/pilotage_test.go
+++ b/internal/harbour/pilotage/pilotage_test.go
@@ -25,20 +25,28 @@
 		before int
 		votes  []signals.Poll // At is how old the vote is
 		want   State
+		term   int64
 	}{
-		{"nobody has voted", 5 * s, 0, nil, Running},
-		{"one for back", 5 * s, 0, []signals.Poll{vote("a", rules.Back, 0)}, Running},
-		{"two for back", 5 * s, 0, []signals.Poll{vote("a", rules.Back, 0), vote("b", rules.Back, 0)}, RolledBack},
-		{"one of them has lapsed", 5 * s, 0, []signals.Poll{vote("a", rules.Back, 3*s), vote("b", rules.Back, 0)}, Running},
-		{"one of them isn't counted", 5 * s, 0, []signals.Poll{vote("x", rules.Back, 0), vote("b", rules.Back, 0)}, Running},
-		{"two for back, another proposes first", 5 * s, 1, []signals.Poll{vote("a", rules.Back, 0), vote("b", rules.Back, 0)}, Running},
-		{"two for on, early", 5 * s, 0, []signals.Poll{vote("a", rules.On, 0), vote("b", rules.On, 0)}, Running},
-		{"two for on, shortly before the term", 13 * s, 0, []signals.Poll{vote("a", rules.On, 0), vote("b", rules.On, 0)}, Completed},
-		{"one against", 13 * s, 0, []signals.Poll{vote("a", rules.On, 0), vote("b", rules.On, 0), vote("c", rules.Back, 0)}, Running},
-		{"undecided at the term", 14 * s, 0, nil, RolledBack},
-		{"undecided at the term, another proposes first", 14 * s, 3, nil, Running},
+		{"nobody has voted", 5 * s, 0, nil, Running, 0},
+		{"one for back", 5 * s, 0, []signals.Poll{vote("a", rules.Back, 0)}, Running, 0},
+		{"two for back", 5 * s, 0, []signals.Poll{vote("a", rules.Back, 0), vote("b", rules.Back, 0)}, RolledBack, 0},
+		{"one of them has lapsed", 5 * s, 0, []signals.Poll{vote("a", rules.Back, 3*s), vote("b", rules.Back, 0)}, Running, 0},
+		{"one of them isn't counted", 5 * s, 0, []signals.Poll{vote("x", rules.Back, 0), vote("b", rules.Back, 0)}, Running, 0},
+		{"two for back, another proposes first", 5 * s, 1, []signals.Poll{vote("a", rules.Back, 0), vote("b", rules.Back, 0)}, Running, 0},
+		{"two for on, early", 5 * s, 0, []signals.Poll{vote("a", rules.On, 0), vote("b", rules.On, 0)}, Running, 0},
+		{"two for on, shortly before the term", 13 * s, 0, []signals.Poll{vote("a", rules.On, 0), vote("b", rules.On, 0)}, Completed, 0},
+		{"one against", 13 * s, 0, []signals.Poll{vote("a", rules.On, 0), vote("b", rules.On, 0), vote("c", rules.Back, 0)}, Running, 0},
+		{"undecided at the term", 14 * s, 0, nil, RolledBack, 0},
+		{"undecided at the term, another proposes first", 14 * s, 3, nil, Running, 0},
+		{"two for on, a short term", 3 * s, 0, []signals.Poll{vote("a", rules.On, 0), vote("b", rules.On, 0)}, Completed, 5 * s},
+		{"undecided, a short term", 3 * s, 0, nil, Running, 5 * s},
+		{"undecided at the end of a short term", 4 * s, 0, nil, RolledBack, 5 * s},
 	} {
 		t.Run(x.name, func(t *testing.T) {
+			r := r
+			if x.term > 0 {
+				r.Term = x.term
+			}
 			now := r.Began + x.age
 			var votes []signals.Poll
 			for _, p := range x.votes {
--- a/internal/lab/basin/drawn_test.go
+++ b/internal/lab/basin/drawn_test.go
@@ -9,9 +9,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
 
 	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/signals"
 	"portflow/internal/parts/chance"
+	"portflow/rules"
 )
 
 var (
@@ -19,6 +22,8 @@
 	from  = flag.Int("from", 1, "the first of them")
 )
 
+var ends = map[string]int{} // of all rollouts, to see that both kinds came
+
 // operator sends changes and remembers what was sent and acknowledged.
 type operator struct {
 	h     *Harbour
@@ -28,8 +33,9 @@
 	next  int
 	late  int // orders that a calm core did not take in time
 	took  []time.Duration
-	by    int    // who acknowledged last
-	evac  string // the state that z0 was last ordered into, if that was acknowledged
+	by    int               // who acknowledged last
+	ends  map[string]string // by version: how its rollout ended
+	evac  string            // the state that z0 was last ordered into, if that was acknowledged
 }
 
 func (o *operator) n(n int) int { return int(o.draw.Next() * float64(n)) }
@@ -136,6 +142,42 @@
 	}
 }
 
+// rollouts orders one after the other, has routers vote this way and that, and notes every end that any control process
+// tells: of one order there may be one only.
+func (o *operator) rollouts(until chan bool) {
+	h, draw := o.h, chance.Source{Seed: o.draw.Seed + 1}
+	client := h.client(h.Sea.Process("10.200.0.3"), time.Second)
+	defer client.CloseIdleConnections()
+	for n := 2; ; n++ {
+		target := fmt.Sprint("v", n)
+		status, _, _ := h.Order("rollouts.begin", "", []byte(`{"service":"desk","target-version":"`+target+`","duration-s":5}`), 8*time.Second, int(draw.Next()*6))
+		back := []float64{0, 0.02, 0.1, 0.5}[int(draw.Next()*4)] // how many of the votes
+		for range 24 {
+			select {
+			case <-until:
+				return
+			case <-time.After(250 * time.Millisecond):
+			}
+			for _, f := range h.Fairways {
+				if status == 200 && draw.Next() < 0.7 {
+					f.Running.Vote(signals.Poll{Service: "desk", Order: uint64(n - 1), Verdict: uint8(lo.Ternary(draw.Next() < back, rules.Back, rules.On))})
+				}
+			}
+			at := h.Masters[int(draw.Next()*6)]
+			if status, raw, err := post(h.ctx, client, at.Boot.Listen["control"], "rollouts.read", "desk", nil); err == nil && status == 200 {
+				var v map[string]string
+				json.Unmarshal(raw, &v)
+				if end := v["server-state"]; end != "running" {
+					if was := o.ends[v["target-version"]]; was != "" && was != end {
+						h.broken("LOST: %s was %s and is %s", v["target-version"], was, end)
+					}
+					o.ends[v["target-version"]] = end
+				}
+			}
+		}
+	}
+}
+
 // check reads the configuration at one control process; if it answers, nothing acknowledged may be missing.
 func (o *operator) check(c *qt.C, at int, harms []string) {
 	client := o.h.client(o.h.Sea.Process("10.200.0.2"), time.Second)
@@ -167,7 +209,7 @@
 		c.Assert(h.Start(), qt.IsNil)
 		defer h.Stop()
 		time.Sleep(2 * time.Second)
-		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, acked: map[string]string{}}
+		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, acked: map[string]string{}, ends: map[string]string{}}
 		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look), 5*time.Second, 0)
 		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
 		watching, watched := make(chan bool), make(chan bool)
@@ -191,6 +233,11 @@
 				}
 			}
 		}()
+		rolling, rolled := make(chan bool), make(chan bool)
+		go func() {
+			defer close(rolled)
+			o.rollouts(rolling)
+		}()
 		var harms []string
 		for range 3 {
 			over := make(chan bool)
@@ -233,6 +280,11 @@
 		time.Sleep(2 * time.Second)
 		close(watching)
 		<-watched
+		close(rolling)
+		<-rolled
+		for _, end := range o.ends {
+			ends[end]++
+		}
 		c.Check(h.Broken, qt.HasLen, 0)
 		c.Check(o.late, qt.Equals, 0, qt.Commentf("orders not taken; %v", harms))
 		var first string
@@ -276,4 +328,5 @@
 	for seed := *from; seed < *from+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { drawn(t, seed) })
 	}
+	t.Log("rollouts ended", ends)
 }
