--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -321,8 +321,13 @@
 			"cold-remaining-s": cold}})
 		q.mu.Unlock()
 		for range len(q.h.Masters) {
-			status, _, err := post(ctx, client, q.h.Masters[at].Boot.Listen["control"], "instances.heartbeat", q.ID, body)
+			status, answer, err := post(ctx, client, q.h.Masters[at].Boot.Listen["control"], "instances.heartbeat", q.ID, body)
 			if err == nil && status == 200 {
+				var v map[string]string
+				json.Unmarshal(answer, &v)
+				if to := v["heartbeat-address"]; to != "" {
+					at = slices.IndexFunc(q.h.Masters, func(m *Master) bool { return m.Boot.Listen["control"] == to })
+				}
 				break
 			}
 			at = (at + 1) % len(q.h.Masters)
