--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -603,5 +603,5 @@
 	defer m.mu.Unlock()
 	klog.InfoS("counters", "standing", m.state.Standing(), "items", m.state.Set.Len(), "hosts", len(m.state.Register.All()),
 		"routers", len(m.state.Roster()), "core", len(m.state.peers)+1, "news", m.state.Ledger.Last(),
-		"syncs", m.keeper.book.Syncs, "said", lines.Said.Load(), "said_bytes", lines.SaidBytes.Load(), "beats", lines.Beats.Load(), "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "calls", m.desk.Counts())
+		"syncs", m.keeper.book.Syncs.Load(), "said", lines.Said.Load(), "said_bytes", lines.SaidBytes.Load(), "beats", lines.Beats.Load(), "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "calls", m.desk.Counts())
 }
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -22,7 +22,7 @@
 	Yielding  []string       `json:"yielding"` // items that stand and are not in force, with the reason
 	Items     int            `json:"items"`
 	News      uint64         `json:"news"`
-	Syncs     int            `json:"syncs"`
+	Syncs     int64          `json:"syncs"`
 }
 
 // CoreState is another control process.
@@ -71,7 +71,7 @@
 	defer m.mu.Unlock()
 	now := m.clock()
 	s := Survey{Node: m.Boot.Name, Standing: m.state.Standing().String(), Items: m.state.Set.Len(), News: m.state.Ledger.Last(),
-		Syncs: m.keeper.book.Syncs, Yielding: manifest.Draw(m.state.Set).Yielding}
+		Syncs: m.keeper.book.Syncs.Load(), Yielding: manifest.Draw(m.state.Set).Yielding}
 	for ip, zone := range m.state.Set.Members() {
 		c := CoreState{IP: ip, Zone: zone, Heard: ip == m.Boot.IP, Whole: ip == m.Boot.IP && m.state.whole, Same: ip == m.Boot.IP}
 		if i, ok := m.state.Set.Get(manifest.Key{Kind: manifest.Core, Name: ip}); ok {
--- a/internal/harbour/logbook/logbook.go
+++ b/internal/harbour/logbook/logbook.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 
 	"github.com/syndtr/goleveldb/leveldb"
 	"github.com/syndtr/goleveldb/leveldb/errors"
@@ -17,7 +18,7 @@
 // Book is an open logbook. Its methods wait for the disk.
 type Book struct {
 	db       *leveldb.DB
-	Syncs    int // orders synced
+	Syncs    atomic.Int64 // writes that waited for the disk
 	Repaired bool
 }
 
@@ -89,7 +90,7 @@
 	if whole {
 		batch.Put([]byte(wholeKey), []byte{1})
 	}
-	b.Syncs++
+	b.Syncs.Add(1)
 	if err := b.db.Write(batch, &opt.WriteOptions{Sync: true}); err != nil {
 		return fmt.Errorf("logbook: %w", err)
 	}
--- a/internal/lab/basin/drawn_test.go
+++ b/internal/lab/basin/drawn_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +24,11 @@
 	from  = flag.Int("from", 1, "the first of them")
 )
 
-var ends = map[string]int{} // of all rollouts, to see that both kinds came
+var (
+	ends  = map[string]int{}             // of all rollouts, to see that both kinds came
+	took  = map[string][]time.Duration{} // until an order was acknowledged, by the harm that went on
+	whole []time.Duration                // from the closing fault's end until all control processes are in touch
+)
 
 // operator sends changes and remembers what was sent and acknowledged.
 type operator struct {
@@ -31,14 +37,26 @@
 	sent  map[string]map[string]bool // by route and version: the prefixes that were sent
 	acked map[string]string          // by route: the newest version that was acknowledged
 	next  int
-	late  int // orders that a calm core did not take in time
-	took  []time.Duration
+	late  int               // orders that a calm core did not take in time
+	mu    sync.Mutex        // over the chance and what follows
+	now   string            // the harm that goes on
 	by    int               // who acknowledged last
 	ends  map[string]string // by version: how its rollout ended
 	evac  string            // the state that z0 was last ordered into, if that was acknowledged
 }
 
-func (o *operator) n(n int) int { return int(o.draw.Next() * float64(n)) }
+func (o *operator) n(n int) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return int(o.draw.Next() * float64(n))
+}
+
+// goesOn notes the harm that goes on.
+func (o *operator) goesOn(harm string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.now = harm
+}
 
 // change sends one change of one of four routes to a control process by chance; twice sends another of the same version to
 // another at once.
@@ -61,7 +79,9 @@
 		body := o.h.Configure(false, Route{Name: route, Prefix: prefix, Service: "desk", Version: version})
 		go func() {
 			status, by, _ := o.h.Order("configuration.modify", "", body, 8*time.Second, first)
+			o.mu.Lock()
 			o.by = max(0, by)
+			o.mu.Unlock()
 			done <- status == 200
 		}()
 	}
@@ -73,7 +93,9 @@
 			o.late++
 		}
 	}
-	o.took = append(o.took, time.Since(began))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	took[o.now] = append(took[o.now], time.Since(began))
 }
 
 func (o *operator) evacuate() {
@@ -92,8 +114,10 @@
 	at := o.n(len(h.Masters))
 	m := h.Masters[at]
 	lasts := time.Duration(1+o.n(4)) * time.Second
+	defer o.goesOn("calm")
 	switch kind := o.n(8); kind {
 	case 0, 1: // killed, or without power
+		o.goesOn("down")
 		m.Kill()
 		if kind == 1 {
 			h.Sea.Down(m.Boot.IP, true)
@@ -104,12 +128,14 @@
 		m.mustStart()
 		return fmt.Sprint("down ", m.Boot.IP)
 	case 2:
+		o.goesOn("wiped")
 		m.Kill()
 		m.Disk.Wipe()
 		time.Sleep(lasts)
 		m.mustStart()
 		return fmt.Sprint("wiped ", m.Boot.IP)
 	case 3, 4: // cut off from the others, or from half of them
+		o.goesOn("cut")
 		for i, x := range h.Masters {
 			if x != m && (kind == 3 || i%2 == 0) {
 				h.Sea.Cut(m.Boot.IP, x.Boot.IP, true)
@@ -121,16 +147,19 @@
 		}
 		return fmt.Sprint("cut ", m.Boot.IP)
 	case 5:
+		o.goesOn("slow disk")
 		m.Disk.set(125*time.Millisecond, false)
 		time.Sleep(lasts)
 		m.Disk.set(5*time.Millisecond, false)
 		return fmt.Sprint("slow disk ", m.Boot.IP)
 	case 6:
+		o.goesOn("refusing disk")
 		m.Disk.set(5*time.Millisecond, true)
 		time.Sleep(lasts)
 		m.Disk.set(5*time.Millisecond, false)
 		return fmt.Sprint("refusing disk ", m.Boot.IP)
 	default: // all at once; the disks stay
+		o.goesOn("all killed")
 		for _, x := range h.Masters {
 			x.Kill()
 		}
@@ -145,7 +174,7 @@
 // rollouts orders one after the other, has routers vote this way and that, and notes every end that any control process
 // tells: of one order there may be one only.
 func (o *operator) rollouts(until chan bool) {
-	h, draw := o.h, chance.Source{Seed: o.draw.Seed + 1}
+	h, draw := o.h, chance.Source{Seed: uint64(o.n(1 << 30))}
 	client := h.client(h.Sea.Process("10.200.0.3"), time.Second)
 	defer client.CloseIdleConnections()
 	for n := 2; ; n++ {
@@ -209,7 +238,7 @@
 		c.Assert(h.Start(), qt.IsNil)
 		defer h.Stop()
 		time.Sleep(2 * time.Second)
-		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, acked: map[string]string{}, ends: map[string]string{}}
+		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, acked: map[string]string{}, ends: map[string]string{}, now: "calm"}
 		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look), 5*time.Second, 0)
 		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
 		watching, watched := make(chan bool), make(chan bool)
@@ -273,11 +302,22 @@
 			m.mustStart()
 			time.Sleep(time.Duration(o.n(150)) * time.Millisecond)
 		}
+		began, all := time.Now(), make(chan bool)
+		go func() {
+			defer close(all)
+			for _, m := range h.Masters {
+				for m.Standing() != "in touch" && time.Since(began) < 4*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+			whole = append(whole, time.Since(began))
+		}()
 		for i := range 60 { // whoever answers knows all that was acknowledged, from its first answer on
 			o.check(c, i%len(h.Masters), harms)
 			time.Sleep(50 * time.Millisecond)
 		}
 		time.Sleep(2 * time.Second)
+		<-all
 		close(watching)
 		<-watched
 		close(rolling)
@@ -329,4 +369,10 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { drawn(t, seed) })
 	}
 	t.Log("rollouts ended", ends)
+	for harm, all := range took {
+		slices.Sort(all)
+		t.Logf("%s: %d orders, acknowledged after %v (median), %v (worst)", harm, len(all), all[len(all)/2], all[len(all)-1])
+	}
+	slices.Sort(whole)
+	t.Logf("all in touch %v (median), %v (worst) after the last one's start", whole[len(whole)/2], whole[len(whole)-1])
 }
