--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -187,7 +187,7 @@
 				klog.InfoS("rollout", "service", name, "order", r.Order, "target", r.Target, "state", r.State)
 			}
 			s.rollout = r
-			s.told(r.News(f.clock(), f.share()))
+			s.told(r.News(f.clock(), share(f.Boot.Bounds)))
 		}
 		s.reducer.Post(router.List{Form: rules.Changes, Hosts: all})
 		f.board.Forget(name)
@@ -196,7 +196,7 @@
 
 // share is the part of its requests that a router gives to a version on trial: under the bound, as what is turned away
 // does not reach the service and yet was taken.
-func (f *Fairway) share() float64 { return 0.8 * f.Boot.Bounds.ExposureShare }
+func share(b papers.Bounds) float64 { return 0.8 * b.ExposureShare }
 
 // gossip hears what another router's rules say.
 func (f *Fairway) gossip(topic string, raw []byte) {
@@ -243,10 +243,7 @@
 	s.reducer = router.New(f.clock, zerolog.New(notes{name}))
 	v := rules.News{Standing: rules.Released, Cap: 1, Age: 3600e9}
 	s.news.Store(&v)
-	set := rules.Settings{Routers: 1, Tick: int64(5e6), MaxHandOffs: 1, Recalls: true, Patient: true, Mixed: true, Certain: true, MaxAdvice: int64(500e6),
-		Peers: true, Gate: rules.Share, OnVotes: voters, BackVotes: voters, VoteLife: voteLife, VoteWait: int64(500e6),
-		AgainSlack: f.Boot.Bounds.BudgetSlack / 2, FreeOfAll: f.Boot.Bounds.ExposureSlack * 0.7, FirstCap: f.share(), Beside: true}
-	go s.reducer.Run(f.ctx, router.Start{Settings: set, Seed: f.Seed ^ uint64(len(f.services)+1)<<32, News: router.News{News: v}},
+	go s.reducer.Run(f.ctx, router.Start{Settings: settings(f.Boot.Bounds), Seed: f.Seed ^ uint64(len(f.services)+1)<<32, News: router.News{News: v}},
 		router.Out{Hosts: s, Platform: s, Peers: s, List: s})
 	if old := f.view.Load(); old != nil && old.count > 0 {
 		s.reducer.Post(router.Number{Rank: old.rank, Routers: old.count})
@@ -254,6 +251,13 @@
 	return s
 }
 
+// settings are the rules' for a service. What they say of all routers is divided by their number as that is told.
+func settings(b papers.Bounds) rules.Settings {
+	return rules.Settings{Routers: 1, Tick: int64(5e6), MaxHandOffs: 1, Recalls: true, Patient: true, Mixed: true, Certain: true,
+		MaxAdvice: int64(500e6), Peers: true, Gate: rules.Share, OnVotes: voters, BackVotes: voters, VoteLife: voteLife,
+		VoteWait: int64(500e6), AgainSlack: b.BudgetSlack / 2, FreeOfAll: b.ExposureSlack * 0.7, FirstCap: share(b), Beside: true}
+}
+
 // told tells the rules how the rollout stands.
 func (s *service) told(n rules.News) {
 	s.news.Store(&n)
--- /dev/null
+++ b/internal/harbour/fairway/verdict_test.go
@@ -0,0 +1,269 @@
+package fairway
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"portflow/internal/harbour/papers"
+	"portflow/internal/harbour/pilotage"
+	"portflow/internal/harbour/signals"
+	"portflow/rules"
+)
+
+var trials = flag.Int("trials", 8, "emulated rollouts of each kind")
+
+// event is something that happens at a time.
+type event struct {
+	at int64
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// trial is one rollout: routers with the rules as they run, hosts of two builds, and the control processes' judgement.
+type trial struct {
+	now     int64
+	queue   events
+	draw    *rand.Rand
+	kind    string
+	routers []*trialRouter
+	hosts   []*trialHost
+	order   pilotage.Rollout
+	votes   map[string]signals.Poll
+	lastID  uint32
+	sent    int // to the trial
+	bad     int // of its answers
+	taken   int // since the order
+}
+
+type trialHost struct {
+	id     uint32
+	build  int
+	slots  int
+	queued []func()
+}
+
+type trialRouter struct {
+	*trial
+	rank  int
+	rules *rules.Router
+	asked map[uint32]*trialRequest
+}
+
+type trialRequest struct {
+	band, number int
+	over         bool
+}
+
+func (t *trial) after(d int64, do func()) { heap.Push(&t.queue, event{t.now + d, do}) }
+
+func (r *trialRouter) HandOff(command, host uint32, until int64) {
+	q := r.asked[command]
+	number := q.number
+	q.number++
+	h, at := r.hosts[host-1], r.now
+	if h.build > 0 && r.order.State == pilotage.Running {
+		r.sent++
+	}
+	run := func() {
+		work := 0.22e9 * math.Exp(0.3*r.draw.NormFloat64()-0.045)
+		if r.draw.Float64() < 0.01 {
+			work *= 4
+		}
+		fails := r.draw.Float64() < 0.001
+		if h.build > 0 {
+			hit := r.draw.Float64() < 0.4
+			bad := false
+			switch r.kind {
+			case "errors":
+				bad = hit
+			case "slow":
+				if bad = hit; bad {
+					work *= 8
+				}
+			case "under load":
+				bad = hit && 3-h.slots >= 2
+			case "one class":
+				bad = hit && q.band == 1
+			case "late":
+				bad = hit && r.now-r.order.Began > 3e9
+			}
+			if bad && r.order.State == pilotage.Running {
+				r.bad++
+			}
+			fails = fails || bad && r.kind != "slow"
+		}
+		r.after(int64(work), func() {
+			if h.slots++; len(h.queued) > 0 {
+				next := h.queued[0]
+				h.queued = h.queued[1:]
+				h.slots--
+				next()
+			}
+			e := rules.Fulfilled
+			if fails {
+				e = rules.Failed
+			}
+			over := q.over || e == rules.Fulfilled
+			q.over = over
+			r.rules.Ended(r.now, command, number, e, over, r.now-at, nil)
+			if q.over {
+				delete(r.asked, command)
+			}
+		})
+	}
+	if h.slots > 0 {
+		h.slots--
+		run()
+	} else {
+		h.queued = append(h.queued, run)
+	}
+}
+
+func (r *trialRouter) Dismiss(command uint32, _ int64) { r.asked[command].over = true }
+func (r *trialRouter) Scrap(command uint32)            { r.asked[command].over = true }
+func (r *trialRouter) Recall(uint32, int)              {}
+func (r *trialRouter) Close(uint32)                    {}
+func (r *trialRouter) Watch(bool)                      {}
+func (r *trialRouter) Note(string)                     {}
+func (r *trialRouter) Wake(after int64, mark uint64) {
+	r.after(after, func() { r.rules.Woken(r.now, mark) })
+}
+
+func (r *trialRouter) Vote(v rules.Verdict, build, _ int) {
+	name := fmt.Sprint("r", r.rank)
+	r.after(40e6, func() {
+		r.votes[name] = signals.Poll{Front: name, Order: uint64(build), Verdict: uint8(v), At: r.now}
+		n := r.order.News(r.now, 0.08)
+		n.Reply = true
+		r.rules.Hear(r.now, n)
+	})
+}
+
+func (r *trialRouter) Tell(_ int, message []byte) {
+	if r.order.State != pilotage.Running || r.draw.Float64() < 0.02 {
+		return
+	}
+	to := r.routers[(r.rank+1+r.draw.IntN(len(r.routers)-1))%len(r.routers)]
+	raw := append([]byte(nil), message...)
+	r.after(int64(1e6+r.draw.Float64()*35e6), func() { to.rules.Heard(r.now, (to.rank+1)%len(r.routers), raw) })
+}
+
+// play plays one rollout to its end and tells it.
+func play(kind string, seed uint64, routers int, perSecond float64) (*trial, pilotage.State) {
+	t := &trial{draw: rand.New(rand.NewPCG(seed, 3)), kind: kind, votes: map[string]signals.Poll{}, now: 1e15}
+	var bounds papers.Bounds
+	bounds.BudgetSlack, bounds.ExposureSlack, bounds.ExposureShare = 64, 50, 0.1
+	var listed []rules.Listed
+	for i := range 16 {
+		t.hosts = append(t.hosts, &trialHost{id: uint32(i + 1), slots: 3})
+		listed = append(listed, rules.Listed{ID: uint32(i + 1), Size: 3})
+	}
+	var roster []signals.Front
+	for i := range routers {
+		r := &trialRouter{trial: t, rank: i, asked: map[uint32]*trialRequest{}}
+		t.routers = append(t.routers, r)
+		roster = append(roster, signals.Front{Name: fmt.Sprint("r", i)})
+	}
+	each := func(do func(r *trialRouter)) {
+		for _, r := range t.routers {
+			do(r)
+		}
+	}
+	each(func(r *trialRouter) {
+		r.rules = rules.New(settings(bounds), seed*100+uint64(r.rank), t.now, r)
+		r.rules.Hear(t.now, t.order.News(t.now, 0))
+		r.rules.Append(rules.Band{Contract: 800e6, CutOff: 5e9, Importance: 0.25, LateOf: 0.3})
+		r.rules.Append(rules.Band{Contract: 1e9, CutOff: 6e9, Repeat: rules.SingleUse, Importance: 0.5, LateOf: 0.3})
+		r.rules.Numbered(t.now, r.rank, routers)
+		r.rules.List(t.now, rules.Changes, listed)
+	})
+	var arrive func()
+	arrive = func() {
+		t.lastID++
+		r := t.routers[t.draw.IntN(routers)]
+		q := &trialRequest{}
+		if t.draw.Float64() < 0.23 {
+			q.band = 1
+		}
+		r.asked[t.lastID] = q
+		if t.order.State == pilotage.Running {
+			t.taken++
+		}
+		r.rules.Take(t.now, rules.Command{ID: t.lastID, Band: q.band, Left: int64(5e9), Most: 2})
+		t.after(int64(t.draw.ExpFloat64()/perSecond*1e9), arrive)
+	}
+	arrive()
+	t.after(8e9, func() { // the new hosts are there, and then the order
+		for i := range 16 {
+			id := uint32(17 + i)
+			t.hosts = append(t.hosts, &trialHost{id: id, slots: 3, build: 1})
+			listed = append(listed, rules.Listed{ID: id, Size: 3, Build: 1})
+		}
+		t.order = pilotage.Rollout{Service: "desk", Order: 1, From: "v1", Target: "v2", Began: t.now, Term: 15e9, State: pilotage.Running}
+		each(func(r *trialRouter) {
+			r.rules.Hear(t.now, t.order.News(t.now, 0.08))
+			r.rules.List(t.now, rules.Changes, listed)
+		})
+	})
+	var judge func()
+	judge = func() {
+		if t.order.State == pilotage.Running {
+			var votes []signals.Poll
+			for _, p := range t.votes {
+				votes = append(votes, p)
+			}
+			t.order.State = pilotage.Judge(t.now, t.order, votes, roster, 0)
+		}
+		t.after(200e6, judge)
+	}
+	judge()
+	for t.order.State <= pilotage.Running {
+		e := heap.Pop(&t.queue).(event)
+		t.now = e.at
+		e.do()
+	}
+	return t, t.order.State
+}
+
+// How often the design's mechanism, with the system's settings, is wrong: a good build that isn't let through by its term,
+// a bad one that is; and what a bad one got. -args -trials 1000 plays as many of each kind.
+func TestVerdicts(t *testing.T) {
+	for _, kind := range []string{"good", "errors", "slow", "under load", "one class", "late"} {
+		wrong, over, slow, most := 0, 0, 0, 0
+		var ended float64
+		for seed := range *trials {
+			x, state := play(kind, uint64(seed+1), 13, 81.5)
+			if (state == pilotage.Completed) != (kind == "good") {
+				wrong++
+			}
+			if float64(x.sent) > 0.1*float64(x.taken)+50 {
+				over++
+			}
+			if x.bad > 50+30 {
+				slow++ // the bound is rollback-s after the 50th
+			}
+			most = max(most, x.sent)
+			ended += float64(x.now-x.order.Began) / 1e9 / float64(*trials)
+		}
+		t.Logf("%s: %d of %d wrong, ended after %.1f s (mean), %d requests at most, %d over the exposure, %d with 80 bad answers",
+			kind, wrong, *trials, ended, most, over, slow)
+		if over > 0 || wrong*8 > *trials {
+			t.Errorf("%s: %d wrong, %d over the exposure, of %d", kind, wrong, over, *trials)
+		}
+	}
+}
