--- a/internal/harbour/fairway/verdict_test.go
+++ b/internal/harbour/fairway/verdict_test.go
@@ -250,6 +250,9 @@
 			x, state := play(kind, uint64(seed+1), 13, 81.5)
 			if (state == pilotage.Completed) != (kind == "good") {
 				wrong++
+				if kind != "good" {
+					t.Logf("%s, seed %d: completed, with %d bad answers of %d", kind, seed+1, x.bad, x.sent)
+				}
 			}
 			if float64(x.sent) > 0.1*float64(x.taken)+50 {
 				over++
