Tables for the operators' client

Need: errors name line or item, differences are read by people, calls go on to the next process and end on a refusal.

--- /dev/null
+++ b/internal/harbour/pilot/pilot_test.go
@@ -0,0 +1,81 @@
+package pilot
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const standing = `{"routes":{"table-columns":["name","host-name","path-prefix","route-kind","timeout-s","service","version"],
+"table-rows":[["r1","a.example","/one/","safe_method",1,"desk","00000003"]]},
+"services":{"table-columns":["name","health-path","version"],"table-rows":[["desk","/health","00000001"]]}}`
+
+func change(rows string) string {
+	return `{"set-items":{"routes":{"table-columns":["name","host-name","path-prefix","route-kind","timeout-s","service","version"],
+"table-rows":[` + rows + `]}},
+"drop-names":{"routes":[{"name":"r9","version":"00000005"}]}}`
+}
+
+func TestCheckAndDifference(t *testing.T) {
+	c := qt.New(t)
+	for _, x := range []struct{ raw, says string }{
+		{"{\n\n\"set-items\": }", "line 3: .*"},
+		{change(`["r2","a.example","/two/","safe_method",700,"desk","00000004"]`), `(?s).*table-rows\[0\].timeout-s: 700 is not from 0 to 600.*`},
+		{change(`["r2","a.example","/one/","safe_method",1,"desk","00000004"]`), "route r1: route r2 has its place"},
+		{change(`["r2","a.example","/two/","safe_method",1,"bags","00000004"]`), "route r2: service bags does not stand"},
+	} {
+		_, _, err := Check([]byte(x.raw), []byte(standing))
+		c.Check(err, qt.ErrorMatches, x.says)
+	}
+	items, news, err := Check([]byte(change(`["r1","a.example","/uno/","safe_method",1,"desk","00000004"],["r3","a.example","/x/","safe_method",1,"desk","00000001"]`)), []byte(standing))
+	c.Assert(err, qt.IsNil)
+	c.Check([2]int{len(items), len(news)}, qt.Equals, [2]int{3, 3})
+	set, err := Standing([]byte(standing))
+	c.Assert(err, qt.IsNil)
+	all := strings.Join(Difference(set, items), "\n")
+	for _, want := range []string{"- routes r1 00000003", "+ routes r1 00000004", "+ routes r3 00000001", "- routes r9 00000005"} {
+		c.Check(all, qt.Contains, want)
+	}
+	older, _, err := Check([]byte(change(`["r1","a.example","/old/","safe_method",1,"desk","00000002"]`)), []byte(standing))
+	c.Assert(err, qt.IsNil)
+	c.Check(strings.Join(Difference(set, older), "\n"), qt.Contains, "= routes r1: 00000002 changes nothing, 00000003 stands")
+}
+
+// A process that doesn't answer, or isn't ready, is passed over; a refusal ends the call; nobody is an error of its own.
+func TestCall(t *testing.T) {
+	serve := func(status int, body string) (string, *int) {
+		n := new(int)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			*n++
+			w.WriteHeader(status)
+			io.WriteString(w, body)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://"), n
+	}
+	busy, asked := serve(503, `{"error":"unready","reason":"alone"}`)
+	good, _ := serve(200, `{"x":1}`)
+	bad, refusals := serve(400, `{"error":"invalid","reason":"routes r1: no"}`)
+	c := qt.New(t)
+	call := func(limit time.Duration, control ...string) ([]byte, error) {
+		return (&Pilot{Control: control, HTTP: &http.Client{}, Limit: limit}).Call(context.Background(), "configuration.read", "", nil)
+	}
+	raw, err := call(5*time.Second, "127.0.0.1:1", busy, good)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(raw), qt.Equals, `{"x":1}`)
+	c.Check(*asked, qt.Equals, 1)
+	_, err = call(5*time.Second, bad, good)
+	var r *Refused
+	c.Assert(errors.As(err, &r), qt.IsTrue)
+	c.Check(r.Reason, qt.Equals, "routes r1: no")
+	c.Check(*refusals, qt.Equals, 1)
+	_, err = call(time.Millisecond, "127.0.0.1:1")
+	c.Check(errors.Is(err, ErrNobody), qt.IsTrue)
+}
