What decides stands in packages without I/O: bridge for control, lanes for routers

Need: folders by subject, the pure package on top; papers lost its use of the file system and of net. cmd/pilot reads a change and what stands in one place.

--- a/cmd/harbour/main.go
+++ b/cmd/harbour/main.go
@@ -29,7 +29,7 @@
 			{Name: "harbourmaster", Usage: "control: hosts, routers, configuration, orders and the directory", Action: control,
 				Flags: []cli.Flag{&cli.IntFlag{Name: "per-zone", Value: 1, Usage: "control processes in each zone, as the deploy file has it"}}},
 			{Name: "check", Usage: "say whether the settings file can be read", Action: func(context.Context, *cli.Command) error {
-				b, err := papers.Load()
+				b, err := load()
 				if err == nil {
 					fmt.Printf("%s: %s in %s, %s\n", b.Name, b.Role, b.Zone, b.Region)
 				}
@@ -43,9 +43,26 @@
 	}
 }
 
+// load reads the settings file that the environment names.
+func load() (papers.Boot, error) {
+	path := os.Getenv("PORTFLOW_BOOT")
+	if path == "" {
+		return papers.Boot{}, fmt.Errorf("PORTFLOW_BOOT: names no settings file")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return papers.Boot{}, fmt.Errorf("PORTFLOW_BOOT: %w", err)
+	}
+	b, err := papers.ReadBoot(string(raw))
+	if err != nil {
+		return papers.Boot{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return b, nil
+}
+
 // boot reads the settings before any port is opened.
 func boot() (papers.Boot, sea.Real, uint64, error) {
-	b, err := papers.Load()
+	b, err := load()
 	if err != nil {
 		return b, sea.Real{}, 0, err
 	}
@@ -64,7 +81,7 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
 		for range hup {
-			_, err := papers.Load()
+			_, err := load()
 			klog.InfoS("settings file changed", "err", err)
 		}
 	}()
--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -17,6 +17,7 @@
 	"github.com/urfave/cli/v3"
 
 	"portflow/internal/harbour/harbourmaster"
+	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/pilot"
 )
 
@@ -81,6 +82,18 @@
 		}
 		return os.ReadFile(name)
 	}
+	// against reads a change from the file and holds it against what stands.
+	against := func(ctx context.Context, c *cli.Command) (standing []byte, items, news []manifest.Item, err error) {
+		raw, err := file(c)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		if standing, err = client(c).Call(ctx, "configuration.read", "", nil); err != nil {
+			return nil, nil, nil, err
+		}
+		items, news, err = pilot.Check(raw, standing)
+		return standing, items, news, err
+	}
 	return &cli.Command{Name: "pilot", Usage: "operate a portflow harbour", EnableShellCompletion: true, Writer: out,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "control", Sources: cli.EnvVars("PORTFLOW_CONTROL"), Value: "127.0.0.1:8146", Usage: "addresses of control processes, joined by commas"},
@@ -98,15 +111,7 @@
 				}},
 				{Name: "check", Usage: "say what is wrong with a change, as control would", Arguments: one("file"),
 					Action: func(ctx context.Context, c *cli.Command) error {
-						raw, err := file(c)
-						if err != nil {
-							return err
-						}
-						standing, err := client(c).Call(ctx, "configuration.read", "", nil)
-						if err != nil {
-							return err
-						}
-						items, news, err := pilot.Check(raw, standing)
+						_, items, news, err := against(ctx, c)
 						if err == nil {
 							_, err = fmt.Fprintf(out, "%d items, %d of them change something\n", len(items), len(news))
 						}
@@ -114,15 +119,7 @@
 					}},
 				{Name: "diff", Usage: "print what a change would change", Arguments: one("file"),
 					Action: func(ctx context.Context, c *cli.Command) error {
-						raw, err := file(c)
-						if err != nil {
-							return err
-						}
-						standing, err := client(c).Call(ctx, "configuration.read", "", nil)
-						if err != nil {
-							return err
-						}
-						items, _, err := pilot.Check(raw, standing)
+						standing, items, _, err := against(ctx, c)
 						if err != nil {
 							return err
 						}
--- a/internal/harbour/harbourmaster/state.go
+++ b/internal/harbour/bridge/state.go
@@ -1,6 +1,6 @@
-// Package harbourmaster is the control process: it knows which hosts and routers there are, keeps the items, takes orders
-// and tells the news. This file is its state machine; it does no I/O and has no clock.
-package harbourmaster
+// Package bridge is what a control process knows and how far it may be gone by: which hosts and routers there are, the
+// items, the votes, the other control processes, and the news. It does no I/O and has no clock.
+package bridge
 
 import (
 	"slices"
@@ -22,24 +22,24 @@
 
 func (s Standing) String() string { return [...]string{"adrift", "alone", "in touch"}[s] }
 
-// peer is another control process, as it is heard over the line that this one dialled.
-type peer struct {
-	status signals.Status
+// Peer is another control process, as it is heard over the line that this one dialled.
+type Peer struct {
+	Status signals.Status
 	synced bool // since this life began, all that differed was taken over from it
 }
 
 // State is what a control process knows. It is not safe for two goroutines.
 type State struct {
 	Self     signals.Hello
-	size     int // control processes of the core
+	Size     int // control processes of the core
 	Set      *manifest.Set
 	Register *berths.Register
 	Fronts   map[string]signals.Front
 	Ledger   *signals.Ledger
-	Polls    map[pollKey]signals.Poll
-	intact   bool // the disk held the whole state when it was opened, or this is the first start
-	whole    bool
-	peers    map[string]*peer // by IP, those that are heard now
+	Polls    map[PollKey]signals.Poll
+	FromDisk bool // the disk held the whole state when it was opened, or this is the first start
+	Whole    bool
+	Peers    map[string]*Peer // by IP, those that are heard now
 	lost     map[string]int64 // by name, control processes that are not heard, since when
 	synced   map[string]bool  // by IP, intact ones whose items were taken over in this life
 }
@@ -47,15 +47,17 @@
 // Front is a router as control knows it.
 type Front = signals.Front
 
-type pollKey struct{ front, service string }
+// PollKey is whose vote on what.
+type PollKey struct{ Front, Service string }
 
-const keptNews = 4096
+// KeptNews is how many changes are kept for those who are behind.
+const KeptNews = 4096
 
 // NewState begins with what the disk held.
 func NewState(self signals.Hello, size int, items []manifest.Item, intact bool, beat int64) *State {
-	s := &State{Self: self, size: size, Set: manifest.NewSet(), Register: berths.New(self.Name, beat),
-		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(keptNews), Polls: map[pollKey]signals.Poll{},
-		intact: intact, peers: map[string]*peer{}, lost: map[string]int64{}, synced: map[string]bool{}}
+	s := &State{Self: self, Size: size, Set: manifest.NewSet(), Register: berths.New(self.Name, beat),
+		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{},
+		FromDisk: intact, Peers: map[string]*Peer{}, lost: map[string]int64{}, synced: map[string]bool{}}
 	for _, i := range items {
 		s.Set.Merge(i)
 	}
@@ -64,44 +66,44 @@
 }
 
 // Majority is how many of the core are more than half.
-func (s *State) Majority() int { return s.size/2 + 1 }
+func (s *State) Majority() int { return s.Size/2 + 1 }
 
 // weigh finds out whether the state is whole. An intact disk and enough others are more than half; who lost its disk needs
 // so many others that any half that acknowledged something, less itself, is among them.
 func (s *State) weigh() {
 	need := s.Majority() - 1
-	if !s.intact {
-		need = s.size - s.Majority() + 1
+	if !s.FromDisk {
+		need = s.Size - s.Majority() + 1
 	}
-	s.whole = s.whole || len(s.synced) >= need || s.size > 1 && s.all()
+	s.Whole = s.Whole || len(s.synced) >= need || s.Size > 1 && s.all()
 }
 
 // all tells whether all that any of the core still has was taken over: where every disk was lost there is no more.
 func (s *State) all() bool {
 	n := 0
-	for _, p := range s.peers {
+	for _, p := range s.Peers {
 		if p.synced {
 			n++
 		}
 	}
-	return n == s.size-1
+	return n == s.Size-1
 }
 
 // Standing tells how far this process may be gone by.
 func (s *State) Standing() Standing {
 	switch {
-	case !s.whole:
+	case !s.Whole:
 		return Adrift
-	case 1+len(s.counted()) < s.Majority():
+	case 1+len(s.Counted()) < s.Majority():
 		return Alone
 	}
 	return InTouch
 }
 
-// counted are the peers that are heard and hold what they were told to keep.
-func (s *State) counted() (ips []string) {
-	for ip, p := range s.peers {
-		if p.status.Intact {
+// Counted are the peers that are heard and hold what they were told to keep.
+func (s *State) Counted() (ips []string) {
+	for ip, p := range s.Peers {
+		if p.Status.Intact {
 			ips = append(ips, ip)
 		}
 	}
@@ -111,26 +113,26 @@
 
 // Counts tells whether an acknowledgement of a peer counts.
 func (s *State) Counts(ip string) bool {
-	p := s.peers[ip]
-	return p != nil && p.status.Intact
+	p := s.Peers[ip]
+	return p != nil && p.Status.Intact
 }
 
 // Intact tells whether what this process keeps counts for more than half: its disk held all, or it has become whole.
-func (s *State) Intact() bool { return s.intact || s.whole }
+func (s *State) Intact() bool { return s.FromDisk || s.Whole }
 
 // Status is what others are told of this process.
 func (s *State) Status() signals.Status {
-	return signals.Status{Whole: s.whole, Intact: s.Intact(), Majority: s.Standing() == InTouch, Sum: s.Set.Sum()}
+	return signals.Status{Whole: s.Whole, Intact: s.Intact(), Majority: s.Standing() == InTouch, Sum: s.Set.Sum()}
 }
 
 // Heard notes that a peer is heard, and how it stands; it tells whether its items should be asked for.
 func (s *State) Heard(ip string, st signals.Status) (differs bool) {
-	p := s.peers[ip]
+	p := s.Peers[ip]
 	if p == nil {
-		p = &peer{}
-		s.peers[ip] = p
+		p = &Peer{}
+		s.Peers[ip] = p
 	}
-	p.status = st
+	p.Status = st
 	if st.Sum == s.Set.Sum() {
 		s.Synced(ip)
 		return false
@@ -140,12 +142,12 @@
 
 // Synced notes that all that a peer has was taken over.
 func (s *State) Synced(ip string) {
-	p := s.peers[ip]
+	p := s.Peers[ip]
 	if p == nil {
 		return
 	}
 	p.synced = true
-	if p.status.Intact {
+	if p.Status.Intact {
 		s.synced[ip] = true
 	}
 	s.weigh()
@@ -153,7 +155,7 @@
 
 // Lost notes that a peer isn't heard any more: its hosts and routers are now for others to hear of.
 func (s *State) Lost(now int64, ip, name string) {
-	delete(s.peers, ip)
+	delete(s.Peers, ip)
 	s.lost[name] = now
 	s.Register.Orphan(now, name)
 }
@@ -239,7 +241,7 @@
 
 // TellPoll takes up a router's vote.
 func (s *State) TellPoll(p signals.Poll, first bool) {
-	k := pollKey{p.Front, p.Service}
+	k := PollKey{p.Front, p.Service}
 	if old, ok := s.Polls[k]; ok && old.At >= p.At {
 		return
 	}
@@ -332,3 +334,15 @@
 	slices.SortFunc(all, strings.Compare)
 	return all[:min(len(all), 64)]
 }
+
+// Fit leaves out of a batch what the follower knows otherwise: control processes tell each other what they hear
+// themselves, and items by orders and by repair. Of several notes on one thing the last is enough.
+func Fit(notes []signals.Note, control bool) (batch []signals.Note) {
+	for _, n := range notes {
+		if control && !n.First || !control && n.Poll != nil {
+			continue
+		}
+		batch = append(batch, n)
+	}
+	return batch
+}
--- a/internal/harbour/harbourmaster/state_test.go
+++ b/internal/harbour/bridge/state_test.go
@@ -1,4 +1,4 @@
-package harbourmaster
+package bridge
 
 import (
 	"fmt"
@@ -112,8 +112,8 @@
 	s.Take(1, signals.Note{Host: &berths.Host{ID: "j", Service: "desk", Sequence: 1, Owner: "b"}})
 	notes, ok := s.Ledger.After(0)
 	c.Assert(ok, qt.IsTrue)
-	c.Check(fit(notes, true), qt.HasLen, 1)
-	c.Check(fit(notes, false), qt.HasLen, 2)
+	c.Check(Fit(notes, true), qt.HasLen, 1)
+	c.Check(Fit(notes, false), qt.HasLen, 2)
 	c.Check(s.Snapshot(true), qt.HasLen, 1)
 	c.Check(s.Snapshot(false), qt.HasLen, 2)
 }
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -1,3 +1,5 @@
+// Package fairway is the process that carries traffic: it follows the news of a control process, and its rules choose a
+// host for each request.
 package fairway
 
 import (
@@ -17,6 +19,7 @@
 
 	"portflow/internal/harbour/berths"
 	"portflow/internal/harbour/convoy"
+	"portflow/internal/harbour/lanes"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/papers"
 	"portflow/internal/harbour/sea"
@@ -46,7 +49,7 @@
 	server atomic.Pointer[http.Server]
 
 	mu       sync.Mutex // over the board and all that follows
-	board    *Board
+	board    *lanes.Board
 	services map[string]*service
 	link     *link
 	since    int64
@@ -68,7 +71,7 @@
 type view struct {
 	chart    *manifest.Chart
 	services map[string]*service
-	roster   Roster
+	roster   lanes.Roster
 	number   int // counts the rosters
 	rank     int
 	count    int
@@ -78,11 +81,13 @@
 
 // former is a roster until it was replaced.
 type former struct {
-	roster  Roster
+	roster  lanes.Roster
 	counted bool
 	until   int64
 }
 
+const second = int64(time.Second)
+
 // skew is by how much the clocks of machines may differ.
 const skew = second / 2
 
@@ -101,7 +106,7 @@
 	b := o.Boot
 	f := &Fairway{Options: o, ctx: ctx, clock: router.NewClock(), services: map[string]*service{}, since: time.Now().UnixNano()}
 	f.chance.Seed = ^o.Seed
-	f.board = NewBoard(b.Name, Place{b.Zone, b.Region}, b.Zones)
+	f.board = lanes.NewBoard(b.Name, lanes.Place{Zone: b.Zone, Region: b.Region}, b.Zones)
 	half := max(64, (b.Descriptors-300)/2)
 	f.room = room.New(half, half*3/4)
 	f.pool = hosts.New(hosts.Options{Protocol: speech{largest}, ConnectIn: connectIn, IdleIn: hostIdle, Most: half,
@@ -128,7 +133,7 @@
 		}
 		all = append(all, l)
 	}
-	f.publish(Changes{Chart: true, Fronts: true})
+	f.publish(lanes.Changes{Chart: true, Fronts: true})
 	f.serve(all[0], all[1])
 	go f.convoy.Run(ctx)
 	go f.follow()
@@ -138,14 +143,14 @@
 }
 
 // publish makes what the board now says what requests go by; the caller holds the lock, or nothing else runs yet.
-func (f *Fairway) publish(c Changes) {
+func (f *Fairway) publish(c lanes.Changes) {
 	old := f.view.Load()
 	v := view{}
 	if old != nil {
 		v = *old
 	}
 	if c.Chart || v.chart == nil {
-		v.chart = manifest.Draw(f.board.set)
+		v.chart = manifest.Draw(f.board.Set)
 		for _, y := range v.chart.Yielding {
 			klog.InfoS("yields", "item", y)
 		}
@@ -180,7 +185,7 @@
 		if s == nil {
 			continue
 		}
-		s.learn(f.board.hosts)
+		s.learn(f.board.Known)
 		all := f.board.Hosts(name)
 		if r := f.board.Rollout(name); r != s.rollout {
 			if s.rollout.Order != r.Order || s.rollout.State != r.State {
@@ -223,8 +228,8 @@
 type berth struct {
 	berths.Host
 	open    int
-	cold    window
-	parts   Parts // as of a roster and a chart
+	cold    lanes.Window
+	parts   lanes.Parts // as of a roster and a chart
 	parted  int
 	partsOf *manifest.Chart
 }
@@ -329,12 +334,12 @@
 	if b.ColdUntil+skew <= now {
 		return true
 	}
-	return b.cold.room(now, min(p.Cold, f.cold(now, b.Host, v)))
+	return b.cold.Room(now, min(p.Cold, f.cold(now, b.Host, v)))
 }
 
-func (f *Fairway) part(h berths.Host, v *view, all Roster) Parts {
-	t := Terms{Overrun: f.Boot.Bounds.ColdOverrun, Slack: f.Boot.Bounds.ColdSlack, ColdPerS: v.chart.Services[h.Service].ColdPerS}
-	return Part(h, f.Boot.Name, Place{f.Boot.Zone, f.Boot.Region}, f.Boot.Zones, all, t)
+func (f *Fairway) part(h berths.Host, v *view, all lanes.Roster) lanes.Parts {
+	t := lanes.Terms{Overrun: f.Boot.Bounds.ColdOverrun, Slack: f.Boot.Bounds.ColdSlack, ColdPerS: v.chart.Services[h.Service].ColdPerS}
+	return lanes.Part(h, f.Boot.Name, lanes.Place{Zone: f.Boot.Zone, Region: f.Boot.Region}, f.Boot.Zones, all, t)
 }
 
 // cold is the least part of a cold host that this router has had of late: one that is cut off, has just come back, or isn't
@@ -362,7 +367,7 @@
 	if b != nil {
 		b.open++
 		if now := s.f.clock(); b.ColdUntil+skew > now {
-			b.cold.add(now)
+			b.cold.Add(now)
 		}
 	}
 	s.mu.Unlock()
@@ -413,10 +418,10 @@
 func (f *Fairway) moved(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if h, ok := f.board.hosts[id]; ok && !h.Silent {
+	if h, ok := f.board.Known[id]; ok && !h.Silent {
 		h.Silent = true
-		f.board.hosts[id] = h
-		f.publish(Changes{Services: map[string]bool{h.Service: true}})
+		f.board.Known[id] = h
+		f.publish(lanes.Changes{Services: map[string]bool{h.Service: true}})
 	}
 }
 
@@ -432,7 +437,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := map[string]uint64{}
-	for _, i := range f.board.set.All() {
+	for _, i := range f.board.Set.All() {
 		if i.Kind == manifest.Routes {
 			all[i.Name] = i.Version
 		}
@@ -469,7 +474,7 @@
 // Log writes the counters on one line.
 func (f *Fairway) Log() {
 	f.mu.Lock()
-	hosts := len(f.board.hosts)
+	hosts := len(f.board.Known)
 	f.mu.Unlock()
 	v := f.view.Load()
 	klog.InfoS("counters", "open", f.open.Load(), "routers", v.count, "rank", v.rank, "hosts", hosts, "routes", len(v.chart.Routes),
--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -52,7 +52,7 @@
 // known are the control processes, by IP number, with their zones as far as they are known.
 func (f *Fairway) known() map[string]string {
 	f.mu.Lock()
-	known := f.board.set.Members()
+	known := f.board.Set.Members()
 	f.mu.Unlock()
 	for _, m := range f.convoy.Members() {
 		if _, there := known[m.IP]; m.Kind == convoy.Control && (!there || m.Zone != "") {
--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/bridge"
 	"portflow/internal/harbour/faults"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/rpc"
@@ -163,8 +164,8 @@
 
 // ready tells whether this process may take orders; the caller holds the lock.
 func (m *Master) ready() error {
-	if s := m.state.Standing(); s != InTouch {
-		return faults.New(faults.Unready, "this process is %v: it hears %d others of a core of %d", s, len(m.state.peers), m.state.size)
+	if s := m.state.Standing(); s != bridge.InTouch {
+		return faults.New(faults.Unready, "this process is %v: it hears %d others of a core of %d", s, len(m.state.Peers), m.state.Size)
 	}
 	return nil
 }
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -1,3 +1,5 @@
+// Package harbourmaster is the control process: it hears hosts and routers, keeps the items on disk, takes orders and tells
+// the news. What it knows is bridge.State.
 package harbourmaster
 
 import (
@@ -15,6 +17,7 @@
 	"github.com/syndtr/goleveldb/leveldb/storage"
 	"k8s.io/klog/v2"
 
+	"portflow/internal/harbour/bridge"
 	"portflow/internal/harbour/convoy"
 	"portflow/internal/harbour/lines"
 	"portflow/internal/harbour/logbook"
@@ -44,7 +47,7 @@
 	cancel context.CancelFunc
 
 	mu     sync.Mutex // over all that follows
-	state  *State
+	state  *bridge.State
 	news   chan struct{} // closed and made anew when there is news
 	ends   map[string]*end
 	waits  map[uint64]*wait
@@ -52,7 +55,7 @@
 	lastID uint64
 	cells  map[string]signals.Cell
 	rounds map[string]bool // registers that this process proposes for now
-	stands Standing
+	stands bridge.Standing
 
 	clock   router.Clock // anchored once: a step of the time of day changes nothing
 	refused atomic.Int64 // writes by the disk
@@ -94,7 +97,7 @@
 		waits: map[uint64]*wait{}, hung: map[*follower]bool{}, cells: map[string]signals.Cell{}, rounds: map[string]bool{},
 		clock: router.NewClock(), life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
 	intact := whole || b.FirstStart
-	m.state = NewState(self, len(b.Zones)*max(1, o.PerZone), items, intact, b.Heartbeat)
+	m.state = bridge.NewState(self, len(b.Zones)*max(1, o.PerZone), items, intact, b.Heartbeat)
 	if err := book.Prune(items, func(k manifest.Key) bool { _, ok := m.state.Set.Get(k); return ok }); err != nil {
 		klog.ErrorS(err, "pruning")
 	}
@@ -138,12 +141,12 @@
 		book.Close()
 	}()
 	klog.InfoS("harbourmaster serves", "node", b.Name, "zone", b.Zone, "items", len(items), "intact", intact, "whole", whole,
-		"core", m.state.size, "start_ms", time.Since(began).Milliseconds())
+		"core", m.state.Size, "start_ms", time.Since(began).Milliseconds())
 	return m, nil
 }
 
 // Standing tells how far this process may be gone by.
-func (m *Master) Standing() Standing {
+func (m *Master) Standing() bridge.Standing {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.state.Standing()
@@ -195,8 +198,8 @@
 // change is the one place where this process's standing is noted; the caller holds the lock.
 func (m *Master) change() {
 	if s := m.state.Standing(); s != m.stands {
-		klog.InfoS("standing", "from", m.stands, "to", s, "heard", len(m.state.peers), "items", m.state.Set.Len())
-		if m.stands == Adrift && !m.state.intact { // the disk that was lost holds all again
+		klog.InfoS("standing", "from", m.stands, "to", s, "heard", len(m.state.Peers), "items", m.state.Set.Len())
+		if m.stands == bridge.Adrift && !m.state.FromDisk { // the disk that was lost holds all again
 			m.keep(m.state.Set.All(), true, func() {})
 		}
 		m.stands = s
@@ -474,7 +477,7 @@
 				if !began || !ok {
 					f.line.Send(signals.Word{News: &signals.News{Life: m.life, To: last, Snapshot: true, Notes: m.state.Snapshot(who.Control)}})
 				} else if last > at {
-					if batch := fit(notes, who.Control); len(batch) > 0 || last-at > keptNews/4 {
+					if batch := bridge.Fit(notes, who.Control); len(batch) > 0 || last-at > bridge.KeptNews/4 {
 						f.line.Send(signals.Word{News: &signals.News{Life: m.life, From: at, To: last, Notes: batch}})
 					} else {
 						last = at // nothing of it is for this one: the numbers go with the next batch
@@ -493,18 +496,6 @@
 	}
 }
 
-// fit leaves out of a batch what the follower knows otherwise: control processes tell each other what they hear
-// themselves, and items by orders and by repair. Of several notes on one thing the last is enough.
-func fit(notes []signals.Note, control bool) (batch []signals.Note) {
-	for _, n := range notes {
-		if control && !n.First || !control && n.Poll != nil {
-			continue
-		}
-		batch = append(batch, n)
-	}
-	return batch
-}
-
 // asked takes what a follower says.
 func (m *Master) asked(f *follower, w signals.Word) {
 	m.mu.Lock()
@@ -564,7 +555,7 @@
 			return
 		}
 		m.mu.Lock()
-		for _, h := range m.state.Register.Tick(m.clock(), m.state.Standing() == InTouch) {
+		for _, h := range m.state.Register.Tick(m.clock(), m.state.Standing() == bridge.InTouch) {
 			klog.InfoS("host silent", "host", h.ID, "service", h.Service, "zone", h.Zone)
 			m.state.TellHost(h, h.Owner == m.Boot.Name)
 			m.wake()
@@ -602,6 +593,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	klog.InfoS("counters", "standing", m.state.Standing(), "items", m.state.Set.Len(), "hosts", len(m.state.Register.All()),
-		"routers", len(m.state.Roster()), "core", len(m.state.peers)+1, "news", m.state.Ledger.Last(),
+		"routers", len(m.state.Roster()), "core", len(m.state.Peers)+1, "news", m.state.Ledger.Last(),
 		"syncs", m.keeper.book.Syncs.Load(), "said", lines.Said.Load(), "said_bytes", lines.SaidBytes.Load(), "beats", lines.Beats.Load(), "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "calls", m.desk.Counts())
 }
--- a/internal/harbour/harbourmaster/rollouts.go
+++ b/internal/harbour/harbourmaster/rollouts.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"portflow/internal/harbour/bridge"
 	"portflow/internal/harbour/faults"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/papers"
@@ -80,7 +81,7 @@
 func (m *Master) steer() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.state.Standing() != InTouch {
+	if m.state.Standing() != bridge.InTouch {
 		return
 	}
 	now := m.clock()
@@ -91,7 +92,7 @@
 		}
 		var votes []signals.Poll
 		for k, p := range m.state.Polls {
-			if k.service == r.Service && p.Order == r.Order {
+			if k.Service == r.Service && p.Order == r.Order {
 				votes = append(votes, p)
 			}
 		}
@@ -105,7 +106,7 @@
 
 // turn is how many control processes that are heard come before this one.
 func (m *Master) turn() (n int) {
-	for _, ip := range m.state.counted() {
+	for _, ip := range m.state.Counted() {
 		if ip < m.Boot.IP {
 			n++
 		}
@@ -183,7 +184,7 @@
 // answer is this process's step as an acceptor: what it promises is on disk before it says so. The caller holds the lock;
 // say comes without it.
 func (m *Master) answer(a signals.Ask, say func(signals.Reply)) {
-	if !m.state.whole { // a disk that was lost may have promised something else
+	if !m.state.Whole { // a disk that was lost may have promised something else
 		return
 	}
 	c, r := m.cells[a.Name].Take(a)
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -73,12 +73,12 @@
 	s := Survey{Node: m.Boot.Name, Standing: m.state.Standing().String(), Items: m.state.Set.Len(), News: m.state.Ledger.Last(),
 		Syncs: m.keeper.book.Syncs.Load(), Yielding: manifest.Draw(m.state.Set).Yielding}
 	for ip, zone := range m.state.Set.Members() {
-		c := CoreState{IP: ip, Zone: zone, Heard: ip == m.Boot.IP, Whole: ip == m.Boot.IP && m.state.whole, Same: ip == m.Boot.IP}
+		c := CoreState{IP: ip, Zone: zone, Heard: ip == m.Boot.IP, Whole: ip == m.Boot.IP && m.state.Whole, Same: ip == m.Boot.IP}
 		if i, ok := m.state.Set.Get(manifest.Key{Kind: manifest.Core, Name: ip}); ok {
 			c.Name, _ = i.Tree()["name"].(string)
 		}
-		if p := m.state.peers[ip]; p != nil {
-			c.Heard, c.Whole, c.Same = true, p.status.Whole, p.status.Sum == m.state.Set.Sum()
+		if p := m.state.Peers[ip]; p != nil {
+			c.Heard, c.Whole, c.Same = true, p.Status.Whole, p.Status.Sum == m.state.Set.Sum()
 		}
 		s.Core = append(s.Core, c)
 	}
@@ -119,8 +119,8 @@
 		if r.State == pilotage.Running {
 			x.Left = float64(r.Began+r.Term-now) / 1e9
 			for k, p := range m.state.Polls {
-				if k.service == r.Service && p.Order == r.Order && now-p.At <= pilotage.Life {
-					x.Votes = append(x.Votes, k.front+": "+rules.Verdict(p.Verdict).String())
+				if k.Service == r.Service && p.Order == r.Order && now-p.At <= pilotage.Life {
+					x.Votes = append(x.Votes, k.Front+": "+rules.Verdict(p.Verdict).String())
 				}
 			}
 			slices.Sort(x.Votes)
--- a/internal/harbour/fairway/board.go
+++ b/internal/harbour/lanes/board.go
@@ -1,6 +1,5 @@
-// Package fairway is the process that carries traffic: it follows the news of a control process, and its rules choose a
-// host for each request. This file is what it knows; it is pure.
-package fairway
+// Package lanes is what a router that carries traffic knows, and its part of the bounds that all routers share. It is pure.
+package lanes
 
 import (
 	"encoding/json"
@@ -24,14 +23,14 @@
 	self    Place
 	name    string
 	regions map[string]string // by zone
-	set     *manifest.Set
-	hosts   map[string]berths.Host
+	Set     *manifest.Set
+	Known   map[string]berths.Host
 	fronts  map[string]signals.Front
 }
 
 // NewBoard makes an empty one.
 func NewBoard(name string, self Place, regions map[string]string) *Board {
-	return &Board{self: self, name: name, regions: regions, set: manifest.NewSet(), hosts: map[string]berths.Host{},
+	return &Board{self: self, name: name, regions: regions, Set: manifest.NewSet(), Known: map[string]berths.Host{},
 		fronts: map[string]signals.Front{}}
 }
 
@@ -46,7 +45,7 @@
 func (b *Board) Take(notes []signals.Note, snapshot bool) Changes {
 	c := Changes{Services: map[string]bool{}}
 	all := func() {
-		for _, h := range b.hosts {
+		for _, h := range b.Known {
 			c.Services[h.Service] = true
 		}
 	}
@@ -54,7 +53,7 @@
 	for _, n := range notes {
 		switch {
 		case n.Item != nil:
-			if !b.set.Merge(*n.Item) {
+			if !b.Set.Merge(*n.Item) {
 				continue
 			}
 			switch n.Item.Kind {
@@ -68,7 +67,7 @@
 		case n.Host != nil:
 			h := *n.Host
 			named[h.ID] = true
-			old, known := b.hosts[h.ID]
+			old, known := b.Known[h.ID]
 			if known && !berths.Newer(h, old) {
 				continue
 			}
@@ -78,7 +77,7 @@
 			if h.State == berths.Gone && !known {
 				continue
 			}
-			b.hosts[h.ID] = h
+			b.Known[h.ID] = h
 			c.Services[h.Service] = true
 		case n.Front != nil:
 			f := *n.Front
@@ -90,10 +89,10 @@
 		}
 	}
 	if snapshot {
-		for id, h := range b.hosts {
+		for id, h := range b.Known {
 			if !named[id] && !h.Silent {
 				h.Silent = true
-				b.hosts[id] = h
+				b.Known[id] = h
 				c.Services[h.Service] = true
 			}
 		}
@@ -109,7 +108,7 @@
 
 // Evacuated tells whether a zone's hosts get nothing more.
 func (b *Board) Evacuated(zone string) bool {
-	i, ok := b.set.Get(manifest.Key{Kind: manifest.Evacuations, Name: zone})
+	i, ok := b.Set.Get(manifest.Key{Kind: manifest.Evacuations, Name: zone})
 	if !ok {
 		return false
 	}
@@ -121,7 +120,7 @@
 
 // Rollout is a service's newest order.
 func (b *Board) Rollout(service string) pilotage.Rollout {
-	i, ok := b.set.Get(manifest.Key{Kind: manifest.Rollouts, Name: service})
+	i, ok := b.Set.Get(manifest.Key{Kind: manifest.Rollouts, Name: service})
 	if !ok {
 		return pilotage.Rollout{Service: service}
 	}
@@ -132,10 +131,10 @@
 // evacuated, and silent ones take nothing.
 func (b *Board) Hosts(service string) (all []router.Host) {
 	r := b.Rollout(service)
-	first, _ := b.set.Get(manifest.Key{Kind: manifest.Settled, Name: service})
+	first, _ := b.Set.Get(manifest.Key{Kind: manifest.Settled, Name: service})
 	settled := pilotage.Settled(first, r)
-	for _, id := range slices.Sorted(maps.Keys(b.hosts)) {
-		h := b.hosts[id]
+	for _, id := range slices.Sorted(maps.Keys(b.Known)) {
+		h := b.Known[id]
 		if h.Service != service {
 			continue
 		}
@@ -158,7 +157,7 @@
 
 // Forget forgets a service's hosts that ended, once the rules have been told.
 func (b *Board) Forget(service string) {
-	maps.DeleteFunc(b.hosts, func(_ string, h berths.Host) bool { return h.Service == service && h.State == berths.Gone })
+	maps.DeleteFunc(b.Known, func(_ string, h berths.Host) bool { return h.Service == service && h.State == berths.Gone })
 }
 
 // ring is how far a zone is: 0 this one, 1 in this region, 2 beyond.
--- a/internal/harbour/fairway/shares.go
+++ b/internal/harbour/lanes/shares.go
@@ -1,4 +1,4 @@
-package fairway
+package lanes
 
 import (
 	"hash/fnv"
@@ -103,13 +103,13 @@
 	return x * 0x9e3779b97f4a7c15
 }
 
-// window counts what was sent within the last second.
-type window struct{ at []int64 }
+// Window counts what was sent within the last second.
+type Window struct{ at []int64 }
 
 const second = int64(1e9)
 
-// room tells whether fewer than n were sent in the second before now.
-func (w *window) room(now int64, n int) bool {
+// Room tells whether fewer than n were sent in the second before now.
+func (w *Window) Room(now int64, n int) bool {
 	drop := 0
 	for drop < len(w.at) && now-w.at[drop] > second+second/10 {
 		drop++
@@ -118,4 +118,5 @@
 	return len(w.at) < n
 }
 
-func (w *window) add(now int64) { w.at = append(w.at, now) }
+// Add counts one.
+func (w *Window) Add(now int64) { w.at = append(w.at, now) }
--- a/internal/harbour/fairway/shares_test.go
+++ b/internal/harbour/lanes/shares_test.go
@@ -1,4 +1,4 @@
-package fairway
+package lanes
 
 import (
 	"fmt"
@@ -83,11 +83,11 @@
 
 func TestWindow(t *testing.T) {
 	c := qt.New(t)
-	var w window
+	var w Window
 	sent := []int64{}
 	for now := int64(0); now < 5*second; now += second / 50 {
-		if w.room(now, 3) {
-			w.add(now)
+		if w.Room(now, 3) {
+			w.Add(now)
 			sent = append(sent, now)
 		}
 	}
--- a/internal/harbour/papers/boot.go
+++ b/internal/harbour/papers/boot.go
@@ -1,9 +1,7 @@
 package papers
 
 import (
-	"fmt"
-	"net"
-	"os"
+	"net/netip"
 	"strconv"
 )
 
@@ -30,23 +28,6 @@
 	BudgetRatio, BudgetSlack, ExposureShare, ExposureSlack, ColdOverrun, ColdSlack                            float64
 }
 
-// Load reads the settings file that the environment names.
-func Load() (Boot, error) {
-	path := os.Getenv("PORTFLOW_BOOT")
-	if path == "" {
-		return Boot{}, fmt.Errorf("PORTFLOW_BOOT: names no settings file")
-	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Boot{}, fmt.Errorf("PORTFLOW_BOOT: %w", err)
-	}
-	b, err := ReadBoot(string(raw))
-	if err != nil {
-		return Boot{}, fmt.Errorf("%s: %w", path, err)
-	}
-	return b, nil
-}
-
 // ReadBoot reads a settings file. Fields that it doesn't know are passed over.
 func ReadBoot(text string) (Boot, error) {
 	tree, err := Parse(text)
@@ -61,7 +42,7 @@
 		Share: self.At("limits.processor-share").Number(0.001, 4096), MemoryMB: self.At("limits.memory-mb").Whole(8, 1<<24),
 		Descriptors: self.At("limits.file-descriptors").Whole(64, 1<<30),
 		Seeds:       network.At("seed-nodes").Texts(), Listen: map[string]string{}, Zones: map[string]string{}}
-	if net.ParseIP(b.IP) == nil && b.IP != "" {
+	if _, err := netip.ParseAddr(b.IP); err != nil && b.IP != "" {
 		self.At("ip-address").Fail("%q is no IP number", b.IP)
 	}
 	if data := self.At("data-directory"); data.There() && data.Value() != "" {
@@ -70,7 +51,7 @@
 	}
 	for name := range network.At("listen-addresses").Table() {
 		at := network.At("listen-addresses." + name)
-		if _, _, err := net.SplitHostPort(at.Text()); err != nil {
+		if _, err := netip.ParseAddrPort(at.Text()); err != nil {
 			at.Fail("%v", err)
 		}
 		b.Listen[name] = at.Text()
@@ -81,7 +62,7 @@
 		}
 	}
 	for i, seed := range b.Seeds {
-		if _, _, err := net.SplitHostPort(seed); err != nil {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
 			network.At("seed-nodes").Fail("entry %d: %v", i+1, err)
 		}
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -118,7 +118,8 @@
 	}
 	c.next, c.until = h, c.cutOff
 	spare := c.contract - int64(1.5*c.band.typical) // where one copy must end before the next: leave time for it
-	if !d.set.Copies && !d.set.Patient && d.mayRepeat(c, true) && float64(spare-d.now) > 4*d.expected(c) && d.again.have >= 1 {
+	if !d.set.Copies && !d.set.Patient && d.mayRepeat(c, true) && d.again.have >= 1 &&
+		float64(spare-d.now) > 4*d.expected(c) {
 		c.until = min(c.until, spare)
 	}
 }
