--- a/internal/lab/basin/drawn_test.go
+++ b/internal/lab/basin/drawn_test.go
@@ -115,7 +115,11 @@
 	m := h.Masters[at]
 	lasts := time.Duration(1+o.n(4)) * time.Second
 	defer o.goesOn("calm")
-	switch kind := o.n(8); kind {
+	if other := h.Masters[(at+1+o.n(5))%6]; o.n(3) == 0 { // two at once: another's disk is slow
+		other.Disk.set(125*time.Millisecond, false)
+		defer other.Disk.set(5*time.Millisecond, false)
+	}
+	switch kind := o.n(9); kind {
 	case 0, 1: // killed, or without power
 		o.goesOn("down")
 		m.Kill()
@@ -158,6 +162,20 @@
 		time.Sleep(lasts)
 		m.Disk.set(5*time.Millisecond, false)
 		return fmt.Sprint("refusing disk ", m.Boot.IP)
+	case 7: // a region is without power
+		o.goesOn("region")
+		two := []*Master{m, h.Masters[at^1]}
+		for _, x := range two {
+			x.Kill()
+			h.Sea.Down(x.Boot.IP, true)
+			x.Disk.PowerLoss(o.n(2) == 0)
+		}
+		time.Sleep(lasts + time.Second)
+		for _, x := range two {
+			h.Sea.Down(x.Boot.IP, false)
+			x.mustStart()
+		}
+		return "region down"
 	default: // all at once; the disks stay
 		o.goesOn("all killed")
 		for _, x := range h.Masters {
