--- a/cmd/harbour/main.go
+++ b/cmd/harbour/main.go
@@ -122,9 +122,11 @@
 	defer stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if _, err := harbourmaster.Start(ctx, harbourmaster.Options{Boot: b, PerZone: c.Int("per-zone"), Sea: water, Disk: disk, Seed: seed}); err != nil {
+	m, err := harbourmaster.Start(ctx, harbourmaster.Options{Boot: b, PerZone: c.Int("per-zone"), Sea: water, Disk: disk, Seed: seed})
+	if err != nil {
 		return err
 	}
 	<-term.Done()
+	m.Log()
 	return nil
 }
--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -140,6 +140,12 @@
 	return true
 }
 
+// Differs tells whether a peer that is heard has other items, as far as it has said.
+func (s *State) Differs(ip string) bool {
+	p := s.Peers[ip]
+	return p != nil && p.Status.Sum != s.Set.Sum()
+}
+
 // Synced notes that all that a peer has was taken over.
 func (s *State) Synced(ip string) {
 	p := s.Peers[ip]
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -295,10 +295,8 @@
 		m.state.Found(e.name)
 	case e.line != l:
 	case w.Status != nil:
-		if m.state.Heard(e.ip, *w.Status) && now.Sub(e.asked) > askAgain {
-			e.asked = now
-			sums := m.state.Set.Sums()
-			l.Send(signals.Word{Want: sums[:]})
+		if m.state.Heard(e.ip, *w.Status) {
+			m.ask(now)
 		}
 		m.change()
 	case w.News != nil:
@@ -327,6 +325,19 @@
 	}
 }
 
+// ask asks those who have other items for what differs; who was asked lately is asked again by the next tick, if it still
+// has. The caller holds the lock.
+func (m *Master) ask(now time.Time) {
+	for _, e := range m.ends {
+		if e.line == nil || now.Sub(e.asked) < askAgain || !m.state.Differs(e.ip) {
+			continue
+		}
+		e.asked = now
+		sums := m.state.Set.Sums()
+		e.line.Send(signals.Word{Want: sums[:]})
+	}
+}
+
 // acknowledged counts one holder of an order's items; the caller holds the lock.
 func (m *Master) acknowledged(id uint64, from string) {
 	x := m.waits[id]
@@ -486,10 +497,17 @@
 				at, began = last, true
 			}
 		}
+		wait := statusEvery
+		if !who.Control {
+			st.Sum = 0
+		}
+		if st != said { // it has only just said another: this one follows soon, or others miss what has changed
+			wait = statusSoon
+		}
 		m.mu.Unlock()
 		select {
 		case <-news:
-		case <-time.After(statusEvery):
+		case <-time.After(wait):
 		case <-f.line.Done():
 			return
 		}
@@ -566,11 +584,12 @@
 		if n%5 == 4 {
 			m.reclaim()
 		}
+		m.ask(time.Now())
 		m.change()
 		m.mu.Unlock()
 		m.steer()
 		if n%50 == 49 {
-			m.log()
+			m.Log()
 		}
 	}
 }
@@ -588,8 +607,8 @@
 	}
 }
 
-// log writes the counters on one line.
-func (m *Master) log() {
+// Log writes the counters on one line.
+func (m *Master) Log() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	klog.InfoS("counters", "standing", m.state.Standing(), "items", m.state.Set.Len(), "hosts", len(m.state.Register.All()),
--- a/internal/lab/basin/basin_test.go
+++ b/internal/lab/basin/basin_test.go
@@ -293,3 +293,26 @@
 		}, 0)
 	}
 }
+
+// A configuration that is taken while the lines of the core are still coming up is everywhere within a second, also at a
+// control process that the order itself did not reach.
+func TestChangeWhileLinesComeUp(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			l := small
+			l.Zones, l.Routers, l.Hosts, l.Seed = 3, 1, 0, seed
+			h := New(l)
+			h.Sea.Delay = func(a, b string) time.Duration { return 100 * time.Microsecond }
+			c.Assert(h.Start(), qt.IsNil)
+			defer h.Stop()
+			time.Sleep(time.Duration(seed) * 3 * time.Millisecond)
+			status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look, issue), 5*time.Second, int(seed)%3)
+			c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+			time.Sleep(1100 * time.Millisecond)
+			for _, f := range h.Fairways {
+				c.Check(f.Running.Versions(), qt.HasLen, 2, qt.Commentf("seed %d: %s", seed, f.Boot.Name))
+			}
+		})
+	}
+}
