Who differs is asked again after 0.4 s; the demonstration waits until the core agrees

An order is in force within configuration-s, not at once; the demonstration now starts its clients when all control processes have the same items.

--- a/examples/harbour/main.go
+++ b/examples/harbour/main.go
@@ -168,15 +168,32 @@
 "table-rows":[["desk","/health",100,"h1",false,3,5,"00000001"]]},
 "limits":{"header-bytes":16384,"body-bytes":1048576,"header-timeout-s":3,"idle-timeout-s":15,"version":"00000001"}}}`
 
-// ready waits until all routers are.
+// ready waits until all routers are, and all control processes have the same items.
 func ready(ctx context.Context, p *pilot.Pilot) error {
 	for range 50 {
 		raw, err := p.Call(ctx, "harbour.read", "", nil)
 		if err != nil {
 			return err
 		}
-		var s struct{ Routers []struct{ Ready bool } }
-		if json.Unmarshal(raw, &s) == nil && len(s.Routers) == zones && s.Routers[0].Ready && s.Routers[1].Ready && s.Routers[2].Ready {
+		var s struct {
+			Routers []struct{ Ready bool }
+			Core    []struct{ Same bool }
+		}
+		n := 0
+		if json.Unmarshal(raw, &s) == nil {
+			for _, r := range s.Routers {
+				if r.Ready {
+					n++
+				}
+			}
+			for _, c := range s.Core {
+				if c.Same {
+					n++
+				}
+			}
+		}
+		if n == 2*zones { // all control processes have the configuration, and tell it
+			time.Sleep(200 * time.Millisecond)
 			return nil
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -281,7 +281,7 @@
 	}
 }
 
-const askAgain = 700 * time.Millisecond // between askings for what differs: news under way makes sums differ for a moment
+const askAgain = 400 * time.Millisecond // between askings for what differs: news under way makes sums differ for a moment
 
 // hear takes what the other control process says.
 func (m *Master) hear(e *end, l *lines.Line[signals.Word], w signals.Word) {
