An order is told to routers once; unused fields go

Cause, on reading the change: an order was made news once its own disk had it and again once more than half of the core had, so that every router was sent each item twice; the first of the two tells it now. Names there twice in a call are found by a map, not by a search for each; the status for routers loses its sum in one place; fields that nothing read or set are gone.

--- a/cmd/harbour/main.go
+++ b/cmd/harbour/main.go
@@ -71,7 +71,7 @@
 	if _, err := rand.Read(raw[:]); err != nil {
 		return b, sea.Real{}, 0, err
 	}
-	return b, sea.Real{Silent: 1500 * time.Millisecond, IP: b.IP}, binary.BigEndian.Uint64(raw[:]), nil
+	return b, sea.Real{Silent: 1500 * time.Millisecond}, binary.BigEndian.Uint64(raw[:]), nil
 }
 
 // ending is the context that a SIGTERM ends. A SIGHUP says that the settings file has changed: what a process goes by while
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -362,11 +362,18 @@
 	x := &wait{need: m.state.Majority(), have: map[string]bool{}, done: make(chan struct{})}
 	m.waits[id] = x
 	m.state.Merge(items)
+	told := false
+	tell := func() { // once: by this disk or by more than half of the others, whichever comes first
+		if !told {
+			told = true
+			m.state.Publish(items)
+			m.wake()
+		}
+	}
 	m.keep(items, false, func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.state.Publish(items)
-		m.wake()
+		tell()
 		m.acknowledged(id, m.Boot.IP)
 	})
 	for _, e := range m.ends {
@@ -384,8 +391,7 @@
 	case <-x.done:
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.state.Publish(items) // also where this disk is slower than others
-		m.wake()
+		tell()
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -464,11 +470,11 @@
 	for {
 		m.mu.Lock()
 		news, st := m.news, m.state.Status()
+		if !who.Control {
+			st.Sum = 0 // of no use to a router
+		}
 		if st != said && (!who.Control || time.Since(saidAt) > statusSoon || st.Whole != said.Whole ||
 			st.Majority != said.Majority || st.Intact != said.Intact) || time.Since(saidAt) >= statusEvery {
-			if !who.Control {
-				st.Sum = 0 // of no use to a router
-			}
 			if st != said || who.Control {
 				f.line.Send(signals.Word{Status: &st})
 			}
@@ -498,9 +504,6 @@
 			}
 		}
 		wait := statusEvery
-		if !who.Control {
-			st.Sum = 0
-		}
 		if st != said { // it has only just said another: this one follows soon, or others miss what has changed
 			wait = statusSoon
 		}
--- a/internal/harbour/manifest/change.go
+++ b/internal/harbour/manifest/change.go
@@ -59,8 +59,10 @@
 
 // newest leaves the one of each name that holds: a call may name one twice, to drop it, say.
 func newest(all []Item) (out []Item) {
+	places := make(map[Key]int, len(all))
 	for _, i := range all {
-		if at := slices.IndexFunc(out, func(x Item) bool { return x.Key() == i.Key() }); at < 0 {
+		if at, there := places[i.Key()]; !there {
+			places[i.Key()] = len(out)
 			out = append(out, i)
 		} else if i.Newer(out[at]) {
 			out[at] = i
--- a/internal/harbour/sea/sea.go
+++ b/internal/harbour/sea/sea.go
@@ -19,7 +19,6 @@
 // Real is the machine's own network. A peer that says nothing, as one behind a cut, is found by the kernel within Silent.
 type Real struct {
 	Silent time.Duration
-	IP     string // the machine's address, from which it dials
 }
 
 const userTimeout = 18 // TCP_USER_TIMEOUT
--- a/internal/harbour/signals/signals.go
+++ b/internal/harbour/signals/signals.go
@@ -36,13 +36,11 @@
 
 // Poll is a router's vote on a rollout: it stands until it lapses.
 type Poll struct {
-	Front   string  `json:"f"`
-	Service string  `json:"s"`
-	Order   uint64  `json:"o"` // the rollout's number
-	Verdict uint8   `json:"v"`
-	At      int64   `json:"t"` // Unix nanoseconds
-	State   float64 `json:"e,omitempty"`
-	Count   float64 `json:"c,omitempty"`
+	Front   string `json:"f"`
+	Service string `json:"s"`
+	Order   uint64 `json:"o"` // the rollout's number
+	Verdict uint8  `json:"v"`
+	At      int64  `json:"t"` // Unix nanoseconds
 }
 
 // Note is one piece of news.
