Routers of a zone lend parts of its hosts; Retry-After by a forecast; voters' figures

Need (the fairway and pilotage, what was open): - Parts of hosts went by count alone, so a router with most of a zone's traffic handed requests to other zones while parts beside it lay idle. It says that it is short, has four parts for one, and gives them back after four quiet seconds. A part that has grown waits 1.3 s: in a model of 13 and 92 routers that hear at other times, 16 requests at a host of 15 without the wait, none over with it. - All who were sent away came back after the same 0.25 s. A forecast gives turns: once more sent away, of rushes of 250, 400 and 800 a second at 150 answered: 239, 760, 2,091 before, 42, 289, 1,397 now. - The rollouts view showed votes only; it shows now what the voters go by, also after the end. A vote that takes another back is no mere figure: told apart after a test showed figures taking votes away. - What a router costs was not measured: examples/harbour -toll, beside a bare proxy (docs/system.md).

--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -189,7 +189,19 @@
 					return json.Marshal(map[string]any{"service": c.StringArg("service"), "target-version": c.StringArg("version"),
 						"duration-s": c.Duration("within").Seconds()})
 				})},
-			{Name: "rollouts", Usage: "what rollouts are doing, and the votes", Action: view(client, out, rollouts)},
+			{Name: "rollouts", Usage: "what rollouts are doing and why: the votes, and what the voters go by, of all control processes",
+				Action: func(ctx context.Context, c *cli.Command) error {
+					all, err := seen(ctx, client(c))
+					if err != nil {
+						return err
+					}
+					if c.Bool("json") {
+						return json.NewEncoder(out).Encode(all)
+					}
+					w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+					rollouts(w, all)
+					return w.Flush()
+				}},
 			{Name: "who", Usage: "who is in the harbour: the core, routers and hosts, and who is behind", Action: view(client, out, who)},
 		}}
 }
@@ -225,11 +237,45 @@
 	}
 }
 
-func rollouts(w io.Writer, s harbourmaster.Survey) {
+// seen is the rollouts as the first control process that answers has them, with the figures that any of them was told.
+func seen(ctx context.Context, p *pilot.Pilot) (all []harbourmaster.RolloutState, err error) {
+	err = p.Each(ctx, "harbour.read", func(raw []byte) error {
+		var s harbourmaster.Survey
+		if err := json.Unmarshal(raw, &s); err != nil {
+			return fmt.Errorf("what control answered: %w", err)
+		}
+		if all == nil {
+			all = s.Rollouts
+			return nil
+		}
+		for i, r := range all {
+			for _, x := range s.Rollouts {
+				if x.Service == r.Service && x.Target == r.Target {
+					all[i].Judges = append(all[i].Judges, x.Judges...)
+				}
+			}
+		}
+		return nil
+	})
+	return all, err
+}
+
+func rollouts(w io.Writer, all []harbourmaster.RolloutState) {
 	fmt.Fprintln(w, "SERVICE\tFROM\tTARGET\tSTATE\tLEFT s\tVOTES")
-	for _, r := range s.Rollouts {
+	for _, r := range all {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.1f\t%s\n", r.Service, r.From, r.Target, r.State, r.Left, strings.Join(r.Votes, ", "))
 	}
+	heads := false
+	for _, r := range all {
+		for _, j := range r.Judges {
+			if !heads {
+				heads = true
+				fmt.Fprintln(w, "\nSERVICE\tROUTER\tAGE s\tOUTCOMES\tFAILURES\tOVER\tTIMES\tOVER\tMAY STILL GET")
+			}
+			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.0f\t%+.3f ± %.3f\t%.3f\t%+.3f ± %.3f\t%.3f\t%.1f\n", r.Service, j.Router, j.Age, j.Outcomes[0],
+				j.Excess[0], j.Error[0], j.Threshold[0], j.Excess[1], j.Error[1], j.Threshold[1], j.Exposure)
+		}
+	}
 }
 
 func who(w io.Writer, s harbourmaster.Survey) {
--- a/examples/harbour/main.go
+++ b/examples/harbour/main.go
@@ -1,6 +1,6 @@
 // Command harbour starts a small harbour on loopback addresses: in each of three zones a control process, a router and two
 // hosts. It has a configuration taken, sends requests, kills a control process and a router in the middle, and ends with a
-// table of what was served.
+// table of what was served. With -toll it measures instead what a router adds to a request.
 package main
 
 import (
@@ -73,14 +73,22 @@
 func main() {
 	program := flag.String("program", "target/harbour", "the program that is started")
 	verbose := flag.Bool("v", false, "show what the processes write")
+	measure := flag.Bool("toll", false, "measure what a router adds to a request, beside a bare proxy")
+	hosts := flag.String("bare", "", "be that proxy, for these hosts")
 	flag.Parse()
-	if err := run(*program, *verbose); err != nil {
+	var err error
+	if *hosts != "" {
+		err = bare(strings.Split(*hosts, ","))
+	} else {
+		err = run(*program, *verbose, *measure)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "harbour:", err)
 		os.Exit(1)
 	}
 }
 
-func run(program string, verbose bool) error {
+func run(program string, verbose, measure bool) error {
 	dir, err := os.MkdirTemp("", "harbour")
 	if err != nil {
 		return err
@@ -126,11 +134,19 @@
 	p := &pilot.Pilot{Control: addresses, HTTP: &http.Client{}, Limit: 10 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	work, near := 30*time.Millisecond, []string{} // a host's time for a request, and the first zone's hosts
+	if measure {
+		work = tollWork
+	}
 	for z := range zones {
 		for n := range 2 {
-			if err := host(ctx, p, z, n); err != nil {
+			address, err := host(ctx, p, z, n, work)
+			if err != nil {
 				return err
 			}
+			if z == 0 {
+				near = append(near, address)
+			}
 		}
 	}
 	if _, err := p.Call(ctx, "configuration.modify", "", []byte(configuration)); err != nil {
@@ -140,6 +156,9 @@
 	if err := ready(ctx, p); err != nil {
 		return err
 	}
+	if measure {
+		return toll(ctx, fairways[0], near)
+	}
 	t := tally{status: map[string]map[string]int{}}
 	for second := range 8 {
 		switch second {
@@ -202,18 +221,18 @@
 }
 
 // host is one of a service: it runs requests and tells control that it is there.
-func host(ctx context.Context, p *pilot.Pilot, z, n int) error {
+func host(ctx context.Context, p *pilot.Pilot, z, n int, work time.Duration) (address string, err error) {
 	l, err := net.Listen("tcp", fmt.Sprintf("127.7.%d.%d:0", z+1, 10+n))
 	if err != nil {
-		return err
+		return "", err
 	}
 	id := fmt.Sprintf("host-%d-%d", z+1, n+1)
 	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Expected-Instance") != id {
+		if to := r.Header.Get("Expected-Instance"); to != "" && to != id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		time.Sleep(30 * time.Millisecond)
+		time.Sleep(work)
 		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 		w.Header().Set("Server-Seal", id)
 		fmt.Fprintln(w, id)
@@ -228,7 +247,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 	}()
-	return nil
+	return l.Addr().String(), nil
 }
 
 type tally struct {
--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -38,8 +38,9 @@
 	Fronts   map[string]signals.Front
 	Ledger   *signals.Ledger
 	Polls    map[PollKey]signals.Poll
-	Cells    map[string]signals.Cell // by register: this process's part of it
-	FromDisk bool                    // the disk held the whole state when it was opened, or this is the first start
+	Views    map[PollKey]signals.Poll // the newest figures of routers that hang here
+	Cells    map[string]signals.Cell  // by register: this process's part of it
+	FromDisk bool                     // the disk held the whole state when it was opened, or this is the first start
 	Whole    bool
 	Peers    map[string]*Peer // by IP, those that are heard now
 	lost     map[string]int64 // by name, control processes that are not heard, since when
@@ -58,7 +59,7 @@
 // NewState begins with what the disk held.
 func NewState(self signals.Hello, size int, items []manifest.Item, intact bool, beat int64) *State {
 	s := &State{Self: self, Size: size, Set: manifest.NewSet(), Register: berths.New(self.Name, beat),
-		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{},
+		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{}, Views: map[PollKey]signals.Poll{},
 		Cells: map[string]signals.Cell{}, FromDisk: intact, Peers: map[string]*Peer{}, lost: map[string]int64{}, synced: map[string]bool{}}
 	for _, i := range items {
 		s.Set.Merge(i)
@@ -261,9 +262,17 @@
 	return true
 }
 
-// TellPoll takes up a router's vote.
+// TellPoll takes up a router's vote, or its figures alone. Figures stay here: they are for operators, who ask each control
+// process; only votes go on to the others.
 func (s *State) TellPoll(p signals.Poll, first bool) {
 	k := PollKey{p.Front, p.Service}
+	if p.Figures != nil {
+		s.Views[k] = p
+		p.Figures = nil
+	}
+	if p.Shown {
+		return
+	}
 	if old, ok := s.Polls[k]; ok && old.At >= p.At {
 		return
 	}
--- a/internal/harbour/bridge/state_test.go
+++ b/internal/harbour/bridge/state_test.go
@@ -9,6 +9,7 @@
 	"portflow/internal/harbour/berths"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/signals"
+	"portflow/rules"
 )
 
 func state(size int, intact bool) *State {
@@ -124,6 +125,33 @@
 	c.Check(s.Fronts["x"].Gone, qt.IsTrue)
 }
 
+// A vote stands until the router's next one, also one that takes it back; figures alone change no vote, and stay here.
+func TestPolls(t *testing.T) {
+	c := qt.New(t)
+	s := state(6, true)
+	k := PollKey{"r", "desk"}
+	for i, x := range []struct {
+		verdict rules.Verdict
+		figures bool
+		shown   bool
+		want    rules.Verdict
+		news    uint64
+	}{
+		{rules.NoVote, true, true, rules.NoVote, 0}, {rules.Back, true, false, rules.Back, 1}, {rules.NoVote, true, true, rules.Back, 1},
+		{rules.NoVote, false, false, rules.NoVote, 2}, {rules.On, true, false, rules.On, 3},
+	} {
+		p := signals.Poll{Front: "r", Service: "desk", Order: 1, Verdict: uint8(x.verdict), At: int64(i + 1), Shown: x.shown}
+		if x.figures {
+			p.Figures = &signals.Figures{Left: float64(i)}
+		}
+		s.TellPoll(p, true)
+		c.Check(rules.Verdict(s.Polls[k].Verdict), qt.Equals, x.want, qt.Commentf("poll %d", i))
+		c.Check(s.Ledger.Last(), qt.Equals, x.news, qt.Commentf("poll %d", i))
+		c.Check(s.Polls[k].Figures, qt.IsNil)
+	}
+	c.Check(s.Views[k].Figures.Left, qt.Equals, 4.0)
+}
+
 // Control processes tell each other only what they hear themselves, so that no news goes round.
 func TestNewsGoesOnce(t *testing.T) {
 	c := qt.New(t)
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -53,7 +53,8 @@
 	services map[string]*service
 	link     *link
 	since    int64
-	past     []former
+	past     lanes.Past
+	short    lanes.Short
 
 	view     atomic.Pointer[view]
 	cutOff   atomic.Int64 // since when no control process in touch is heard, 0 for not
@@ -63,27 +64,26 @@
 	open     atomic.Int64 // requests
 	held     atomic.Int64 // bytes of bodies
 	counts   counts
+	handed   handed
+	lent     atomic.Bool // others' parts, to this router
 	dice     sync.Mutex
 	chance   chance.Source
 }
 
+// handed counts hand-offs since the last look at whether this router is short.
+type handed struct{ all, away, over atomic.Int64 }
+
 // view is what requests go by; it is replaced as a whole.
 type view struct {
 	chart    *manifest.Chart
 	services map[string]*service
 	roster   lanes.Roster
-	number   int // counts the rosters
+	usual    lanes.Roster // the same, while nobody lends any
+	number   int          // counts the rosters
 	rank     int
 	count    int
 	counted  bool
-	former   []former
-}
-
-// former is a roster until it was replaced.
-type former struct {
-	roster  lanes.Roster
-	counted bool
-	until   int64
+	past     lanes.Past
 }
 
 const second = int64(time.Second)
@@ -91,10 +91,6 @@
 // skew is by how much the clocks of machines may differ.
 const skew = second / 2
 
-// settling is for how long a part that has grown is not used: the others shrink theirs as they hear, and what they sent
-// before that arrives.
-const settling = second + second/3
-
 const (
 	connectIn = 400 * time.Millisecond // beyond the longest way twice, and a packet sent again
 	hostIdle  = 8 * time.Second        // hosts close connections that stand idle for some seconds
@@ -169,12 +165,11 @@
 		}
 	}
 	if c.Fronts || v.roster == nil {
-		now := f.clock()
-		f.past = slices.DeleteFunc(f.past, func(p former) bool { return now-p.until > settling })
-		f.past = append(f.past, former{v.roster, v.counted, now})
-		v.former = slices.Clone(f.past)
+		f.past = f.past.Then(f.clock(), v.roster, v.counted)
+		v.past = f.past
 		v.number++
 		v.rank, v.count, v.roster, v.counted = f.board.Standing()
+		v.usual = v.roster.Usual()
 		for _, s := range f.services {
 			s.reducer.Post(router.Number{Rank: v.rank, Routers: v.count})
 		}
@@ -218,10 +213,12 @@
 	reducer *router.Router
 	rollout pilotageRollout
 	news    atomic.Pointer[rules.News]
+	shown   int // ticks of a trial; the reducer's
 
-	mu     sync.Mutex
-	berths map[string]*berth
-	bands  map[bandKey]int
+	mu       sync.Mutex
+	forecast lanes.Forecast
+	berths   map[string]*berth
+	bands    map[bandKey]int
 }
 
 // berth is one host as this router uses it.
@@ -229,9 +226,11 @@
 	berths.Host
 	open    int
 	cold    lanes.Window
-	parts   lanes.Parts // as of a roster and a chart
+	parts   lanes.Parts // as of a roster and a chart, and no longer than until
+	usual   int         // its part of the open ones while nobody lends any
 	parted  int
 	partsOf *manifest.Chart
+	until   int64
 }
 
 type bandKey struct {
@@ -323,14 +322,22 @@
 		return false
 	}
 	v := f.view.Load()
-	if b.parted != v.number || b.partsOf != v.chart { // the parts change with the roster and the service only
-		b.parts, b.parted, b.partsOf = f.part(b.Host, v, v.roster), v.number, v.chart
+	now := f.clock()
+	if b.parted != v.number || b.partsOf != v.chart || now >= b.until { // the parts change with the roster and the service only
+		b.parts, b.parted, b.partsOf, b.until = f.part(b.Host, v, v.roster), v.number, v.chart, math.MaxInt64
+		b.usual = b.parts.Open
+		if b.Zone == f.Boot.Zone { // where routers lend to each other
+			open := func(all lanes.Roster) int { return f.part(b.Host, v, all).Open }
+			b.parts.Open, b.until = v.past.Open(now, v.roster, open)
+			if b.usual = b.parts.Open; f.lent.Load() {
+				b.usual = open(v.usual)
+			}
+		}
 	}
 	p := b.parts
 	if b.open >= p.Open {
 		return false
 	}
-	now := f.clock()
 	if b.ColdUntil+skew <= now {
 		return true
 	}
@@ -345,19 +352,19 @@
 // cold is the least part of a cold host that this router has had of late: one that is cut off, has just come back, or isn't
 // counted yet has none.
 func (f *Fairway) cold(now int64, h berths.Host, v *view) int {
-	if f.cutOff.Load() != 0 || now-f.rejoined.Load() < settling || !v.counted {
+	if f.cutOff.Load() != 0 || now-f.rejoined.Load() < lanes.Settling || !v.counted {
 		return 0
 	}
-	least := math.MaxInt
-	for _, p := range v.former {
-		if now-p.until < settling {
-			if !p.counted {
-				return 0
-			}
-			least = min(least, f.part(h, v, p.roster).Cold)
-		}
-	}
-	return least
+	return v.past.Cold(now, func(all lanes.Roster) int { return f.part(h, v, all).Cold })
+}
+
+// wait is after how long one that is sent away now should come back: by the forecast of when there is room, and a third of
+// the time that it has at most, as clients wait no longer.
+func (s *service) wait(cutOff int64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.f.clock()
+	return time.Duration(s.forecast.Wait(now, max(0, cutOff-now)/3))
 }
 
 // HandOff sends a request to a host; the rules chose it a moment ago.
@@ -365,7 +372,9 @@
 	s.mu.Lock()
 	b := s.berths[to.Name]
 	if b != nil {
-		b.open++
+		if b.open++; b.open > b.usual {
+			s.f.handed.over.Add(1)
+		}
 		if now := s.f.clock(); b.ColdUntil+skew > now {
 			b.cold.Add(now)
 		}
@@ -373,15 +382,21 @@
 	s.mu.Unlock()
 	s.f.counts.rings[to.Ring].Add(1)
 	c := r.Cargo.(*cargo)
+	if s.f.handed.all.Add(1); to.Ring > 0 && !c.homes {
+		s.f.handed.away.Add(1)
+	}
 	if c.tries++; c.tries > 1 {
 		s.f.counts.again.Add(1)
 	}
 	return s.f.pool.HandOff(to, r, left, func(o router.Outcome) {
+		s.mu.Lock()
 		if b != nil {
-			s.mu.Lock()
 			b.open--
-			s.mu.Unlock()
 		}
+		if o.Ending == rules.Fulfilled || o.Ending == rules.Failed {
+			s.forecast.Answered(s.f.clock())
+		}
+		s.mu.Unlock()
 		s.f.counts.endings[o.Ending].Add(1)
 		if a, ok := o.Reply.(*reply); ok && a.other && b != nil {
 			s.f.moved(to.Name)
@@ -401,16 +416,34 @@
 
 // Vote tells control what this router wants of a rollout.
 func (s *service) Vote(v rules.Verdict, build, stage int) {
-	s.f.Vote(signals.Poll{Service: s.name, Order: uint64(build), Verdict: uint8(v), At: s.f.clock()})
+	p := signals.Poll{Service: s.name, Order: uint64(build), Verdict: uint8(v), At: s.f.clock()}
+	if v != rules.NoVote { // which only takes the last one back
+		p.Figures = s.figures()
+	}
+	s.f.Vote(p)
 	n := *s.news.Load()
 	n.Reply = true
 	go s.reducer.Post(router.News{News: n}) // the rules are in the middle of a step
 }
 
-// Tell gossips: while a version is on trial, as there is nothing to be said else.
+// figures is what the rules go by; it is for the midst of an effect.
+func (s *service) figures() *signals.Figures {
+	j := s.reducer.Judged()
+	return &signals.Figures{Outcomes: j.Outcomes, Excess: j.Excess, Error: j.Error, Threshold: j.Threshold, Left: j.Left}
+}
+
+// showEvery is how many ticks of the rules lie between two times that a voter tells control its figures.
+const showEvery = 20
+
+// Tell gossips: while a version is on trial, as there is nothing to be said else. Those who vote tell control what they see.
 func (s *service) Tell(_ int, message []byte) {
-	if s.news.Load().Standing == rules.OnTrial {
-		s.f.convoy.Tell(s.name, message)
+	n := s.news.Load()
+	if n.Standing != rules.OnTrial {
+		return
+	}
+	s.f.convoy.Tell(s.name, message)
+	if s.shown++; s.shown%showEvery == 0 && s.f.view.Load().rank <= voters {
+		s.f.Vote(signals.Poll{Service: s.name, Order: uint64(n.Build), At: s.f.clock(), Figures: s.figures(), Shown: true})
 	}
 }
 
@@ -457,17 +490,24 @@
 	return n
 }
 
-// tick writes the counters now and then.
+// tick looks whether this router is short, and writes the counters now and then.
 func (f *Fairway) tick() {
-	t := time.NewTicker(10 * time.Second)
+	t := time.NewTicker(time.Duration(lanes.LookEvery))
 	defer t.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-t.C:
-			f.Log()
 		case <-f.ctx.Done():
 			return
 		}
+		h := &f.handed
+		if short := f.short.Look(int(h.all.Swap(0)), int(h.away.Swap(0)), int(h.over.Swap(0))); f.lent.Swap(short) != short {
+			klog.InfoS("short of room in the zone", "is", short)
+			f.tellSelf()
+		}
+		if n%20 == 0 {
+			f.Log()
+		}
 	}
 }
 
--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -222,7 +222,7 @@
 		return
 	}
 	f.link.line.Send(signals.Word{Front: &signals.Front{Name: f.Boot.Name, Zone: f.Boot.Zone, IP: f.Boot.IP,
-		Address: f.Boot.Listen["front"], Ready: f.Ready(), Since: f.since}})
+		Address: f.Boot.Listen["front"], Ready: f.Ready(), Short: f.lent.Load(), Since: f.since}})
 }
 
 // Vote tells control a vote, as the rules do.
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -223,11 +223,11 @@
 	c := &router.Command{Band: s.band(route), CutOff: began + left, Answer: answers, Most: route.Most,
 		May: func(h router.Host) bool { return s.may(h, route.Homes) },
 		Request: &router.Request{Method: r.Method, Target: r.RequestURI, Body: body,
-			Cargo: &cargo{host: r.Host, header: passed(r.Header), id: r.Header.Get("Attempt-Id"), stream: make(chan *stream, 4)}}}
+			Cargo: &cargo{host: r.Host, header: passed(r.Header), id: r.Header.Get("Attempt-Id"), homes: len(route.Homes) > 0, stream: make(chan *stream, 4)}}}
 	s.reducer.Post(router.Taken{Command: c})
 	select {
 	case a := <-answers:
-		f.answer(w, route, a, c)
+		f.answer(w, s, a, c)
 	case t := <-c.Request.Cargo.(*cargo).stream:
 		s.reducer.Post(router.Streams{Command: c})
 		f.passOn(w, t)
@@ -303,13 +303,13 @@
 }
 
 // answer gives a request's final answer.
-func (f *Fairway) answer(w http.ResponseWriter, route *manifest.Route, a router.Answer, c *router.Command) {
+func (f *Fairway) answer(w http.ResponseWriter, s *service, a router.Answer, c *router.Command) {
 	h, _ := a.Reply.(*reply)
 	switch {
 	case a.Kind == router.Fulfilled && h != nil:
 		f.pass(w, h)
 	case a.Kind == router.Dismissed:
-		f.refuse(w, faults.Crowded, a.Wait)
+		f.refuse(w, faults.Crowded, s.wait(c.CutOff))
 	case h != nil && !h.unrun && !promises(h.status):
 		f.pass(w, h)
 	case f.clock() >= c.CutOff-int64(20e6):
--- a/internal/harbour/fairway/speech.go
+++ b/internal/harbour/fairway/speech.go
@@ -21,6 +21,7 @@
 	header http.Header
 	id     string       // of this try
 	tries  int          // hand-offs so far
+	homes  bool         // it may not go everywhere
 	stream chan *stream // gets an answer that is too long to be read whole
 }
 
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -65,6 +65,18 @@
 	State   string   `json:"state"`
 	Left    float64  `json:"left"` // of its term
 	Votes   []string `json:"votes"`
+	Judges  []Judge  `json:"judges"` // routers that hang on this process, with the last figures that they told
+}
+
+// Judge is what a router that votes goes by. The first of each pair is of failures, the second of times.
+type Judge struct {
+	Router    string     `json:"router"`
+	Age       float64    `json:"age"` // of the figures, seconds
+	Outcomes  [2]float64 `json:"outcomes"`
+	Excess    [2]float64 `json:"excess"`
+	Error     [2]float64 `json:"error"`
+	Threshold [2]float64 `json:"threshold"`
+	Exposure  float64    `json:"exposure"` // requests that it may still give to the version at once
 }
 
 func (m *Master) survey(context.Context, string, []byte) (any, error) {
@@ -126,6 +138,13 @@
 			}
 			slices.Sort(x.Votes)
 		}
+		for k, p := range m.state.Views {
+			if k.Service == r.Service && p.Order == r.Order {
+				f := p.Figures
+				x.Judges = append(x.Judges, Judge{k.Front, float64(now-p.At) / 1e9, f.Outcomes, f.Excess, f.Error, f.Threshold, f.Left})
+			}
+		}
+		slices.SortFunc(x.Judges, func(a, b Judge) int { return strings.Compare(a.Router, b.Router) })
 		s.Rollouts = append(s.Rollouts, x)
 	}
 	for _, i := range m.state.Set.Standing(manifest.Evacuations) {
--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -177,14 +177,18 @@
 	all = Roster{}
 	ready := signals.Roster(b.fronts)
 	for _, f := range ready {
-		all[f.Zone] = append(all[f.Zone], f.Name)
+		x := Router{f.Name, 1}
+		if f.Short {
+			x.Weight = Lend
+		}
+		all[f.Zone] = append(all[f.Zone], x)
 	}
 	rank = slices.IndexFunc(ready, func(f signals.Front) bool { return strings.EqualFold(f.Name, b.name) })
 	count, counted = len(ready), rank >= 0
 	if !counted {
 		rank = count
 		count++
-		all[b.self.Zone] = append(all[b.self.Zone], b.name)
+		all[b.self.Zone] = append(all[b.self.Zone], Router{b.name, 1})
 	}
 	return rank, count, all, counted
 }
--- /dev/null
+++ b/internal/harbour/lanes/forecast_test.go
@@ -0,0 +1,80 @@
+package lanes
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// rush plays a service that bears so many requests at once, for a fifth of a second each: what comes beyond is sent away and
+// comes back when it was told, three times at most. It tells how many were sent away, and how many of these once more.
+func rush(perSecond float64, wait func(now int64) int64, answered func(now int64)) (away, again int) {
+	const slots, work = 30, second / 5
+	draw := rand.New(rand.NewPCG(4, 4))
+	type caller struct {
+		at    int64
+		tries int
+	}
+	var all []caller
+	for at := int64(0); at < 6*second; {
+		rate := 100.0 // the service answers 150 a second
+		if at > second && at < 2*second {
+			rate = perSecond
+		}
+		at += int64(draw.ExpFloat64() / rate * float64(second))
+		all = append(all, caller{at: at})
+	}
+	var ends []int64
+	for now := int64(0); now < 12*second; now += second / 500 {
+		for len(ends) > 0 && ends[0] <= now {
+			ends = ends[1:]
+			answered(now)
+		}
+		for i := range all {
+			c := &all[i]
+			if c.at < 0 || c.at > now {
+				continue
+			}
+			if len(ends) < slots {
+				c.at = -1
+				ends = append(ends, now+work)
+				continue
+			}
+			if away++; c.tries > 0 {
+				again++
+			}
+			if c.tries++; c.tries > 3 {
+				c.at = -1
+			} else {
+				c.at = now + wait(now)
+			}
+		}
+	}
+	return away, again
+}
+
+// Of those who are sent away in a rush fewer are sent away once more than with one wait for all; in a small one nobody waits
+// longer than that.
+func TestForecast(t *testing.T) {
+	c := qt.New(t)
+	for rate, part := range map[float64]float64{250: 0.3, 400: 0.5, 800: 0.75} {
+		_, fixed := rush(rate, func(int64) int64 { return second / 4 }, func(int64) {})
+		var f Forecast
+		away, again := rush(rate, func(now int64) int64 { return f.Wait(now, 2*second) }, f.Answered)
+		t.Logf("%.0f a second: %d sent away, %d once more (%d by a fixed wait)", rate, away, again, fixed)
+		c.Check(float64(again) < part*float64(fixed), qt.IsTrue)
+	}
+	var f Forecast
+	c.Check(f.Wait(0, second) <= second, qt.IsTrue) // nothing is known yet
+	for now := int64(0); now < 5*second; now += second / 100 {
+		f.Answered(now)
+	}
+	c.Check(f.Wait(5*second, second), qt.Equals, shortest)
+	for range 1000 {
+		f.Wait(5*second, second)
+	}
+	c.Check(f.Wait(5*second, 60*second), qt.Equals, longest)
+	c.Check(f.Wait(5*second, 0), qt.Equals, int64(0))
+	c.Check(f.Wait(60*second, second) <= second, qt.IsTrue) // turns that are past are nobody's
+}
--- a/internal/harbour/lanes/shares_test.go
+++ b/internal/harbour/lanes/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -22,7 +23,7 @@
 			for i := range n {
 				z := fmt.Sprint("z", i%6)
 				if z != lost && regions[z] != lost {
-					all[z] = append(all[z], fmt.Sprint("router-", i))
+					all[z] = append(all[z], Router{fmt.Sprint("router-", i), 1})
 				}
 			}
 			terms := Terms{Overrun: 1.5, Slack: 5, ColdPerS: 5.4}
@@ -31,8 +32,9 @@
 			for host := range 40 {
 				h := berths.Host{ID: fmt.Sprint("host-", host), Zone: "z0", Slots: 3}
 				open, cold := 0, 0
-				for z, names := range all {
-					for _, name := range names {
+				for z, routers := range all {
+					for _, r := range routers {
+						name := r.Name
 						p := Part(h, name, Place{z, regions[z]}, regions, all, terms)
 						open += p.Open
 						cold += p.Cold
@@ -46,9 +48,9 @@
 				least = min(least, open)
 			}
 			c.Check(least >= far*3, qt.IsTrue, qt.Commentf("%d routers, lost %q: only %d open", n, lost, least))
-			for z, names := range all {
-				for _, name := range names {
-					if n < 300 {
+			for z, routers := range all {
+				for _, r := range routers {
+					if name := r.Name; n < 300 {
 						c.Check(uses[name] > 0, qt.IsTrue, qt.Commentf("%s of %s may use none of 40 hosts", name, z))
 					}
 				}
@@ -61,16 +63,17 @@
 func TestFewPartsMove(t *testing.T) {
 	c := qt.New(t)
 	regions := map[string]string{"z0": "r0"}
-	var names []string
+	var routers []Router
 	for i := range 20 {
-		names = append(names, fmt.Sprint("router-", i))
+		routers = append(routers, Router{fmt.Sprint("router-", i), 1})
 	}
 	moved, held := 0, 0
 	for host := range 200 {
 		h := berths.Host{ID: fmt.Sprint("host-", host), Zone: "z0", Slots: 3}
-		for _, name := range names {
+		for _, r := range routers {
+			name := r.Name
 			part := func(n int) int {
-				return Part(h, name, Place{"z0", "r0"}, regions, Roster{"z0": names[:n]}, Terms{}).Open
+				return Part(h, name, Place{"z0", "r0"}, regions, Roster{"z0": routers[:n]}, Terms{}).Open
 			}
 			if a, b := part(19), part(20); name != "router-19" {
 				held += a
@@ -81,6 +84,102 @@
 	c.Check(moved*10 < held, qt.IsTrue, qt.Commentf("%d of %d moved", moved, held))
 }
 
+// What is lent adds up too: at no moment have all routers together more than a host's bounds, though each hears at another
+// time who is short and who isn't any more; and the one that is short gets more.
+func TestLentPartsAddUp(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{13, 92} {
+		draw := rand.New(rand.NewPCG(uint64(n), 3))
+		regions, usual := map[string]string{}, Roster{}
+		for i := range n {
+			z := fmt.Sprint("z", i%6)
+			regions[z] = fmt.Sprint("r", i%6/2)
+			usual[z] = append(usual[z], Router{fmt.Sprint("router-", i), 1})
+		}
+		weigh := func(short map[string]bool) Roster {
+			all := usual.Usual()
+			for _, routers := range all {
+				for i := range routers {
+					if short[routers[i].Name] {
+						routers[i].Weight = Lend
+					}
+				}
+			}
+			return all
+		}
+		type router struct {
+			name string
+			zone string
+			is   Roster
+			past Past
+			next []Former // what it will hear, and when
+		}
+		var all []*router
+		for z, routers := range usual {
+			for _, r := range routers {
+				all = append(all, &router{name: r.Name, zone: z, is: usual})
+			}
+		}
+		hosts := []berths.Host{{ID: "host-1", Zone: "z0", Slots: 3}, {ID: "host-2", Zone: "z1", Slots: 3}, {ID: "host-3", Zone: "z5", Slots: 5}}
+		short := map[string]bool{}
+		for now := int64(0); now < 40*second; now += second / 10 {
+			if draw.IntN(20) == 0 {
+				name := all[draw.IntN(len(all))].name
+				short[name] = !short[name]
+				told := weigh(short)
+				for _, r := range all { // within a second, and in order
+					at := now + int64(draw.Float64()*0.95*float64(second))
+					if len(r.next) > 0 {
+						at = max(at, r.next[len(r.next)-1].Until)
+					}
+					r.next = append(r.next, Former{Roster: told, Until: at})
+				}
+			}
+			open := make([]int, len(hosts))
+			for _, r := range all {
+				for len(r.next) > 0 && r.next[0].Until <= now {
+					r.past = r.past.Then(now, r.is, true)
+					r.is, r.next = r.next[0].Roster, r.next[1:]
+				}
+				for i, h := range hosts {
+					part := func(x Roster) int { return Part(h, r.name, Place{r.zone, regions[r.zone]}, regions, x, Terms{}).Open }
+					least, until := r.past.Open(now, r.is, part)
+					c.Assert(until > now, qt.IsTrue)
+					open[i] += least
+				}
+			}
+			for i, h := range hosts {
+				c.Assert(open[i] <= (deep+near+far)*h.Slots, qt.IsTrue, qt.Commentf("%d routers, %d at %s", n, open[i], h.ID))
+			}
+		}
+		gains, usually := 0, 0
+		for host := range 40 {
+			h := berths.Host{ID: fmt.Sprint("host-", host), Zone: "z0", Slots: 3}
+			part := func(x Roster) int { return Part(h, "router-0", Place{"z0", "r0"}, regions, x, Terms{}).Open }
+			usually += part(usual)
+			gains += part(weigh(map[string]bool{"router-0": true}))
+		}
+		c.Check(float64(gains) > 1.3*float64(usually), qt.IsTrue, qt.Commentf("%d routers: %d for %d", n, gains, usually))
+	}
+}
+
+// A router is short once a fifth of what it hands off goes to other zones, and gives back what was lent after four seconds in
+// which it needed none of it.
+func TestShort(t *testing.T) {
+	c := qt.New(t)
+	var s Short
+	for i, x := range []struct {
+		all, away, over int
+		want            bool
+	}{
+		{100, 3, 0, false}, {10, 3, 0, false}, {100, 20, 0, false}, {100, 21, 0, true}, {100, 0, 9, true},
+		{50, 0, 0, true}, {50, 0, 1, true},
+		{9, 0, 0, true}, {9, 0, 0, true}, {9, 0, 0, true}, {9, 0, 0, true}, {9, 0, 0, true}, {9, 0, 0, true}, {9, 0, 0, true}, {9, 0, 0, false},
+	} {
+		c.Check(s.Look(x.all, x.away, x.over), qt.Equals, x.want, qt.Commentf("look %d", i))
+	}
+}
+
 func TestWindow(t *testing.T) {
 	c := qt.New(t)
 	var w Window
--- a/internal/harbour/pilot/pilot.go
+++ b/internal/harbour/pilot/pilot.go
@@ -96,6 +96,26 @@
 	return raw, nil
 }
 
+// Each makes one call to every control process, and hands over what those that answer say.
+func (p *Pilot) Each(ctx context.Context, call string, take func(raw []byte) error) error {
+	var last error = ErrNobody
+	for _, address := range p.Control {
+		raw, err := p.one(ctx, address, call, "", nil)
+		if err != nil {
+			if last != nil {
+				last = fmt.Errorf("%w: %s: %w", ErrNobody, address, err)
+			}
+			continue
+		}
+		if last = nil; take != nil {
+			if err := take(raw); err != nil {
+				return err
+			}
+		}
+	}
+	return last
+}
+
 // Check reads a change from a file as control does, against the items that stand; each error names its line or its item.
 func Check(raw, standing []byte) ([]manifest.Item, []manifest.Item, error) {
 	if err := syntax(raw); err != nil {
--- a/internal/harbour/pilot/pilot_test.go
+++ b/internal/harbour/pilot/pilot_test.go
@@ -120,6 +120,15 @@
 	c.Assert(errors.As(err, &r), qt.IsTrue)
 	c.Check(r.Reason, qt.Equals, "routes r1: no")
 	c.Check(*refusals, qt.Equals, 1)
+	each := func(control ...string) (n int, err error) {
+		p := &Pilot{Control: control, HTTP: &http.Client{}}
+		err = p.Each(context.Background(), "harbour.read", func([]byte) error { n++; return nil })
+		return n, err
+	}
+	n, err := each("127.0.0.1:1", good, busy, good)
+	c.Check([2]any{n, err}, qt.Equals, [2]any{2, nil})
+	_, err = each("127.0.0.1:1", busy)
+	c.Check(errors.Is(err, ErrNobody), qt.IsTrue)
 	_, err = call(time.Millisecond, "127.0.0.1:1")
 	c.Check(errors.Is(err, ErrNobody), qt.IsTrue)
 }
--- a/internal/harbour/signals/signals.go
+++ b/internal/harbour/signals/signals.go
@@ -17,6 +17,7 @@
 	IP      string `json:"p"`
 	Address string `json:"a"` // of its front
 	Ready   bool   `json:"r,omitempty"`
+	Short   bool   `json:"h,omitempty"` // of room in its zone: it may have what others don't use
 	Gone    bool   `json:"g,omitempty"` // it hangs here no longer
 	Since   int64  `json:"s"`           // when it came, Unix nanoseconds: the later holds
 	Change  int    `json:"c,omitempty"` // counts its changes since then
@@ -34,13 +35,24 @@
 	return a.Gone && !b.Gone
 }
 
-// Poll is a router's vote on a rollout: it stands until it lapses.
+// Figures is what a router goes by when it judges a version: the first of each pair is of failures, the second of times.
+type Figures struct {
+	Outcomes  [2]float64 `json:"n"`
+	Excess    [2]float64 `json:"x"`
+	Error     [2]float64 `json:"e"`
+	Threshold [2]float64 `json:"t"`
+	Left      float64    `json:"l"` // requests that it may still give to the version at once
+}
+
+// Poll is a router's vote on a rollout: it stands until it lapses, or until one without a verdict takes it back.
 type Poll struct {
-	Front   string `json:"f"`
-	Service string `json:"s"`
-	Order   uint64 `json:"o"` // the rollout's number
-	Verdict uint8  `json:"v"`
-	At      int64  `json:"t"` // Unix nanoseconds
+	Front   string   `json:"f"`
+	Service string   `json:"s"`
+	Order   uint64   `json:"o"` // the rollout's number
+	Verdict uint8    `json:"v"`
+	At      int64    `json:"t"` // Unix nanoseconds
+	Figures *Figures `json:"g,omitempty"`
+	Shown   bool     `json:"w,omitempty"` // no vote: it only tells figures
 }
 
 // Note is one piece of news.
--- a/internal/lab/basin/basin_test.go
+++ b/internal/lab/basin/basin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"portflow/internal/harbour/harbourmaster"
 	"portflow/internal/harbour/lines"
 )
 
@@ -156,6 +158,20 @@
 				status, _, _ := h.Order("rollouts.begin", "", []byte(`{"service":"desk","target-version":"v2","duration-s":14}`), 2*time.Second, 1)
 				c.Assert(status, qt.Equals, 200)
 				time.Sleep(5 * time.Second)
+				judged := 0 // by routers that vote: control shows what they go by
+				for i := range h.Masters {
+					_, _, answer := h.Order("harbour.read", "", nil, time.Second, i)
+					var s harbourmaster.Survey
+					c.Assert(json.Unmarshal(answer, &s), qt.IsNil)
+					for _, r := range s.Rollouts {
+						for _, j := range r.Judges {
+							judged++
+							c.Check(j.Age < 5 && j.Outcomes[0] > 0, qt.IsTrue, qt.Commentf("%+v", j))
+							c.Check(j.Excess[0]-j.Error[0] > j.Threshold[0], qt.Equals, bad, qt.Commentf("%+v", j))
+						}
+					}
+				}
+				c.Check(judged >= 2, qt.IsTrue, qt.Commentf("%d judges", judged))
 				h.Masters[0].Kill()
 				time.Sleep(4 * time.Second)
 				runs := 0
--- a/internal/parts/router/router.go
+++ b/internal/parts/router/router.go
@@ -117,6 +117,10 @@
 	s.News.apply(r)
 }
 
+// Judged is what the module goes by when it judges the newest build. It is for those who carry out an effect, in the midst
+// of it: nobody else may ask while the router runs.
+func (r *Router) Judged() rules.Judged { return r.module.Judged() }
+
 // Due is when the router wants to be stepped though no event comes, 0 for never.
 func (r *Router) Due() int64 { return r.wakeAt }
 
--- a/rules/door.go
+++ b/rules/door.go
@@ -378,6 +378,26 @@
 	return len(r.bands) - 1
 }
 
+// Judged is what a router goes by when it judges the newest build. The first of each pair is of failures, the second of
+// times; all are pooled over the routers as far as gossip has brought them.
+type Judged struct {
+	Outcomes  [2]float64 // of the build's hand-offs, of the last seconds
+	Excess    [2]float64 // the state for each outcome: how much worse than the earlier build
+	Error     [2]float64 // its standard error
+	Threshold [2]float64 // over which, by more than some errors, a build goes back
+	Left      float64    // hand-offs that this router may still give to the build at once
+}
+
+// Judged tells what this router goes by now.
+func (r *Router) Judged() (j Judged) {
+	for k := range r.state {
+		j.Outcomes[k], j.Threshold[k] = r.count[k]*r.company, threshold[k]
+		j.Excess[k], j.Error[k] = r.excess(k)
+	}
+	j.Left = r.exposed.have
+	return j
+}
+
 // Hear brings news of the newest build.
 func (r *Router) Hear(now int64, n News) {
 	r.now = now
