Callers' shares of services, held alike at every router

Need (issue on shares): one caller could fill a desk. Seen in an emulated departure peak: with one at twenty times its share, 544 of 1,136 requests of the others were served, p99 1.5 s.

The change: items of kind shares, checked, merged and pushed like routes; internal/harbour/tonnage decides (pure), fairway and harbourmaster carry it; 429 with Retry-After and RateLimit fields; pilot share, shares and a dry run by the last hour's counts; make peak. Off where no item names a share: one comparison with nil a request, no process or message more.

Found by tests while writing: figures of a router that had nothing more to report stood for ever; a token's fraction let small callers have nothing.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run toy demo system
+.PHONY: build test lint run toy demo system peak
 
 build:
 	@sh -ec "$$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)"
@@ -24,6 +24,10 @@
 	for i in 1 2 3 4; do curl -sS -H "X-Trace-Id: demo-$$i" -H 'X-Qos: display' -H 'X-Customer: acme' \
 	-H 'X-Expires-In: 480m' "http://127.0.0.1:8081/display?obj=$$i"; done
 
+# a caller at ten times its share over 13 routers, all of it at one and then all at another
+peak:
+	go run ./cmd/lab shares --trouble moves
+
 # a small harbour on loopback: three zones, a configuration, requests, a control process and a router killed; ends with a table
 system:
 	@sh -ec "$$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/system.toml)"
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "lab", Short: "lab tries portflow's designs out", SilenceUsage: true}
-	root.AddCommand(storm(), flows())
+	root.AddCommand(storm(), flows(), shares())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -78,6 +78,39 @@
 	return c
 }
 
+func shares() *cobra.Command {
+	p := lab.Tonnage{Routers: 13, Zones: 6, Way: "dealt", Trouble: "cut", PerS: 40, Times: 10, Others: 50, Seed: 1}
+	var lasts time.Duration
+	var asJSON bool
+	c := &cobra.Command{Use: "shares", Short: "a caller at many times its share, over many routers, in virtual time", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			p.Lasts = int64(lasts)
+			r, err := lab.PlayTonnage(p)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(os.Stdout).Encode(r)
+			}
+			r.Draw(os.Stdout, p.PerS, 24)
+			fmt.Printf("over the share by %.2f of it within a second and %.2f within ten (beyond its burst); given %.2f of it; others within theirs %.2f; "+
+				"what remains, told apart by %.2f; %.0f bytes a second a router\n", max(0, r.Over1), max(0, r.Over10), r.Given, r.Others, r.Apart, r.BytesARouter)
+			return nil
+		}}
+	f := c.Flags()
+	f.IntVar(&p.Routers, "routers", p.Routers, "routers")
+	f.IntVar(&p.Zones, "zones", p.Zones, "zones, each with a control process")
+	f.StringVar(&p.Way, "way", p.Way, "dealt (the harbour's), or one that was weighed: count, usage, sketch")
+	f.StringVar(&p.Trouble, "trouble", p.Trouble, "none, one (router gets all), moves (to another), cut (a zone), killed (a third of the routers), joined")
+	f.Float64Var(&p.PerS, "per-s", p.PerS, "the caller's share, requests a second")
+	f.Float64Var(&p.Times, "times", p.Times, "what it asks for, over its share")
+	f.IntVar(&p.Others, "others", p.Others, "small callers within their shares")
+	f.DurationVar(&lasts, "lasts", 30*time.Second, "how long")
+	f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of all chance")
+	f.BoolVar(&asJSON, "json", false, "print the result as one JSON object in the last line")
+	return c
+}
+
 func flows() *cobra.Command {
 	var f lab.Flows
 	var asJSON bool
--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -19,6 +19,7 @@
 	"portflow/internal/harbour/harbourmaster"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/pilot"
+	"portflow/internal/harbour/tonnage"
 )
 
 // Exit codes.
@@ -176,6 +177,73 @@
 					_, err = fmt.Fprintf(out, "%d items changed\n", items)
 					return err
 				}},
+			{Name: "share", Usage: "callers' shares of services", Commands: []*cli.Command{
+				{Name: "set", Usage: "set one, with a version above all that stand", Arguments: one("name"),
+					Flags: []cli.Flag{
+						&cli.StringFlag{Name: "service", Required: true, Usage: "of which it is a share"},
+						&cli.StringFlag{Name: "header", Value: "X-Agency", Usage: "that names the caller"},
+						&cli.StringFlag{Name: "caller", Required: true, Usage: "its value; * for all that have no share of their own"},
+						&cli.FloatFlag{Name: "per-s", Usage: "requests a second"},
+						&cli.FloatFlag{Name: "burst", Usage: "requests at once; the same number where it isn't given"},
+						&cli.FloatFlag{Name: "part", Usage: "of what the service can carry, from 0 to 1; the greater of both holds"},
+						&cli.BoolFlag{Name: "watch", Usage: "hold nothing back, only count"},
+					},
+					Action: func(ctx context.Context, c *cli.Command) error {
+						s, err := survey(ctx, client(c))
+						if err != nil {
+							return err
+						}
+						number := func(name string) any { return lo.Ternary[any](c.IsSet(name), c.Float(name), nil) }
+						raw, err := pilot.ShareChange(map[string]any{"name": c.StringArg("name"), "service": c.String("service"),
+							"caller-header": c.String("header"), "caller": c.String("caller"), "per-s": number("per-s"), "burst": number("burst"),
+							"part": number("part"), "watch-only": lo.Ternary[any](c.Bool("watch"), true, nil)}, s.Highest)
+						if err == nil {
+							_, err = client(c).Call(ctx, "configuration.modify", "", raw)
+						}
+						return err
+					}},
+				{Name: "drop", Usage: "drop one", Arguments: one("name"), Action: func(ctx context.Context, c *cli.Command) error {
+					s, err := survey(ctx, client(c))
+					if err != nil {
+						return err
+					}
+					raw, err := pilot.ShareDrop(c.StringArg("name"), s.Highest)
+					if err == nil {
+						_, err = client(c).Call(ctx, "configuration.modify", "", raw)
+					}
+					return err
+				}},
+				{Name: "dry", Usage: "say whom a share would have held back, by the counts of the last hour",
+					Flags: []cli.Flag{
+						&cli.StringFlag{Name: "service", Required: true},
+						&cli.StringFlag{Name: "caller", Usage: "one caller alone; * for those without a name"},
+						&cli.FloatFlag{Name: "per-s", Required: true, Usage: "requests a second"},
+					},
+					Action: func(ctx context.Context, c *cli.Command) error {
+						var all []map[string][]tonnage.Caller
+						err := client(c).Each(ctx, "harbour.read", func(raw []byte) error {
+							var s harbourmaster.Survey
+							all = append(all, nil)
+							err := json.Unmarshal(raw, &s)
+							all[len(all)-1] = s.Callers
+							return err
+						})
+						if err != nil {
+							return err
+						}
+						held := pilot.Dry(all, c.String("service"), c.String("caller"), c.Float("per-s"))
+						if c.Bool("json") {
+							return json.NewEncoder(out).Encode(held)
+						}
+						w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+						fmt.Fprintln(w, "CALLER\tREQUESTS\tHELD BACK\tMOST A MINUTE")
+						for _, h := range held {
+							fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", pilot.Named(h.Caller), h.Requests, h.HeldBack, h.Worst)
+						}
+						return w.Flush()
+					}},
+			}},
+			{Name: "shares", Usage: "callers' shares: their limits, what is used, and which zone has how much of them", Action: view(client, out, shares)},
 			{Name: "evacuate", Usage: "empty a zone, or take it back", Commands: []*cli.Command{
 				{Name: "begin", Arguments: one("zone"), Action: call("evacuation.begin", "zone", nil)},
 				{Name: "finish", Arguments: one("zone"), Action: call("evacuation.finish", "zone", nil)},
@@ -278,6 +346,19 @@
 	}
 }
 
+func shares(w io.Writer, s harbourmaster.Survey) {
+	fmt.Fprintln(w, "SHARE\tSERVICE\tCALLER\tLIMIT /s\tUSED /s")
+	for _, x := range s.Shares {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%.1f\n", x.Share, x.Service, x.Caller, x.Limit, x.Used)
+	}
+	fmt.Fprintln(w, "\nSHARE\tROUTERS OF\tWANT /s\tLENT /s\tSENT AWAY\tTAKEN OVER IT")
+	for _, x := range s.Shares {
+		for _, z := range x.Zones {
+			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%d\t%d\n", x.Share, z.Zone, z.Want, z.Dealt, z.Away, z.Over)
+		}
+	}
+}
+
 func who(w io.Writer, s harbourmaster.Survey) {
 	fmt.Fprintf(w, "seen by %s, %s: %d items, news %d, %d syncs\n", s.Node, s.Standing, s.Items, s.News, s.Syncs)
 	if len(s.Evacuated) > 0 {
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -24,6 +24,7 @@
 	"portflow/internal/harbour/papers"
 	"portflow/internal/harbour/sea"
 	"portflow/internal/harbour/signals"
+	"portflow/internal/harbour/tonnage"
 	"portflow/internal/parts/chance"
 	"portflow/internal/parts/hosts"
 	"portflow/internal/parts/room"
@@ -66,6 +67,8 @@
 	counts   counts
 	handed   handed
 	lent     atomic.Bool // others' parts, to this router
+	metering bool        // callers' shares are told of
+	toldTons bool        // what they ask for, the last time
 	dice     sync.Mutex
 	chance   chance.Source
 }
@@ -159,6 +162,7 @@
 				c.Services[name] = true
 			}
 		}
+		f.meters(v.chart, v.count)
 		v.services = make(map[string]*service, len(f.services))
 		for name, s := range f.services {
 			v.services[name] = s
@@ -173,6 +177,7 @@
 		for _, s := range f.services {
 			s.reducer.Post(router.Number{Rank: v.rank, Routers: v.count})
 		}
+		f.meters(v.chart, v.count)
 	}
 	f.view.Store(&v)
 	for name := range c.Services {
@@ -217,6 +222,10 @@
 
 	mu       sync.Mutex
 	forecast lanes.Forecast
+	meter    *tonnage.Meter // nil where no caller has a share
+	out      int            // hand-offs that are out
+	slots    float64        // this router's even part of the slots that it uses
+	load     load
 	berths   map[string]*berth
 	bands    map[bandKey]int
 }
@@ -370,7 +379,8 @@
 // HandOff sends a request to a host; the rules chose it a moment ago.
 func (s *service) HandOff(to router.Host, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
 	s.mu.Lock()
-	b := s.berths[to.Name]
+	b, began := s.berths[to.Name], s.f.clock()
+	s.out++
 	if b != nil {
 		if b.open++; b.open > b.usual {
 			s.f.handed.over.Add(1)
@@ -393,8 +403,13 @@
 		if b != nil {
 			b.open--
 		}
+		s.out--
 		if o.Ending == rules.Fulfilled || o.Ending == rules.Failed {
-			s.forecast.Answered(s.f.clock())
+			now := s.f.clock()
+			s.forecast.Answered(now)
+			if s.meter != nil {
+				s.load.add(now, now-began)
+			}
 		}
 		s.mu.Unlock()
 		s.f.counts.endings[o.Ending].Add(1)
--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -191,6 +191,8 @@
 			}
 		case w.News != nil:
 			f.hear(k, *w.News)
+		case w.Tons != nil:
+			f.dealt(*w.Tons)
 		}
 	})
 	f.cutOff.CompareAndSwap(0, f.clock())
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -219,6 +219,12 @@
 		f.refuse(w, faults.Unserved, 0)
 		return
 	}
+	if v.chart.Shares != nil {
+		if wait, ok := s.within(w, r, route.Safe); !ok {
+			f.refuse(w, faults.OverShare, wait)
+			return
+		}
+	}
 	answers := make(router.Chan, 1)
 	c := &router.Command{Band: s.band(route), CutOff: began + left, Answer: answers, Most: route.Most,
 		May: func(h router.Host) bool { return s.may(h, route.Homes) },
--- a/internal/harbour/faults/faults.go
+++ b/internal/harbour/faults/faults.go
@@ -26,6 +26,7 @@
 	Missing   // what was asked after is not known
 	Unready   // this process doesn't know enough yet, or hears too few others
 	Crowded   // no host has room, or the request is worth less than those that have it
+	OverShare // its caller is over its share, and others need what is there
 	Unserved  // no host of the service may be used at all
 	Broken    // the host broke off, and the request may have run
 	Late      // time is up, and the request may have run
@@ -58,6 +59,7 @@
 	Missing:     {Name: "missing", Status: 404},
 	Unready:     {Name: "unready", Status: 503, Again: time.Second / 4, Promised: true},
 	Crowded:     {Name: "crowded", Status: 503, Again: time.Second / 5, Promised: true},
+	OverShare:   {Name: "over_share", Status: 429, Again: time.Second, Promised: true},
 	Unserved:    {Name: "unserved", Status: 503, Again: time.Second / 4, Promised: true},
 	Broken:      {Name: "broken", Status: 502},
 	Late:        {Name: "late", Status: 504},
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -26,6 +26,7 @@
 	"portflow/internal/harbour/rpc"
 	"portflow/internal/harbour/sea"
 	"portflow/internal/harbour/signals"
+	"portflow/internal/harbour/tonnage"
 	"portflow/internal/parts/router"
 )
 
@@ -46,15 +47,18 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu     sync.Mutex // over all that follows
-	state  *bridge.State
-	news   chan struct{} // closed and made anew when there is news
-	ends   map[string]*end
-	waits  map[uint64]*wait
-	hung   map[*follower]bool // who follows here
-	lastID uint64
-	rounds map[string]bool // registers that this process proposes for now
-	stands bridge.Standing
+	mu       sync.Mutex // over all that follows
+	state    *bridge.State
+	news     chan struct{} // closed and made anew when there is news
+	ends     map[string]*end
+	waits    map[uint64]*wait
+	hung     map[*follower]bool // who follows here
+	lastID   uint64
+	rounds   map[string]bool // registers that this process proposes for now
+	stands   bridge.Standing
+	dealer   *tonnage.Dealer // of callers' shares
+	dealOf   uint64          // the sum of the items that it goes by
+	toldSums bool            // to the other control processes, the last time
 
 	clock   router.Clock // anchored once: a step of the time of day changes nothing
 	refused atomic.Int64 // writes by the disk
@@ -93,7 +97,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	self := signals.Hello{Name: b.Name, IP: b.IP, Zone: b.Zone, Control: true}
 	m := &Master{Options: o, ctx: ctx, cancel: cancel, news: make(chan struct{}), ends: map[string]*end{},
-		waits: map[uint64]*wait{}, hung: map[*follower]bool{}, rounds: map[string]bool{},
+		waits: map[uint64]*wait{}, hung: map[*follower]bool{}, rounds: map[string]bool{}, dealer: tonnage.NewDealer(),
 		clock: router.NewClock(), life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
 	intact := whole || b.FirstStart && !book.Repaired
 	m.state = bridge.NewState(self, len(b.Zones)*max(1, o.PerZone), items, intact, b.Heartbeat)
@@ -279,6 +283,7 @@
 	if e.line == l {
 		e.line = nil
 		m.state.Lost(m.clock(), e.ip, e.name)
+		m.dealer.Lost(m.clock(), e.name)
 		klog.InfoS("line lost", "to", e.name, "why", err)
 		m.change()
 	}
@@ -312,6 +317,8 @@
 		} else if w.News.Life != e.follower.Life || w.News.To > e.follower.Have {
 			l.Close(errors.New("news does not follow"))
 		}
+	case w.Tons != nil:
+		m.dealer.Zone(m.clock(), e.name, w.Tons.Sums, w.Tons.Loads)
 	case w.Given:
 		news := m.state.Merge(w.Items)
 		m.keep(news, false, func() {})
@@ -439,6 +446,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.hung, f)
+	m.dealer.Gone(f.front.Name)
 	if f.front.Name != "" { // it hangs here no longer
 		gone := f.front
 		if old := m.state.Fronts[gone.Name]; old.Since == gone.Since && old.Owner == m.Boot.Name {
@@ -550,6 +558,8 @@
 			m.state.TellPoll(p, true)
 		}
 		m.wake()
+	case w.Tons != nil && f.front.Name != "" && !f.who.Control:
+		m.tons(f.front.Name, *w.Tons)
 	case w.Ack != 0:
 		f.acked = max(f.acked, w.Ack)
 	case w.Store != nil && f.who.Control:
@@ -591,6 +601,7 @@
 			m.reclaim()
 		}
 		m.ask(time.Now())
+		m.deal(n)
 		m.change()
 		m.mu.Unlock()
 		m.steer()
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -7,23 +7,26 @@
 
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/pilotage"
+	"portflow/internal/harbour/tonnage"
 	"portflow/rules"
 )
 
 // Survey is who is in the harbour, as one control process sees it. Times are seconds.
 type Survey struct {
-	Node      string         `json:"node"`
-	Standing  string         `json:"standing"`
-	Core      []CoreState    `json:"core"`
-	Routers   []RouterState  `json:"routers"`
-	Hosts     []HostState    `json:"hosts"`
-	Rollouts  []RolloutState `json:"rollouts"`
-	Evacuated []string       `json:"evacuated"`
-	Yielding  []string       `json:"yielding"` // items that stand and are not in force, with the reason
-	Items     int            `json:"items"`
-	Highest   uint64         `json:"highest"` // version of any item of the configuration, dropped ones too
-	News      uint64         `json:"news"`
-	Syncs     int64          `json:"syncs"`
+	Node      string                      `json:"node"`
+	Standing  string                      `json:"standing"`
+	Core      []CoreState                 `json:"core"`
+	Routers   []RouterState               `json:"routers"`
+	Hosts     []HostState                 `json:"hosts"`
+	Rollouts  []RolloutState              `json:"rollouts"`
+	Shares    []tonnage.State             `json:"shares,omitempty"`
+	Callers   map[string][]tonnage.Caller `json:"callers,omitempty"` // by service: the last hour, of the routers that hang here
+	Evacuated []string                    `json:"evacuated"`
+	Yielding  []string                    `json:"yielding"` // items that stand and are not in force, with the reason
+	Items     int                         `json:"items"`
+	Highest   uint64                      `json:"highest"` // version of any item of the configuration, dropped ones too
+	News      uint64                      `json:"news"`
+	Syncs     int64                       `json:"syncs"`
 }
 
 // CoreState is another control process.
@@ -85,6 +88,9 @@
 	now := m.clock()
 	s := Survey{Node: m.Boot.Name, Standing: m.state.Standing().String(), Items: m.state.Set.Len(), Highest: m.state.Set.Highest(), News: m.state.Ledger.Last(),
 		Syncs: m.keeper.book.Syncs.Load(), Yielding: manifest.Draw(m.state.Set).Yielding}
+	if !m.dealer.Off() {
+		s.Shares, s.Callers = m.dealer.States(now, m.Boot.Name), m.dealer.Hour(now)
+	}
 	for ip, zone := range m.state.Set.Members() {
 		c := CoreState{IP: ip, Zone: zone, Heard: ip == m.Boot.IP, Whole: ip == m.Boot.IP && m.state.Whole, Same: ip == m.Boot.IP}
 		if i, ok := m.state.Set.Get(manifest.Key{Kind: manifest.Core, Name: ip}); ok {
--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -57,7 +57,7 @@
 				continue
 			}
 			switch n.Item.Kind {
-			case manifest.Routes, manifest.Services, manifest.Limits:
+			case manifest.Routes, manifest.Services, manifest.Shares, manifest.Limits:
 				c.Chart = true
 			case manifest.Evacuations:
 				all()
@@ -139,7 +139,7 @@
 			continue
 		}
 		x := router.Host{Name: h.ID, Address: h.Address, Size: float64(max(1, h.Slots)), Build: int(r.Build()),
-			Health: rules.Ready, Ring: b.ring(h.Zone)}
+			Health: rules.Ready, Ring: b.Ring(h.Zone)}
 		trial := r.State == pilotage.Running && h.Version == r.Target
 		if trial {
 			x.Build = int(r.Order)
@@ -160,8 +160,8 @@
 	maps.DeleteFunc(b.Known, func(_ string, h berths.Host) bool { return h.Service == service && h.State == berths.Gone })
 }
 
-// ring is how far a zone is: 0 this one, 1 in this region, 2 beyond.
-func (b *Board) ring(zone string) int {
+// Ring is how far a zone is: 0 this one, 1 in this region, 2 beyond.
+func (b *Board) Ring(zone string) int {
 	switch {
 	case zone == b.self.Zone:
 		return 0
--- a/internal/harbour/manifest/change.go
+++ b/internal/harbour/manifest/change.go
@@ -13,7 +13,11 @@
 )
 
 // tables are the kinds that come as columns and rows.
-var tables = []string{Routes, Services}
+var tables = []string{Routes, Services, Shares}
+
+// readers check the items of each of them.
+var readers = map[string]func(papers.Reader){Routes: func(r papers.Reader) { ReadRoute(r) },
+	Services: func(r papers.Reader) { ReadService(r) }, Shares: func(r papers.Reader) { ReadShare(r) }}
 
 // Read reads a change: the body of configuration.modify. Every error names the item, the field and the reason.
 func Read(raw []byte) ([]Item, error) {
@@ -90,11 +94,7 @@
 			}
 		}
 		item := row.In(t)
-		if kind == Routes {
-			ReadRoute(item)
-		} else {
-			ReadService(item)
-		}
+		readers[kind](item)
 		all = append(all, Item{Kind: kind, Name: item.At("name").Text(), Version: version(item.At("version")), Body: body(item)})
 	}
 	return all
@@ -163,7 +163,11 @@
 	for _, kind := range tables {
 		var columns []string
 		var trees []papers.Tree
-		for _, i := range s.Standing(kind) {
+		standing := s.Standing(kind)
+		if kind == Shares && len(standing) == 0 { // a part that is off
+			continue
+		}
+		for _, i := range standing {
 			t := i.Tree()
 			t["version"] = Digits(i.Version)
 			for name := range t {
--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -15,6 +15,7 @@
 const (
 	Routes      = "routes"
 	Services    = "services"
+	Shares      = "shares"      // of callers, in services
 	Limits      = "limits"      // one, by the name of its kind
 	Evacuations = "evacuations" // by zone: begun or withdrawn
 	Rollouts    = "rollouts"    // by service: the newest order, and how it ended
--- a/internal/harbour/manifest/routes.go
+++ b/internal/harbour/manifest/routes.go
@@ -131,6 +131,7 @@
 	places   map[string][]*Route // by host, the longest prefix first
 	Routes   []*Route
 	Services map[string]Service
+	Shares   map[string][]Share // by service; nil where there is none
 	Limits   Bounds
 	Yielding []string // what stands in the set and is not in force, each with its reason
 }
@@ -182,6 +183,7 @@
 		c.Routes = append(c.Routes, v)
 		c.places[v.Host] = append(c.places[v.Host], v)
 	}
+	c.drawShares(s)
 	slices.SortFunc(c.Routes, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
 	for _, all := range c.places {
 		slices.SortFunc(all, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
--- a/internal/harbour/pilot/pilot_test.go
+++ b/internal/harbour/pilot/pilot_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/tonnage"
 )
 
 const standing = `{"routes":{"table-columns":["name","host-name","path-prefix","route-kind","timeout-s","service","version"],
@@ -92,6 +93,41 @@
 	c.Check(err, qt.ErrorMatches, "line 1: .*")
 }
 
+// A share is checked before it is sent; what control reads of it is what was meant.
+func TestShareChange(t *testing.T) {
+	c := qt.New(t)
+	raw, err := ShareChange(map[string]any{"name": "s", "service": "desk", "caller-header": "X-Agency", "caller": "a", "per-s": 20.0, "burst": nil,
+		"part": nil, "watch-only": nil}, 0x2a)
+	c.Assert(err, qt.IsNil)
+	items, err := manifest.Read(raw)
+	c.Assert(err, qt.IsNil)
+	c.Assert(items, qt.HasLen, 1)
+	c.Check([2]any{items[0].Kind, items[0].Version}, qt.Equals, [2]any{manifest.Shares, uint64(0x2b)})
+	_, err = ShareChange(map[string]any{"name": "s", "service": "desk", "caller-header": "X-Agency", "caller": "a"}, 1)
+	c.Check(err, qt.ErrorMatches, "per-s: missing.*")
+	raw, err = ShareDrop("s", 0x2b)
+	c.Assert(err, qt.IsNil)
+	items, err = manifest.Read(raw)
+	c.Assert(err, qt.IsNil)
+	c.Check(items[0].Dropped && items[0].Version == 0x2c, qt.IsTrue)
+}
+
+// A dry run sums up what the control processes counted, minute by minute.
+func TestDry(t *testing.T) {
+	c := qt.New(t)
+	minutes := func(n uint64) []uint64 {
+		all := make([]uint64, 60)
+		all[3], all[59] = n, n/2
+		return all
+	}
+	one := map[string][]tonnage.Caller{"desk": {{Name: "a", Minutes: minutes(100)}, {Name: "", Minutes: minutes(10)}}}
+	two := map[string][]tonnage.Caller{"desk": {{Name: "a", Minutes: minutes(100)}, {Name: "b", Minutes: minutes(70)}}, "bags": {{Name: "c", Minutes: minutes(900)}}}
+	got := Dry([]map[string][]tonnage.Caller{one, two, nil}, "desk", "", 1)
+	c.Check(got, qt.DeepEquals, []Held{{"a", 300, 180, 200}, {"b", 105, 10, 70}, {"", 15, 0, 10}})
+	c.Check(Dry([]map[string][]tonnage.Caller{one, two}, "desk", "*", 0.1), qt.DeepEquals, []Held{{"", 15, 4, 10}})
+	c.Check(Dry([]map[string][]tonnage.Caller{one, two}, "desk", "b", 1), qt.HasLen, 1)
+}
+
 // A process that doesn't answer, or isn't ready, is passed over; a refusal ends the call; nobody is an error of its own.
 func TestCall(t *testing.T) {
 	serve := func(status int, body string) (string, *int) {
--- a/internal/harbour/signals/words.go
+++ b/internal/harbour/signals/words.go
@@ -1,6 +1,9 @@
 package signals
 
-import "portflow/internal/harbour/manifest"
+import (
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/tonnage"
+)
 
 // Word is what is said on a held connection. Who dials follows; who is dialled tells the news.
 type Word struct {
@@ -17,6 +20,17 @@
 	Given  bool            `json:"g,omitempty"` // down: that was all of it
 	Ask    *Ask            `json:"q,omitempty"` // up, between control processes: a step of a register
 	Reply  *Reply          `json:"r,omitempty"` // down
+	Tons   *Tons           `json:"t,omitempty"` // up from a router, down to it, and down between control processes
+}
+
+// Tons is what is told of callers' shares; nothing is where there are none.
+type Tons struct {
+	Reports    []tonnage.Report           `json:"r,omitempty"` // a router's
+	Loads      []tonnage.Load             `json:"l,omitempty"` // a router's, or of all that hang on a control process
+	Census     map[string][]tonnage.Count `json:"c,omitempty"` // a router's, by service
+	Sums       []tonnage.Sum              `json:"s,omitempty"` // of all routers that hang on a control process
+	Allotments []tonnage.Allotment        `json:"a,omitempty"` // to a router
+	Carries    map[string]float64         `json:"p,omitempty"` // to a router: what services can carry, requests a second
 }
 
 // Hello is who speaks.
--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -262,6 +262,9 @@
 	runs          int
 }
 
+// IP is the number that the host has.
+func (q *Quay) IP() string { return q.Address[:strings.IndexByte(q.Address, ':')] }
+
 // Host starts a host of a service and a version; one that starts cold says so.
 func (h *Harbour) Host(service string, z int, version string, cold time.Duration) *Quay {
 	h.mu.Lock()
@@ -437,6 +440,7 @@
 type Route struct {
 	Name, Prefix, Service, Version string
 	Safe                           bool
+	Caller                         string // names itself so, in X-Agency
 }
 
 // Configure is a change that sets routes, and all services with the first.
@@ -487,6 +491,30 @@
 	Good    int
 	By      map[string]int
 	Slowest time.Duration
+	took    []time.Duration
+	Told    map[string]string // by router: the last RateLimit that it told
+}
+
+func (t *Tally) tell(router, limit string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Told == nil {
+		t.Told = map[string]string{}
+	}
+	if limit != "" {
+		t.Told[router] = limit
+	}
+}
+
+// p99 is the time under which 99 in a hundred of those that were served took.
+func (t *Tally) p99() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.took) == 0 {
+		return 0
+	}
+	slices.Sort(t.took)
+	return t.took[len(t.took)*99/100]
 }
 
 // Traffic asks for a route from a zone's clients, so many a second, for a while; each request is one try.
@@ -542,6 +570,9 @@
 	req.Host = "desk.example"
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Time-Remaining", "2000")
+	if r.Caller != "" {
+		req.Header.Set("X-Agency", r.Caller)
+	}
 	began := time.Now()
 	how, body := "broken", []byte(nil)
 	resp, err := c.Do(req)
@@ -549,6 +580,7 @@
 		body, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
 		how = strconv.Itoa(resp.StatusCode)
+		t.tell(to, resp.Header.Get("RateLimit"))
 	}
 	if err != nil {
 		how = "broken"
@@ -569,6 +601,7 @@
 	t.By[how]++
 	if how == "200" {
 		t.Good++
+		t.took = append(t.took, took)
 		t.Slowest = max(t.Slowest, took)
 	}
 }
