--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -3,10 +3,12 @@
 package bridge
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
 	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/lookout"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/signals"
 )
@@ -38,9 +40,10 @@
 	Fronts   map[string]signals.Front
 	Ledger   *signals.Ledger
 	Polls    map[PollKey]signals.Poll
-	Views    map[PollKey]signals.Poll // the newest figures of routers that hang here
-	Cells    map[string]signals.Cell  // by register: this process's part of it
-	FromDisk bool                     // the disk held the whole state when it was opened, or this is the first start
+	Asides   map[string]lookout.Judgement // by host: those that were set aside of late
+	Views    map[PollKey]signals.Poll     // the newest figures of routers that hang here
+	Cells    map[string]signals.Cell      // by register: this process's part of it
+	FromDisk bool                         // the disk held the whole state when it was opened, or this is the first start
 	Whole    bool
 	Peers    map[string]*Peer // by IP, those that are heard now
 	lost     map[string]int64 // by name, control processes that are not heard, since when
@@ -59,7 +62,7 @@
 // NewState begins with what the disk held.
 func NewState(self signals.Hello, size int, items []manifest.Item, intact bool, beat int64) *State {
 	s := &State{Self: self, Size: size, Set: manifest.NewSet(), Register: berths.New(self.Name, beat),
-		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{}, Views: map[PollKey]signals.Poll{},
+		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{}, Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{},
 		Cells: map[string]signals.Cell{}, FromDisk: intact, Peers: map[string]*Peer{}, lost: map[string]int64{}, synced: map[string]bool{}}
 	for _, i := range items {
 		s.Set.Merge(i)
@@ -282,6 +285,16 @@
 	}
 }
 
+// TellAside takes up that a host is set aside, by this process or by another; what is over is forgotten.
+func (s *State) TellAside(now int64, j lookout.Judgement, first bool) {
+	maps.DeleteFunc(s.Asides, func(_ string, x lookout.Judgement) bool { return now > x.Back })
+	if s.Asides[j.ID].Aside >= j.Aside {
+		return
+	}
+	s.Asides[j.ID] = j
+	s.Ledger.Add(signals.Note{Aside: &j, First: first})
+}
+
 // Take takes a note of another control process in.
 func (s *State) Take(now int64, n signals.Note) {
 	switch {
@@ -296,6 +309,8 @@
 		s.TellFront(*n.Front, false)
 	case n.Poll != nil:
 		s.TellPoll(*n.Poll, false)
+	case n.Aside != nil:
+		s.TellAside(now, *n.Aside, false)
 	}
 }
 
@@ -323,6 +338,10 @@
 		f := s.Fronts[name]
 		notes = append(notes, signals.Note{Front: &f})
 	}
+	for _, id := range slices.Sorted(maps.Keys(s.Asides)) {
+		j := s.Asides[id]
+		notes = append(notes, signals.Note{Aside: &j})
+	}
 	if control {
 		for _, p := range s.Polls {
 			notes = append(notes, signals.Note{Poll: &p})
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -20,6 +20,7 @@
 	"portflow/internal/harbour/berths"
 	"portflow/internal/harbour/convoy"
 	"portflow/internal/harbour/lanes"
+	"portflow/internal/harbour/lookout"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/papers"
 	"portflow/internal/harbour/sea"
@@ -185,7 +186,7 @@
 		if s == nil {
 			continue
 		}
-		s.learn(f.board.Known)
+		s.learn(f.board.Known, f.board.Asides)
 		all := f.board.Hosts(name)
 		if r := f.board.Rollout(name); r != s.rollout {
 			if s.rollout.Order != r.Order || s.rollout.State != r.State {
@@ -226,6 +227,7 @@
 	out      int            // hand-offs that are out
 	slots    float64        // this router's even part of the slots that it uses
 	load     load
+	log      *lookout.Log
 	berths   map[string]*berth
 	bands    map[bandKey]int
 }
@@ -240,6 +242,7 @@
 	parted  int
 	partsOf *manifest.Chart
 	until   int64
+	aside   lookout.Judgement
 }
 
 type bandKey struct {
@@ -252,7 +255,7 @@
 
 // enter begins a service: its rules run until the process ends.
 func (f *Fairway) enter(name string) *service {
-	s := &service{f: f, name: name, berths: map[string]*berth{}, bands: map[bandKey]int{}}
+	s := &service{f: f, name: name, berths: map[string]*berth{}, bands: map[bandKey]int{}, log: lookout.NewLog()}
 	s.reducer = router.New(f.clock, zerolog.New(notes{name}))
 	v := rules.News{Standing: rules.Released, Cap: 1, Age: 3600e9}
 	s.news.Store(&v)
@@ -278,7 +281,7 @@
 }
 
 // learn takes up what is known of the hosts now.
-func (s *service) learn(all map[string]berths.Host) {
+func (s *service) learn(all map[string]berths.Host, asides map[string]lookout.Judgement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, h := range all {
@@ -290,10 +293,12 @@
 		} else {
 			s.berths[id] = &berth{Host: h}
 		}
+		s.berths[id].aside = asides[id]
 	}
 	for id, b := range s.berths {
 		if h, there := all[id]; b.open == 0 && (!there || h.State == berths.Gone) {
 			delete(s.berths, id)
+			s.log.Forget(id)
 		}
 	}
 }
@@ -344,7 +349,7 @@
 		}
 	}
 	p := b.parts
-	if b.open >= p.Open {
+	if b.open >= p.Open || b.open > 0 && now < b.aside.Back { // one on its way back is met gently
 		return false
 	}
 	if b.ColdUntil+skew <= now {
@@ -381,6 +386,7 @@
 	s.mu.Lock()
 	b, began := s.berths[to.Name], s.f.clock()
 	s.out++
+	s.log.Sent(began, to.Name)
 	if b != nil {
 		if b.open++; b.open > b.usual {
 			s.f.handed.over.Add(1)
@@ -404,6 +410,7 @@
 			b.open--
 		}
 		s.out--
+		s.log.Ended(s.f.clock(), to.Name, began, saying[o.Ending])
 		if o.Ending == rules.Fulfilled || o.Ending == rules.Failed {
 			now := s.f.clock()
 			s.forecast.Answered(now)
@@ -420,6 +427,31 @@
 	})
 }
 
+// saying is what the endings of hand-offs say of their hosts.
+var saying = [...]lookout.Outcome{rules.Fulfilled: lookout.Good, rules.Failed: lookout.Bad, rules.TurnedAway: lookout.Nothing,
+	rules.TimedOut: lookout.Bad, rules.NoConnect: lookout.Nothing, rules.Reset: lookout.Bad, rules.Recalled: lookout.Nothing,
+	rules.Unsent: lookout.Nothing, rules.Spoilt: lookout.Bad}
+
+// look tells control of hosts that do badly, and goes on with those that come back.
+func (f *Fairway) look() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, seen := f.clock(), map[string][]lookout.Count{}
+	for name, s := range f.services {
+		s.mu.Lock()
+		if all := s.log.Look(now); all != nil {
+			seen[name] = all
+		}
+		s.mu.Unlock()
+	}
+	if len(seen) > 0 && f.link != nil {
+		f.link.line.Send(signals.Word{Seen: seen})
+	}
+	if services := f.board.Lapse(now); len(services) > 0 {
+		f.publish(lanes.Changes{Services: services})
+	}
+}
+
 // Close closes the idle connections to an address.
 func (s *service) Close(address string) { s.f.pool.Close(address) }
 
@@ -515,6 +547,7 @@
 		case <-f.ctx.Done():
 			return
 		}
+		f.look()
 		h := &f.handed
 		if short := f.short.Look(int(h.all.Swap(0)), int(h.away.Swap(0)), int(h.over.Swap(0))); f.lent.Swap(short) != short {
 			klog.InfoS("short of room in the zone", "is", short)
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -21,6 +21,7 @@
 	"portflow/internal/harbour/convoy"
 	"portflow/internal/harbour/lines"
 	"portflow/internal/harbour/logbook"
+	"portflow/internal/harbour/lookout"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/papers"
 	"portflow/internal/harbour/rpc"
@@ -59,6 +60,7 @@
 	dealer   *tonnage.Dealer // of callers' shares
 	dealOf   uint64          // the sum of the items that it goes by
 	toldSums bool            // to the other control processes, the last time
+	watch    *lookout.Watch
 
 	clock   router.Clock // anchored once: a step of the time of day changes nothing
 	refused atomic.Int64 // writes by the disk
@@ -97,7 +99,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	self := signals.Hello{Name: b.Name, IP: b.IP, Zone: b.Zone, Control: true}
 	m := &Master{Options: o, ctx: ctx, cancel: cancel, news: make(chan struct{}), ends: map[string]*end{},
-		waits: map[uint64]*wait{}, hung: map[*follower]bool{}, rounds: map[string]bool{}, dealer: tonnage.NewDealer(),
+		waits: map[uint64]*wait{}, hung: map[*follower]bool{}, rounds: map[string]bool{}, dealer: tonnage.NewDealer(), watch: lookout.NewWatch(),
 		clock: router.NewClock(), life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
 	intact := whole || b.FirstStart && !book.Repaired
 	m.state = bridge.NewState(self, len(b.Zones)*max(1, o.PerZone), items, intact, b.Heartbeat)
@@ -447,6 +449,7 @@
 	defer m.mu.Unlock()
 	delete(m.hung, f)
 	m.dealer.Gone(f.front.Name)
+	m.watch.Gone(f.front.Name)
 	if f.front.Name != "" { // it hangs here no longer
 		gone := f.front
 		if old := m.state.Fronts[gone.Name]; old.Since == gone.Since && old.Owner == m.Boot.Name {
@@ -560,6 +563,10 @@
 		m.wake()
 	case w.Tons != nil && f.front.Name != "" && !f.who.Control:
 		m.tons(f.front.Name, *w.Tons)
+	case w.Seen != nil && f.front.Name != "" && !f.who.Control:
+		for service, all := range w.Seen {
+			m.watch.Told(m.clock(), f.front.Name, service, all)
+		}
 	case w.Ack != 0:
 		f.acked = max(f.acked, w.Ack)
 	case w.Store != nil && f.who.Control:
@@ -602,6 +609,7 @@
 		}
 		m.ask(time.Now())
 		m.deal(n)
+		m.judge()
 		m.change()
 		m.mu.Unlock()
 		m.steer()
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -130,6 +130,11 @@
 		if h.Silent {
 			x.State += ", silent"
 		}
+		if j := m.state.Asides[h.ID]; now < j.Aside {
+			x.State += ", set aside"
+		} else if now < j.Back {
+			x.State += ", on its way back"
+		}
 		s.Hosts = append(s.Hosts, x)
 	}
 	for _, i := range m.state.Set.Standing(manifest.Rollouts) {
--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/lookout"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/pilotage"
 	"portflow/internal/harbour/signals"
@@ -25,13 +26,15 @@
 	regions map[string]string // by zone
 	Set     *manifest.Set
 	Known   map[string]berths.Host
+	Asides  map[string]lookout.Judgement // hosts that are set aside, or on their way back
+	lapsed  map[string]bool              // of them, those that the rules were told are on their way back
 	fronts  map[string]signals.Front
 }
 
 // NewBoard makes an empty one.
 func NewBoard(name string, self Place, regions map[string]string) *Board {
 	return &Board{self: self, name: name, regions: regions, Set: manifest.NewSet(), Known: map[string]berths.Host{},
-		fronts: map[string]signals.Front{}}
+		fronts: map[string]signals.Front{}, Asides: map[string]lookout.Judgement{}, lapsed: map[string]bool{}}
 }
 
 // Changes is what a batch of news touched.
@@ -79,6 +82,12 @@
 			}
 			b.Known[h.ID] = h
 			c.Services[h.Service] = true
+		case n.Aside != nil:
+			if j := *n.Aside; j.Aside > b.Asides[j.ID].Aside {
+				b.Asides[j.ID] = j
+				delete(b.lapsed, j.ID)
+				c.Services[j.Service] = true
+			}
 		case n.Front != nil:
 			f := *n.Front
 			named["front "+f.Name] = true
@@ -127,8 +136,23 @@
 	return pilotage.Read(i)
 }
 
+// Lapse tells the services with hosts that are on their way back from now on, and forgets who is back.
+func (b *Board) Lapse(now int64) map[string]bool {
+	services := map[string]bool{}
+	for id, j := range b.Asides {
+		if now >= j.Back {
+			delete(b.Asides, id)
+			delete(b.lapsed, id)
+		} else if now >= j.Aside && !b.lapsed[id] {
+			b.lapsed[id] = true
+			services[j.Service] = true
+		}
+	}
+	return services
+}
+
 // Hosts are a service's as the rules are to have them: of versions that are neither settled nor on trial, of zones that are
-// evacuated, and silent ones take nothing.
+// evacuated, silent ones and those that are set aside take nothing.
 func (b *Board) Hosts(service string) (all []router.Host) {
 	r := b.Rollout(service)
 	first, _ := b.Set.Get(manifest.Key{Kind: manifest.Settled, Name: service})
@@ -147,7 +171,7 @@
 		switch {
 		case h.State == berths.Gone:
 			x.Health = rules.Gone
-		case h.State == berths.Draining, h.Silent, h.Version != settled && !trial, b.Evacuated(h.Zone):
+		case h.State == berths.Draining, h.Silent, h.Version != settled && !trial, b.Evacuated(h.Zone), b.Asides[id].Aside > 0 && !b.lapsed[id]:
 			x.Health = rules.Draining
 		}
 		all = append(all, x)
--- a/internal/harbour/signals/signals.go
+++ b/internal/harbour/signals/signals.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/lookout"
 	"portflow/internal/harbour/manifest"
 )
 
@@ -57,11 +58,12 @@
 
 // Note is one piece of news.
 type Note struct {
-	Item  *manifest.Item `json:"i,omitempty"`
-	Host  *berths.Host   `json:"h,omitempty"`
-	Front *Front         `json:"f,omitempty"`
-	Poll  *Poll          `json:"p,omitempty"`
-	First bool           `json:"-"` // first-hand: other control processes don't know it yet
+	Item  *manifest.Item     `json:"i,omitempty"`
+	Host  *berths.Host       `json:"h,omitempty"`
+	Front *Front             `json:"f,omitempty"`
+	Poll  *Poll              `json:"p,omitempty"`
+	Aside *lookout.Judgement `json:"a,omitempty"`
+	First bool               `json:"-"` // first-hand: other control processes don't know it yet
 }
 
 // Ledger numbers the news of one life of a control process. It is not safe for two goroutines.
--- a/internal/harbour/signals/words.go
+++ b/internal/harbour/signals/words.go
@@ -1,26 +1,28 @@
 package signals
 
 import (
+	"portflow/internal/harbour/lookout"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/tonnage"
 )
 
 // Word is what is said on a held connection. Who dials follows; who is dialled tells the news.
 type Word struct {
-	Hello  *Hello          `json:"h,omitempty"` // first, from each side
-	News   *News           `json:"n,omitempty"` // down
-	Status *Status         `json:"s,omitempty"` // down, at each change and now and then
-	Ack    uint64          `json:"a,omitempty"` // up: the number up to which the news was taken
-	Front  *Front          `json:"f,omitempty"` // up, from a router: how it is
-	Polls  []Poll          `json:"p,omitempty"` // up, from a router
-	Store  *Store          `json:"o,omitempty"` // up, between control processes: to be kept on disk
-	Stored uint64          `json:"k,omitempty"` // down: it is
-	Want   []uint64        `json:"w,omitempty"` // up: the sums of what is had, for what differs
-	Items  []manifest.Item `json:"i,omitempty"` // down: what differs
-	Given  bool            `json:"g,omitempty"` // down: that was all of it
-	Ask    *Ask            `json:"q,omitempty"` // up, between control processes: a step of a register
-	Reply  *Reply          `json:"r,omitempty"` // down
-	Tons   *Tons           `json:"t,omitempty"` // up from a router, down to it, and down between control processes
+	Hello  *Hello                     `json:"h,omitempty"` // first, from each side
+	News   *News                      `json:"n,omitempty"` // down
+	Status *Status                    `json:"s,omitempty"` // down, at each change and now and then
+	Ack    uint64                     `json:"a,omitempty"` // up: the number up to which the news was taken
+	Front  *Front                     `json:"f,omitempty"` // up, from a router: how it is
+	Polls  []Poll                     `json:"p,omitempty"` // up, from a router
+	Store  *Store                     `json:"o,omitempty"` // up, between control processes: to be kept on disk
+	Stored uint64                     `json:"k,omitempty"` // down: it is
+	Want   []uint64                   `json:"w,omitempty"` // up: the sums of what is had, for what differs
+	Items  []manifest.Item            `json:"i,omitempty"` // down: what differs
+	Given  bool                       `json:"g,omitempty"` // down: that was all of it
+	Ask    *Ask                       `json:"q,omitempty"` // up, between control processes: a step of a register
+	Reply  *Reply                     `json:"r,omitempty"` // down
+	Seen   map[string][]lookout.Count `json:"e,omitempty"` // up, from a router: hosts with bad outcomes, by service
+	Tons   *Tons                      `json:"t,omitempty"` // up from a router, down to it, and down between control processes
 }
 
 // Tons is what is told of callers' shares; nothing is where there are none.
--- a/internal/lab/basin/basin_test.go
+++ b/internal/lab/basin/basin_test.go
@@ -190,6 +190,48 @@
 
 // A zone comes back cold while its routers restart: over all routers together its hosts get no more than they bear, though
 // the routers' parts change hands.
+// A host that fails most of what it is sent while its beats are good is set aside by what all routers of its zone see, has no
+// requests until it is let back, and is used as others once it is well. One router alone sees too little: it only avoids it.
+func TestGreyHost(t *testing.T) {
+	l := Layout{Zones: 3, Routers: 8, Hosts: 4, Services: []string{"desk"}, Work: 80 * time.Millisecond, Slots: 3, Rate: 20, Seed: 5}
+	day(t, l, 18*time.Second, func(c *qt.C, h *Harbour) {
+		q := h.Quays[0]
+		set := func(part float64) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			q.Grey = part
+		}
+		state := func() string {
+			for i := range h.Masters {
+				_, _, answer := h.Order("harbour.read", "", nil, time.Second, i)
+				var s harbourmaster.Survey
+				c.Assert(json.Unmarshal(answer, &s), qt.IsNil)
+				for _, x := range s.Hosts {
+					if x.ID == q.ID && x.State != "ready" {
+						return x.State
+					}
+				}
+			}
+			return "ready"
+		}
+		c.Check(state(), qt.Equals, "ready")
+		set(0.9)
+		began := time.Now()
+		for state() != "ready, set aside" && time.Since(began) < 8*time.Second {
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.Check(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("set aside after %v", time.Since(began)))
+		set(0)
+		time.Sleep(300 * time.Millisecond)
+		ran := q.Ran()
+		time.Sleep(2 * time.Second)
+		c.Check(q.Ran(), qt.Equals, ran, qt.Commentf("while it is set aside"))
+		time.Sleep(6 * time.Second)
+		c.Check(state(), qt.Equals, "ready")
+		c.Check(q.Ran() > ran+5, qt.IsTrue, qt.Commentf("%d after %d", q.Ran(), ran))
+	}, 0.97)
+}
+
 func TestZoneBackCold(t *testing.T) {
 	l := small
 	l.Routers, l.Rate, l.Work = 3, 16, 40*time.Millisecond
@@ -297,6 +339,9 @@
 			req, _ := http.NewRequest("GET", "http://"+f.Boot.Listen["front"]+"/look/x", nil)
 			req.Host = "desk.example"
 			req.Header.Set("Attempt-Id", "safe-long")
+			h.mu.Lock()
+			h.ended["safe-long"] = "200"
+			h.mu.Unlock()
 			resp, err := client.Do(req)
 			c.Assert(err, qt.IsNil)
 			n, err := io.Copy(io.Discard, resp.Body)
--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -41,7 +41,10 @@
 	Quays    []*Quay
 	mu       sync.Mutex
 	runs     map[string]int    // by attempt
+	came     map[string]bool   // attempts that some host has had
 	ended    map[string]string // by attempt: how the client's request ended
+	asked    []time.Time       // when requests were sent
+	again    []time.Time       // when hosts got one that some host had had before
 	draw     chance.Source
 	lastHost int
 	ctx      context.Context
@@ -77,7 +80,7 @@
 
 // New lays a harbour out; nothing runs before Start.
 func New(l Layout) *Harbour {
-	h := &Harbour{Layout: l, runs: map[string]int{}, ended: map[string]string{}, draw: chance.Source{Seed: l.Seed}}
+	h := &Harbour{Layout: l, runs: map[string]int{}, came: map[string]bool{}, ended: map[string]string{}, draw: chance.Source{Seed: l.Seed}}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.Sea = NewSea(func(a, b string) time.Duration {
 		x, y := zoneOf(a), zoneOf(b)
@@ -248,6 +251,7 @@
 	Zone, Version string
 	Address       string
 	Fail          bool          // its answers are errors
+	Grey, Hang    float64       // a part of them is, or never comes, while its beats are good
 	Long, Cut     int           // bytes of its answers, and after how many it breaks off, 0 for never
 	Work          time.Duration // a request's
 	process       *Process
@@ -256,6 +260,7 @@
 	mu            sync.Mutex
 	state         string
 	coldUntil     time.Time
+	leaves        time.Time // when it was first heard that it drains
 	sequence      int
 	arrivals      []time.Time
 	cancel        context.CancelFunc
@@ -326,6 +331,11 @@
 		for range len(q.h.Masters) {
 			status, answer, err := post(ctx, client, q.h.Masters[at].Boot.Listen["control"], "instances.heartbeat", q.ID, body)
 			if err == nil && status == 200 {
+				q.mu.Lock()
+				if q.state == "draining" && q.leaves.IsZero() {
+					q.leaves = time.Now()
+				}
+				q.mu.Unlock()
 				var v map[string]string
 				json.Unmarshal(answer, &v)
 				if to := v["heartbeat-address"]; to != "" {
@@ -368,7 +378,7 @@
 		return
 	}
 	io.Copy(io.Discard, r.Body)
-	q.arrived()
+	q.arrived(r.Header.Get("Attempt-Id"))
 	select {
 	case q.slots <- struct{}{}:
 	case <-r.Context().Done():
@@ -379,10 +389,15 @@
 	q.h.mu.Lock()
 	q.h.runs[id]++
 	q.runs++
-	fail := q.Fail
+	fail := q.Fail || q.h.draw.Next() < q.Grey
+	hang := q.h.draw.Next() < q.Hang
 	q.h.mu.Unlock()
+	work := q.Work
+	if hang {
+		work = time.Hour
+	}
 	select {
-	case <-time.After(q.Work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
@@ -413,11 +428,21 @@
 	}
 }
 
-// arrived counts what a cold host gets within a second.
-func (q *Quay) arrived() {
+// arrived counts what a cold host gets within a second, what comes to a host that has long said that it leaves, and what was
+// at some host before.
+func (q *Quay) arrived(id string) {
+	now := time.Now()
+	q.h.mu.Lock()
+	if q.h.came[id] {
+		q.h.again = append(q.h.again, now)
+	}
+	q.h.came[id] = true
+	q.h.mu.Unlock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
+	if limit := time.Duration(q.h.Masters[0].Boot.Bounds.DrainLimit); !q.leaves.IsZero() && now.Sub(q.leaves) > limit {
+		q.h.broken("DRAIN: %s got %s %v after it was heard to leave", q.ID, id, now.Sub(q.leaves))
+	}
 	if now.After(q.coldUntil) {
 		return
 	}
@@ -574,6 +599,9 @@
 		req.Header.Set("X-Agency", r.Caller)
 	}
 	began := time.Now()
+	h.mu.Lock()
+	h.asked = append(h.asked, began)
+	h.mu.Unlock()
 	how, body := "broken", []byte(nil)
 	resp, err := c.Do(req)
 	if err == nil {
@@ -626,6 +654,26 @@
 			h.Broken = append(h.Broken, fmt.Sprintf("TWICE: %s ran %d times", id, n))
 		}
 	}
+	for id := range h.runs {
+		if _, sent := h.ended[id]; !sent {
+			h.Broken = append(h.Broken, fmt.Sprintf("UNASKED: %s ran, and no client sent it", id))
+		}
+	}
+	for i, at := range h.again { // windows that begin with one that came again
+		within := func(all []time.Time, from time.Time) (n int) {
+			for _, t := range all {
+				if !t.Before(from) && t.Sub(from) < 10*time.Second {
+					n++
+				}
+			}
+			return n
+		}
+		requests := max(within(h.asked, at), within(h.asked, at.Add(-5*time.Second)), within(h.asked, at.Add(-10*time.Second)))
+		if n := within(h.again[i:], at); float64(n) > 0.2*float64(requests)+64 {
+			h.Broken = append(h.Broken, fmt.Sprintf("BUDGET: %d came again within ten seconds, of %d requests", n, requests))
+			break
+		}
+	}
 	slices.Sort(h.Broken)
 	return h.Broken
 }
