--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -191,6 +191,8 @@
 			}
 		case w.News != nil:
 			f.hear(k, *w.News)
+		case w.Tons != nil:
+			f.dealt(*w.Tons)
 		}
 	})
 	f.cutOff.CompareAndSwap(0, f.clock())
@@ -222,7 +224,7 @@
 		return
 	}
 	f.link.line.Send(signals.Word{Front: &signals.Front{Name: f.Boot.Name, Zone: f.Boot.Zone, IP: f.Boot.IP,
-		Address: f.Boot.Listen["front"], Ready: f.Ready(), Since: f.since}})
+		Address: f.Boot.Listen["front"], Ready: f.Ready(), Short: f.lent.Load(), Since: f.since}})
 }
 
 // Vote tells control a vote, as the rules do.
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -7,23 +7,26 @@
 
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/pilotage"
+	"portflow/internal/harbour/tonnage"
 	"portflow/rules"
 )
 
 // Survey is who is in the harbour, as one control process sees it. Times are seconds.
 type Survey struct {
-	Node      string         `json:"node"`
-	Standing  string         `json:"standing"`
-	Core      []CoreState    `json:"core"`
-	Routers   []RouterState  `json:"routers"`
-	Hosts     []HostState    `json:"hosts"`
-	Rollouts  []RolloutState `json:"rollouts"`
-	Evacuated []string       `json:"evacuated"`
-	Yielding  []string       `json:"yielding"` // items that stand and are not in force, with the reason
-	Items     int            `json:"items"`
-	Highest   uint64         `json:"highest"` // version of any item of the configuration, dropped ones too
-	News      uint64         `json:"news"`
-	Syncs     int64          `json:"syncs"`
+	Node      string                      `json:"node"`
+	Standing  string                      `json:"standing"`
+	Core      []CoreState                 `json:"core"`
+	Routers   []RouterState               `json:"routers"`
+	Hosts     []HostState                 `json:"hosts"`
+	Rollouts  []RolloutState              `json:"rollouts"`
+	Shares    []tonnage.State             `json:"shares,omitempty"`
+	Callers   map[string][]tonnage.Caller `json:"callers,omitempty"` // by service: the last hour, of the routers that hang here
+	Evacuated []string                    `json:"evacuated"`
+	Yielding  []string                    `json:"yielding"` // items that stand and are not in force, with the reason
+	Items     int                         `json:"items"`
+	Highest   uint64                      `json:"highest"` // version of any item of the configuration, dropped ones too
+	News      uint64                      `json:"news"`
+	Syncs     int64                       `json:"syncs"`
 }
 
 // CoreState is another control process.
@@ -65,6 +68,18 @@
 	State   string   `json:"state"`
 	Left    float64  `json:"left"` // of its term
 	Votes   []string `json:"votes"`
+	Judges  []Judge  `json:"judges"` // routers that hang on this process, with the last figures that they told
+}
+
+// Judge is what a router that votes goes by. The first of each pair is of failures, the second of times.
+type Judge struct {
+	Router    string     `json:"router"`
+	Age       float64    `json:"age"` // of the figures, seconds
+	Outcomes  [2]float64 `json:"outcomes"`
+	Excess    [2]float64 `json:"excess"`
+	Error     [2]float64 `json:"error"`
+	Threshold [2]float64 `json:"threshold"`
+	Exposure  float64    `json:"exposure"` // requests that it may still give to the version at once
 }
 
 func (m *Master) survey(context.Context, string, []byte) (any, error) {
@@ -73,6 +88,9 @@
 	now := m.clock()
 	s := Survey{Node: m.Boot.Name, Standing: m.state.Standing().String(), Items: m.state.Set.Len(), Highest: m.state.Set.Highest(), News: m.state.Ledger.Last(),
 		Syncs: m.keeper.book.Syncs.Load(), Yielding: manifest.Draw(m.state.Set).Yielding}
+	if !m.dealer.Off() {
+		s.Shares, s.Callers = m.dealer.States(now, m.Boot.Name), m.dealer.Hour(now)
+	}
 	for ip, zone := range m.state.Set.Members() {
 		c := CoreState{IP: ip, Zone: zone, Heard: ip == m.Boot.IP, Whole: ip == m.Boot.IP && m.state.Whole, Same: ip == m.Boot.IP}
 		if i, ok := m.state.Set.Get(manifest.Key{Kind: manifest.Core, Name: ip}); ok {
@@ -126,6 +144,13 @@
 			}
 			slices.Sort(x.Votes)
 		}
+		for k, p := range m.state.Views {
+			if k.Service == r.Service && p.Order == r.Order {
+				f := p.Figures
+				x.Judges = append(x.Judges, Judge{k.Front, float64(now-p.At) / 1e9, f.Outcomes, f.Excess, f.Error, f.Threshold, f.Left})
+			}
+		}
+		slices.SortFunc(x.Judges, func(a, b Judge) int { return strings.Compare(a.Router, b.Router) })
 		s.Rollouts = append(s.Rollouts, x)
 	}
 	for _, i := range m.state.Set.Standing(manifest.Evacuations) {
