A share's limit, a change above all versions and a file's tables are worked out once

Cause, on reading the change: each dealing worked out for every share what its service can carry, and for that all sums that other zones are told, also where the share is no part of it; the limit stood twice. pilot share set and drop asked for the highest version and sent the change alike; the dry run filled in a list's end afterwards. A file's tables were decoded again for each error in it.

--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -95,6 +95,18 @@
 		items, news, err = pilot.Check(raw, standing)
 		return standing, items, news, err
 	}
+	// above sends the change that is made for the highest version that any item has.
+	above := func(ctx context.Context, c *cli.Command, change func(highest uint64) ([]byte, error)) error {
+		s, err := survey(ctx, client(c))
+		if err != nil {
+			return err
+		}
+		raw, err := change(s.Highest)
+		if err == nil {
+			_, err = client(c).Call(ctx, "configuration.modify", "", raw)
+		}
+		return err
+	}
 	return &cli.Command{Name: "pilot", Usage: "operate a portflow harbour", EnableShellCompletion: true, Writer: out,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "control", Sources: cli.EnvVars("PORTFLOW_CONTROL"), Value: "127.0.0.1:8146", Usage: "addresses of control processes, joined by commas"},
@@ -189,29 +201,14 @@
 						&cli.BoolFlag{Name: "watch", Usage: "hold nothing back, only count"},
 					},
 					Action: func(ctx context.Context, c *cli.Command) error {
-						s, err := survey(ctx, client(c))
-						if err != nil {
-							return err
-						}
 						number := func(name string) any { return lo.Ternary[any](c.IsSet(name), c.Float(name), nil) }
-						raw, err := pilot.ShareChange(map[string]any{"name": c.StringArg("name"), "service": c.String("service"),
+						fields := map[string]any{"name": c.StringArg("name"), "service": c.String("service"),
 							"caller-header": c.String("header"), "caller": c.String("caller"), "per-s": number("per-s"), "burst": number("burst"),
-							"part": number("part"), "watch-only": lo.Ternary[any](c.Bool("watch"), true, nil)}, s.Highest)
-						if err == nil {
-							_, err = client(c).Call(ctx, "configuration.modify", "", raw)
-						}
-						return err
+							"part": number("part"), "watch-only": lo.Ternary[any](c.Bool("watch"), true, nil)}
+						return above(ctx, c, func(highest uint64) ([]byte, error) { return pilot.ShareChange(fields, highest) })
 					}},
 				{Name: "drop", Usage: "drop one", Arguments: one("name"), Action: func(ctx context.Context, c *cli.Command) error {
-					s, err := survey(ctx, client(c))
-					if err != nil {
-						return err
-					}
-					raw, err := pilot.ShareDrop(c.StringArg("name"), s.Highest)
-					if err == nil {
-						_, err = client(c).Call(ctx, "configuration.modify", "", raw)
-					}
-					return err
+					return above(ctx, c, func(highest uint64) ([]byte, error) { return pilot.ShareDrop(c.StringArg("name"), highest) })
 				}},
 				{Name: "dry", Usage: "say whom a share would have held back, by the counts of the last hour",
 					Flags: []cli.Flag{
@@ -223,9 +220,8 @@
 						var all []map[string][]tonnage.Caller
 						err := client(c).Each(ctx, "harbour.read", func(raw []byte) error {
 							var s harbourmaster.Survey
-							all = append(all, nil)
 							err := json.Unmarshal(raw, &s)
-							all[len(all)-1] = s.Callers
+							all = append(all, s.Callers)
 							return err
 						})
 						if err != nil {
--- a/internal/harbour/pilot/places.go
+++ b/internal/harbour/pilot/places.go
@@ -14,7 +14,7 @@
 
 // lines are the lines on which the values of a JSON text begin, by their places. Cells of a row are also found by the names
 // of the columns, as control names them. It is empty for a text that is no JSON.
-func lines(raw []byte) map[string]int {
+func lines(raw []byte, tables map[string]table) map[string]int {
 	at := map[string]int{}
 	d := json.NewDecoder(bytes.NewReader(raw))
 	line, from := 1, 0
@@ -58,7 +58,7 @@
 	if walk("") != nil {
 		return nil
 	}
-	for kind, t := range tables(raw) {
+	for kind, t := range tables {
 		for row := range t.Rows {
 			for n, column := range t.Columns {
 				rows := fmt.Sprintf("set-items.%s.table-rows[%d]", kind, row)
@@ -82,7 +82,8 @@
 
 // placed finds the line of each thing that an error names, and the name of the item that it is in.
 func placed(raw []byte, err error) error {
-	at, w := lines(raw), &Wrong{err: err}
+	all, w := tables(raw), &Wrong{err: err}
+	at := lines(raw, all)
 	for _, text := range strings.Split(err.Error(), "\n") {
 		p := place.FindString(text)
 		line := 0
@@ -94,7 +95,7 @@
 			w.Lines = append(w.Lines, text)
 			continue
 		}
-		if name := named(raw, p); name != "" {
+		if name := named(all, p); name != "" {
 			text = strings.Replace(text, p, name+": "+p, 1)
 		}
 		w.Lines = append(w.Lines, fmt.Sprintf("line %d: %s", line, text))
@@ -105,12 +106,12 @@
 var row = regexp.MustCompile(`^set-items\.([a-z]+)\.table-rows\[(\d+)\]`)
 
 // named is the kind and the name of the item that a place is in, if it has one.
-func named(raw []byte, path string) string {
+func named(tables map[string]table, path string) string {
 	m := row.FindStringSubmatch(path)
 	if m == nil {
 		return ""
 	}
-	t := tables(raw)[m[1]]
+	t := tables[m[1]]
 	n := 0
 	fmt.Sscan(m[2], &n)
 	for i, c := range t.Columns {
--- a/internal/harbour/tonnage/dealer.go
+++ b/internal/harbour/tonnage/dealer.go
@@ -1,7 +1,6 @@
 package tonnage
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -227,7 +226,7 @@
 		if s.Watch {
 			continue
 		}
-		limit := max(s.PerS, s.Part*d.Carries(s.Service))
+		limit := d.limit(s)
 		own, all, short := 0.0, 0.0, false
 		for _, p := range d.routers {
 			own += p.reports[name].Want
@@ -319,6 +318,11 @@
 			sums = append(sums, *d.own[name])
 		}
 	}
+	return sums, d.loads()
+}
+
+// loads are this zone's, by service.
+func (d *Dealer) loads() (loads []Load) {
 	byService := map[string]Load{}
 	for _, p := range d.routers {
 		for _, l := range p.loads {
@@ -329,13 +333,21 @@
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		loads = append(loads, byService[service])
 	}
-	return sums, loads
+	return loads
+}
+
+// limit is how many requests a second a share has at present.
+func (d *Dealer) limit(s manifest.Share) float64 {
+	if s.Part == 0 {
+		return s.PerS
+	}
+	return max(s.PerS, s.Part*d.Carries(s.Service))
 }
 
 // Carries is how many requests a second the hosts of a service can answer at present, by their slots and by how long answers
 // took all routers of late; 0 where nothing is known.
 func (d *Dealer) Carries(service string) float64 {
-	_, all := d.Sums()
+	all := d.loads()
 	for _, p := range d.zones {
 		all = append(all, p.loads...)
 	}
@@ -399,7 +411,7 @@
 func (d *Dealer) States(now int64, zone string) (all []State) {
 	for _, name := range slices.Sorted(maps.Keys(d.shares)) {
 		s := d.shares[name]
-		x := State{Share: name, Service: s.Service, Caller: s.Caller, Limit: max(s.PerS, s.Part*d.Carries(s.Service))}
+		x := State{Share: name, Service: s.Service, Caller: s.Caller, Limit: d.limit(s)}
 		if t := d.totals[name]; t != nil && len(t.before) > 0 {
 			x.Used = float64(t.took-t.before[0].took) / max(1, float64(now-t.before[0].at)/float64(second))
 		}
@@ -411,7 +423,7 @@
 				x.Zones = append(x.Zones, ZoneState{z, o.Want, o.Dealt, o.Away, o.Over})
 			}
 		}
-		slices.SortFunc(x.Zones, func(a, b ZoneState) int { return cmp.Or(strings.Compare(a.Zone, b.Zone)) })
+		slices.SortFunc(x.Zones, func(a, b ZoneState) int { return strings.Compare(a.Zone, b.Zone) })
 		all = append(all, x)
 	}
 	return all
--- a/internal/harbour/tonnage/meter.go
+++ b/internal/harbour/tonnage/meter.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 
 	"portflow/internal/harbour/manifest"
 )
@@ -269,12 +270,7 @@
 			all = append(all, Report{a.Name, math.Round(a.want*100) / 100, a.took, math.Round(a.long), a.away, a.over, short})
 		}
 	}
-	slices.SortFunc(all, func(a, b Report) int {
-		if a.Share < b.Share {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b Report) int { return strings.Compare(a.Share, b.Share) })
 	return all
 }
 
