What is forgotten exponentially is counted by one part; a share nobody reports costs nothing

Each dealing kept ten seconds of points for every share that stands, also those that no router ever reported; a router made a map of all its accounts for each allotment message, and a roster without lending for each change of routers. Both daemons set their contexts up alike, and so did four tests their harbour, which is now stopped by the test's cleanup also where the configuration is refused.

--- a/cmd/harbour/main.go
+++ b/cmd/harbour/main.go
@@ -88,24 +88,35 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
-func carry(context.Context, *cli.Command) error {
-	b, water, seed, err := boot()
-	if err != nil {
-		return err
-	}
+// serve starts a process, and has it leave once a SIGTERM has come.
+func serve(start func(context.Context) (leave func(), err error)) error {
 	term, stop := ending()
 	defer stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	f, err := fairway.Start(ctx, fairway.Options{Boot: b, Sea: water, Seed: seed})
+	leave, err := start(ctx)
 	if err != nil {
 		return err
 	}
 	<-term.Done()
-	f.Leave()
+	leave()
 	return nil
 }
 
+func carry(context.Context, *cli.Command) error {
+	b, water, seed, err := boot()
+	if err != nil {
+		return err
+	}
+	return serve(func(ctx context.Context) (func(), error) {
+		f, err := fairway.Start(ctx, fairway.Options{Boot: b, Sea: water, Seed: seed})
+		if err != nil {
+			return nil, err
+		}
+		return f.Leave, nil
+	})
+}
+
 func control(_ context.Context, c *cli.Command) error {
 	b, water, seed, err := boot()
 	if err != nil {
@@ -118,15 +129,11 @@
 	if err != nil {
 		return err
 	}
-	term, stop := ending()
-	defer stop()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	m, err := harbourmaster.Start(ctx, harbourmaster.Options{Boot: b, PerZone: c.Int("per-zone"), Sea: water, Disk: disk, Seed: seed})
-	if err != nil {
-		return err
-	}
-	<-term.Done()
-	m.Log()
-	return nil
+	return serve(func(ctx context.Context) (func(), error) {
+		m, err := harbourmaster.Start(ctx, harbourmaster.Options{Boot: b, PerZone: c.Int("per-zone"), Sea: water, Disk: disk, Seed: seed})
+		if err != nil {
+			return nil, err
+		}
+		return m.Log, nil
+	})
 }
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -27,6 +27,7 @@
 	"portflow/internal/harbour/signals"
 	"portflow/internal/harbour/tonnage"
 	"portflow/internal/parts/chance"
+	"portflow/internal/parts/faded"
 	"portflow/internal/parts/hosts"
 	"portflow/internal/parts/room"
 	"portflow/internal/parts/router"
@@ -82,8 +83,7 @@
 	chart    *manifest.Chart
 	services map[string]*service
 	roster   lanes.Roster
-	usual    lanes.Roster // the same, while nobody lends any
-	number   int          // counts the rosters
+	number   int // counts the rosters
 	rank     int
 	count    int
 	counted  bool
@@ -174,7 +174,6 @@
 		v.past = f.past
 		v.number++
 		v.rank, v.count, v.roster, v.counted = f.board.Standing()
-		v.usual = v.roster.Usual()
 		for _, s := range f.services {
 			s.reducer.Post(router.Number{Rank: v.rank, Routers: v.count})
 		}
@@ -226,7 +225,7 @@
 	meter    *tonnage.Meter // nil where no caller has a share
 	out      int            // hand-offs that are out
 	slots    float64        // this router's even part of the slots that it uses
-	load     load
+	load     faded.Sum      // answers, and the seconds that they took
 	log      *lookout.Log
 	berths   map[string]*berth
 	bands    map[bandKey]int
@@ -344,7 +343,7 @@
 			open := func(all lanes.Roster) int { return f.part(b.Host, v, all).Open }
 			b.parts.Open, b.until = v.past.Open(now, v.roster, open)
 			if b.usual = b.parts.Open; f.lent.Load() {
-				b.usual = open(v.usual)
+				b.usual = open(v.roster.Usual())
 			}
 		}
 	}
@@ -391,8 +390,8 @@
 		if b.open++; b.open > b.usual {
 			s.f.handed.over.Add(1)
 		}
-		if now := s.f.clock(); b.ColdUntil+skew > now {
-			b.cold.Add(now)
+		if b.ColdUntil+skew > began {
+			b.cold.Add(began)
 		}
 	}
 	s.mu.Unlock()
@@ -410,12 +409,12 @@
 			b.open--
 		}
 		s.out--
-		s.log.Ended(s.f.clock(), to.Name, began, saying[o.Ending])
+		now := s.f.clock()
+		s.log.Ended(now, to.Name, began, saying[o.Ending])
 		if o.Ending == rules.Fulfilled || o.Ending == rules.Failed {
-			now := s.f.clock()
 			s.forecast.Answered(now)
 			if s.meter != nil {
-				s.load.add(now, now-began)
+				s.load.Add(now, loadMemory, float64(now-began)/float64(second))
 			}
 		}
 		s.mu.Unlock()
--- a/internal/harbour/fairway/shares.go
+++ b/internal/harbour/fairway/shares.go
@@ -12,26 +12,7 @@
 	"portflow/rules"
 )
 
-// load is how quickly a service answers this router, forgotten over some seconds.
-type load struct {
-	answers, work float64 // seconds of work
-	at            int64
-}
-
-const loadMemory = 3 * second
-
-func (l *load) add(now, took int64) {
-	l.fade(now)
-	l.answers++
-	l.work += float64(took) / float64(second)
-}
-
-func (l *load) fade(now int64) {
-	if now > l.at {
-		keep := math.Exp(-float64(now-l.at) / float64(loadMemory))
-		l.answers, l.work, l.at = l.answers*keep, l.work*keep, now
-	}
-}
+const loadMemory = 3 * second // of how quickly a service answers this router
 
 // meters has the services' meters go by the shares of a chart; the caller holds the lock. Where there are none this is all
 // that shares cost.
@@ -130,9 +111,9 @@
 			now := f.clock()
 			s.slots = slots
 			tons.Reports = append(tons.Reports, s.meter.Reports(now)...)
-			s.load.fade(now)
-			if memory := float64(loadMemory) / float64(second); loads && s.load.answers > 0.1 {
-				tons.Loads = append(tons.Loads, tonnage.Load{Service: name, Answers: s.load.answers / memory, Work: s.load.work / memory})
+			s.load.Fade(now, loadMemory)
+			if memory := float64(loadMemory) / float64(second); loads && s.load.N > 0.1 {
+				tons.Loads = append(tons.Loads, tonnage.Load{Service: name, Answers: s.load.N / memory, Work: s.load.Of / memory})
 			}
 			if census {
 				tons.Census[name] = s.meter.Census()
--- a/internal/harbour/lanes/past.go
+++ b/internal/harbour/lanes/past.go
@@ -1,6 +1,9 @@
 package lanes
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Settling is for how long a part that has grown is not used, nanoseconds: the others shrink theirs as they hear of it, and
 // what they sent before that arrives. Control is done telling within a second, or the line to it ends.
@@ -24,7 +27,7 @@
 
 // Cold is the least part of a cold host that this router has had of late, none where it was not counted.
 func (p Past) Cold(now int64, part func(Roster) int) int {
-	least := int(^uint(0) >> 1)
+	least := math.MaxInt
 	for _, f := range p {
 		if now-f.Until < Settling {
 			if !f.Counted {
@@ -40,12 +43,10 @@
 // that holds. Where routers came or went, the parts are used at once: a zone that has lost some can't wait, and a host's
 // queue bears what the lost ones had there.
 func (p Past) Open(now int64, is Roster, part func(Roster) int) (least int, until int64) {
-	least, until = part(is), int64(^uint64(0)>>1)
+	least, until = part(is), int64(math.MaxInt64)
 	for _, f := range p {
 		if now-f.Until < Settling && f.Counted && f.Roster.same(is) {
-			if x := part(f.Roster); x < least {
-				least = x
-			}
+			least = min(least, part(f.Roster))
 			until = min(until, f.Until+Settling)
 		}
 	}
--- a/internal/harbour/lookout/lookout.go
+++ b/internal/harbour/lookout/lookout.go
@@ -9,6 +9,8 @@
 	"math"
 	"slices"
 	"strings"
+
+	"portflow/internal/parts/faded"
 )
 
 const second = int64(1e9)
@@ -41,25 +43,18 @@
 	counted bool // as overdue
 }
 
+// entry is a host's outcomes, of them those that were bad, and its requests that are out.
 type entry struct {
-	n, bad float64
-	at     int64
-	out    []start
-}
-
-func (e *entry) fade(now int64) {
-	if now > e.at {
-		keep := math.Exp(-float64(now-e.at) / float64(memory))
-		e.n, e.bad, e.at = e.n*keep, e.bad*keep, now
-	}
+	faded.Sum
+	out []start
 }
 
 func (e *entry) put(now int64, bad bool) {
-	e.fade(now)
-	e.n++
+	figure := 0.0
 	if bad {
-		e.bad++
+		figure = 1
 	}
+	e.Add(now, memory, figure)
 }
 
 // Log is what one router sees of one service's hosts. It is not safe for two goroutines.
@@ -105,7 +100,7 @@
 	e.out = slices.Delete(e.out, at, at+1)
 	if o == Good {
 		took := float64(now - began)
-		l.mean += (took - l.mean) * max(0.02, 1/(l.all.n+1))
+		l.mean += (took - l.mean) * max(0.02, 1/(l.all.N+1))
 	}
 	if o != Nothing && !counted {
 		e.put(now, o == Bad)
@@ -128,16 +123,16 @@
 				l.all.put(now, true)
 			}
 		}
-		if e.fade(now); e.bad >= 0.3 {
-			all = append(all, Count{id, round(e.n), round(e.bad)})
+		if e.Fade(now, memory); e.Of >= 0.3 {
+			all = append(all, Count{id, round(e.N), round(e.Of)})
 		}
 	}
 	if len(all) == 0 {
 		return nil
 	}
 	slices.SortFunc(all, func(a, b Count) int { return strings.Compare(a.ID, b.ID) })
-	l.all.fade(now)
-	return append(all, Count{"", round(l.all.n), round(l.all.bad)})
+	l.all.Fade(now, memory)
+	return append(all, Count{"", round(l.all.N), round(l.all.Of)})
 }
 
 func round(x float64) float64 { return math.Round(x*100) / 100 }
--- a/internal/harbour/tonnage/dealer.go
+++ b/internal/harbour/tonnage/dealer.go
@@ -240,6 +240,9 @@
 			all += p.sums[name].Want
 			short = short || p.sums[name].Short
 		}
+		if all == 0 && d.evened[name] == 0 && d.totals[name] == nil { // nobody has reported it
+			continue
+		}
 		d.evened[name] += (all - d.evened[name]) * 0.1 // over some two seconds
 		if short || d.evened[name] > limit {
 			d.pressed[name] = now
--- a/internal/harbour/tonnage/meter.go
+++ b/internal/harbour/tonnage/meter.go
@@ -87,8 +87,9 @@
 // Meter is one service's shares at one router. It is not safe for two goroutines.
 type Meter struct {
 	header   string
-	others   *account // nil where others have no share of their own
-	accounts map[string]*account
+	others   *account            // nil where others have no share of their own
+	accounts map[string]*account // by caller
+	names    map[string]*account // by share
 	routers  int
 	carries  float64 // requests a second that the service can carry, 0 where that is not known
 	seen     *Census
@@ -105,7 +106,7 @@
 func (m *Meter) Set(shares []manifest.Share, routers int, now int64) {
 	m.routers = max(1, routers)
 	old := m.accounts
-	m.accounts, m.others = make(map[string]*account, len(shares)), nil
+	m.accounts, m.names = make(map[string]*account, len(shares)), make(map[string]*account, len(shares))
 	for _, s := range shares {
 		m.header = s.Header
 		a := old[s.Caller]
@@ -113,7 +114,7 @@
 			a = &account{at: now, tokens: 1}
 		}
 		a.Share = s
-		m.accounts[s.Caller] = a
+		m.accounts[s.Caller], m.names[s.Name] = a, a
 		m.rate(a)
 	}
 	m.others = m.accounts[manifest.Others]
@@ -285,12 +286,8 @@
 
 // Dealt takes allotments in; what is not among them ends with its lease.
 func (m *Meter) Dealt(now int64, all []Allotment) {
-	byName := make(map[string]*account, len(m.accounts))
-	for _, a := range m.accounts {
-		byName[a.Name] = a
-	}
 	for _, x := range all {
-		if a := byName[x.Share]; a != nil {
+		if a := m.names[x.Share]; a != nil {
 			a.fill(now)
 			if a.until = now; !x.Calm {
 				a.dealt, a.until = max(0, x.Rate), now+Lease
--- a/internal/lab/basin/basin_test.go
+++ b/internal/lab/basin/basin_test.go
@@ -25,17 +25,28 @@
 	issue = Route{Name: "issue", Prefix: "/issue/", Service: "desk", Version: "00000001"}
 )
 
+// opened is a harbour that has been started and has taken a configuration with two routes; it is stopped at the test's end.
+func opened(c *qt.C, l Layout) *Harbour {
+	h := New(l)
+	c.Assert(h.Start(), qt.IsNil)
+	c.Cleanup(h.Stop)
+	time.Sleep(2 * time.Second)
+	configure(c, h, h.Configure(true, look, issue), 0)
+	return h
+}
+
+// configure sends a change to one control process, and to others where that doesn't take it.
+func configure(c *qt.C, h *Harbour, change []byte, first int) {
+	status, _, answer := h.Order("configuration.modify", "", change, 5*time.Second, first)
+	c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+}
+
 // day plays a day on a harbour in virtual time: it is started, configured, has traffic in all zones for so long, and what
 // happens happens beside that. At the end no rule may be broken.
 func day(t *testing.T, l Layout, lasts time.Duration, happens func(c *qt.C, h *Harbour), good float64) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		h := New(l)
-		c.Assert(h.Start(), qt.IsNil)
-		defer h.Stop()
-		time.Sleep(2 * time.Second)
-		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look, issue), 5*time.Second, 0)
-		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+		h := opened(c, l)
 		time.Sleep(2 * time.Second)
 		var tally Tally
 		for z := range l.Zones {
--- a/internal/lab/basin/shares_test.go
+++ b/internal/lab/basin/shares_test.go
@@ -34,15 +34,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		l := Layout{Zones: 4, Routers: 2, Hosts: 2, Services: []string{"desk"}, Work: 80 * time.Millisecond, Slots: 3, Seed: 3} // 300 a second
-		h := New(l)
-		c.Assert(h.Start(), qt.IsNil)
-		defer h.Stop()
-		time.Sleep(2 * time.Second)
-		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look, issue), 5*time.Second, 0)
-		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+		h := opened(c, l)
 		if on {
-			status, _, answer = h.Order("configuration.modify", "", shares("00000002", map[string]float64{"rush": 30, "one": 60, "two": 60}), 5*time.Second, 0)
-			c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+			configure(c, h, shares("00000002", map[string]float64{"rush": 30, "one": 60, "two": 60}), 0)
 		}
 		time.Sleep(2 * time.Second)
 		lasts := 9 * time.Second
@@ -136,10 +130,8 @@
 		c.Assert(h.Start(), qt.IsNil)
 		defer h.Stop()
 		time.Sleep(time.Second)
-		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look, issue), 5*time.Second, 0)
-		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
-		status, _, answer = h.Order("configuration.modify", "", shares("00000002", map[string]float64{"a": 8, "b": 4}), 5*time.Second, 1)
-		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+		configure(c, h, h.Configure(true, look, issue), 0)
+		configure(c, h, shares("00000002", map[string]float64{"a": 8, "b": 4}), 1)
 		draw := chance.Source{Seed: seed * 31}
 		n := func(n int) int { return int(draw.Next() * float64(n)) }
 		var tally Tally
--- a/internal/lab/basin/traffic_test.go
+++ b/internal/lab/basin/traffic_test.go
@@ -149,12 +149,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		l := Layout{Zones: 6, Routers: 2, Hosts: 3, Services: []string{"desk"}, Work: 80 * time.Millisecond, Slots: 3, Rate: float64(4 + 8*(seed%3)), Seed: uint64(seed)}
-		h := New(l)
-		c.Assert(h.Start(), qt.IsNil)
-		defer h.Stop()
-		time.Sleep(2 * time.Second)
-		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look, issue), 5*time.Second, 0)
-		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
+		h := opened(c, l)
 		time.Sleep(2 * time.Second)
 		lasts := 13 * time.Second
 		var tally Tally
--- a/internal/lab/tonnage.go
+++ b/internal/lab/tonnage.go
@@ -352,7 +352,6 @@
 	way     string
 	routers int
 	limits  map[string]float64
-	cut0    bool
 	off     int
 	up      []bool
 	buckets []map[string]*evenly
--- /dev/null
+++ b/internal/parts/faded/faded_test.go
@@ -0,0 +1,25 @@
+package faded
+
+import (
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// What came is forgotten by the time that has passed, however often it is looked at, and a late time changes nothing.
+func TestSum(t *testing.T) {
+	c := qt.New(t)
+	var once, often Sum
+	once.Add(100, 50, 3)
+	often.Add(100, 50, 3)
+	for now := int64(100); now <= 200; now += 10 {
+		often.Fade(now, 50)
+	}
+	once.Fade(200, 50)
+	c.Check(math.Abs(once.N-math.Exp(-2)) < 1e-12 && math.Abs(once.Of-3*math.Exp(-2)) < 1e-12, qt.IsTrue)
+	c.Check(math.Abs(once.N-often.N) < 1e-12, qt.IsTrue)
+	was := once
+	once.Fade(150, 50)
+	c.Check(once, qt.Equals, was)
+}
