A register's name is taken apart where it is made; meters are set once a change

Cause, on reading the change: bridge knew how pilotage writes a register's name, and a router set its callers' meters twice where a batch of news brought items and routers. A copy of the cells that nothing needed goes.

--- a/internal/harbour/bridge/registers.go
+++ b/internal/harbour/bridge/registers.go
@@ -1,10 +1,6 @@
 package bridge
 
 import (
-	"maps"
-	"strconv"
-	"strings"
-
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/pilotage"
 	"portflow/internal/harbour/signals"
@@ -15,7 +11,7 @@
 // how the rollout ended: more than half of the core keep an end, so that no later round can decide another, and the cells of
 // orders that are over need not be kept.
 func (s *State) Step(a signals.Ask) (cells map[string]*signals.Cell, r signals.Reply, ok bool) {
-	service, order := registerOf(a.Name)
+	service, order := pilotage.OfRegister(a.Name)
 	if !s.Whole || s.ended(service, order) {
 		return nil, signals.Reply{}, false
 	}
@@ -23,7 +19,7 @@
 	cells = map[string]*signals.Cell{a.Name: &c}
 	s.Cells[a.Name] = c
 	for name := range s.Cells {
-		if of, n := registerOf(name); of == service && n < order && s.ended(of, n) {
+		if of, n := pilotage.OfRegister(name); of == service && n < order && s.ended(of, n) {
 			cells[name] = nil
 			delete(s.Cells, name)
 		}
@@ -40,7 +36,7 @@
 		}
 	}
 	all := map[string]*signals.Cell{}
-	for name, c := range maps.Clone(s.Cells) {
+	for name, c := range s.Cells {
 		all[name] = &c
 	}
 	return all
@@ -55,13 +51,3 @@
 	r := pilotage.Read(i)
 	return r.Order > order || r.Order == order && r.State > pilotage.Running
 }
-
-// registerOf takes a register's name apart.
-func registerOf(name string) (service string, order uint64) {
-	at := strings.LastIndexByte(name, '#')
-	if at < 0 {
-		return name, 0
-	}
-	order, _ = strconv.ParseUint(name[at+1:], 10, 64)
-	return name[:at], order
-}
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -163,7 +163,6 @@
 				c.Services[name] = true
 			}
 		}
-		f.meters(v.chart, v.count)
 		v.services = make(map[string]*service, len(f.services))
 		for name, s := range f.services {
 			v.services[name] = s
@@ -177,6 +176,8 @@
 		for _, s := range f.services {
 			s.reducer.Post(router.Number{Rank: v.rank, Routers: v.count})
 		}
+	}
+	if c.Chart || c.Fronts {
 		f.meters(v.chart, v.count)
 	}
 	f.view.Store(&v)
