Agreement of the core as a pure package: numbers, quorums, members by epoch (not wired yet)

Change: packages quorum, muster and orders, pure. One register whose value is the set of items, decided number by number; the list of members is an item of it. Nothing uses them yet.

--- a/internal/harbour/faults/faults.go
+++ b/internal/harbour/faults/faults.go
@@ -23,6 +23,7 @@
 	Invalid   // a configuration or an order that is wrong in itself
 	Outdated  // a configuration behind what stands
 	UnderWay  // the same order is being carried out
+	Conflict  // the number has another content, for ever
 	Missing   // what was asked after is not known
 	Unready   // this process doesn't know enough yet, or hears too few others
 	Crowded   // no host has room, or the request is worth less than those that have it
@@ -55,6 +56,7 @@
 	Overhead:    {Name: "overhead", Status: 431, Close: true},
 	Invalid:     {Name: "invalid", Status: 400},
 	Outdated:    {Name: "outdated", Status: 409},
+	Conflict:    {Name: "conflict", Status: 409},
 	UnderWay:    {Name: "under_way", Status: 409, Again: time.Second / 2},
 	Missing:     {Name: "missing", Status: 404},
 	Unready:     {Name: "unready", Status: 503, Again: time.Second / 4, Promised: true},
--- a/internal/harbour/manifest/change.go
+++ b/internal/harbour/manifest/change.go
@@ -143,12 +143,18 @@
 			return nil, faults.New(faults.Invalid, "%s", y)
 		}
 	}
-	// also what is behind must be valid in itself: its routes name services that stand, or are in the change
+	// also what is behind must be valid in itself: its routes name services that stand, or are in the change; one that was
+	// taken and comes again once its service is dropped is no error
 	for _, i := range change {
 		if i.Kind != Routes || i.Dropped {
 			continue
 		}
+		old, there := s.Get(i.Key())
+		behind := there && !i.Newer(old)
 		for _, w := range ReadRoute(papers.Read(i.Tree())).Split {
+			if _, known := s.Get(Key{Services, w.Service}); behind && known {
+				continue
+			}
 			if _, ok := c.Services[w.Service]; !ok {
 				return nil, faults.New(faults.Invalid, "route %s: service: %s does not stand", i.Name, w.Service)
 			}
--- a/internal/harbour/manifest/core.go
+++ b/internal/harbour/manifest/core.go
@@ -1,14 +1,23 @@
 package manifest
 
-// Core is the kind of items that name the control processes, by IP number.
+import "encoding/json"
+
+// Core is the kind of the item that lists the members of the core; package muster says how.
 const Core = "core"
 
-// Members are the control processes that are known, by IP number, with their zones.
+// Members are the control processes that are members of the core, by IP number, with their zones.
 func (s *Set) Members() map[string]string {
 	all := map[string]string{}
-	for _, i := range s.Standing(Core) {
-		zone, _ := i.Tree()["zone"].(string)
-		all[i.Name] = zone
+	i, _ := s.Get(Key{Core, "members"})
+	var list struct {
+		Members []struct {
+			IP   string `json:"p"`
+			Zone string `json:"z"`
+		} `json:"m"`
+	}
+	json.Unmarshal(i.Body, &list)
+	for _, m := range list.Members {
+		all[m.IP] = m.Zone
 	}
 	return all
 }
--- /dev/null
+++ b/internal/harbour/orders/orders.go
@@ -0,0 +1,163 @@
+// Package orders is what operators and the core itself ask of the control state, and what each order makes of a set of items.
+// An order is idempotent by its content: sent again it finds that it stands. It is pure.
+package orders
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"portflow/internal/harbour/faults"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/muster"
+	"portflow/internal/harbour/pilotage"
+)
+
+// Kind is what an order does.
+type Kind string
+
+const (
+	Modify   Kind = "modify"   // sets and drops items of the configuration
+	Evacuate Kind = "evacuate" // begins or withdraws a zone's evacuation
+	Begin    Kind = "begin"    // a rollout
+	End      Kind = "end"      // of a rollout
+	Settle   Kind = "settle"   // a service's first version
+	Join     Kind = "join"     // members in, and others out
+	Restore  Kind = "restore"  // items from a snapshot, each as it stands there unless a newer one stands
+)
+
+// Order is one. Times are nanoseconds.
+type Order struct {
+	Kind    Kind            `json:"k"`
+	Of      string          `json:"o,omitempty"` // a zone or a service
+	Items   []manifest.Item `json:"i,omitempty"`
+	Begun   bool            `json:"b,omitempty"`
+	Target  string          `json:"t,omitempty"`
+	Term    int64           `json:"d,omitempty"`
+	Now     int64           `json:"n,omitempty"` // when it came, Unix
+	Again   int64           `json:"a,omitempty"` // for how long the same begin may come again
+	Number  uint64          `json:"u,omitempty"` // of the rollout that ends
+	State   pilotage.State  `json:"s,omitempty"` // how it ends
+	In      []muster.Member `json:"m,omitempty"`
+	Out     []string        `json:"x,omitempty"` // IP numbers
+	Version string          `json:"v,omitempty"`
+}
+
+// Apply tells which items the order sets where a set stands; none where it stands already. The error tells why it can't be
+// taken, and nothing of it may then come into force. Whether the set is the newest is the caller's to know; only a Conflict
+// is for ever.
+func Apply(s *manifest.Set, o Order) ([]manifest.Item, error) {
+	switch o.Kind {
+	case Modify:
+		return modify(s, o.Items)
+	case Evacuate:
+		return evacuate(s, o), nil
+	case Begin:
+		return begin(s, o)
+	case End:
+		i, _ := s.Get(manifest.Key{Kind: manifest.Rollouts, Name: o.Of})
+		r := pilotage.Read(i)
+		if r.Order != o.Number || r.State != pilotage.Running || o.State <= pilotage.Running || o.State > pilotage.RolledBack {
+			return nil, nil // it has ended, once
+		}
+		r.State, r.Ended = o.State, o.Now
+		return []manifest.Item{r.Item()}, nil
+	case Settle:
+		k := manifest.Key{Kind: manifest.Settled, Name: o.Of}
+		if _, there := s.Get(k); there {
+			return nil, nil
+		}
+		body, _ := json.Marshal(map[string]string{"version": o.Version})
+		return []manifest.Item{{Kind: k.Kind, Name: k.Name, Version: 1, Body: body}}, nil
+	case Join:
+		list := muster.Of(s)
+		next := list.Join(o.In, o.Out)
+		if next.Epoch == list.Epoch {
+			return nil, nil
+		}
+		return []manifest.Item{next.Item()}, nil
+	case Restore:
+		var news []manifest.Item
+		for _, i := range o.Items {
+			if old, there := s.Get(i.Key()); i.Kind != manifest.Core && (!there || i.Version > old.Version) {
+				news = append(news, i)
+			}
+		}
+		return news, nil
+	}
+	return nil, faults.New(faults.Malformed, "no such order: %q", o.Kind)
+}
+
+// modify takes a change as a whole or not at all: one number, one content.
+func modify(s *manifest.Set, change []manifest.Item) ([]manifest.Item, error) {
+	for _, i := range change {
+		old, there := s.Get(i.Key())
+		if there && old.Version == i.Version && !old.Same(i) {
+			return nil, conflict(i, old)
+		}
+	}
+	return s.Check(change)
+}
+
+// conflict names the item, the field that differs and the content that stands.
+func conflict(i, old manifest.Item) error {
+	stands := string(old.Body)
+	if old.Dropped {
+		stands = "dropped"
+	}
+	return faults.New(faults.Conflict, "%s %s: %s: version %s stands as %s", i.Kind, i.Name, Differs(i, old), manifest.Digits(i.Version), stands)
+}
+
+// Differs is the first field, by name, in which two items of one number differ.
+func Differs(a, b manifest.Item) string {
+	if a.Dropped != b.Dropped {
+		return "dropped"
+	}
+	x, y := a.Tree(), b.Tree()
+	field := ""
+	for _, pair := range [][2]map[string]any{{x, y}, {y, x}} {
+		for name, v := range pair[0] {
+			l, _ := json.Marshal(v)
+			r, _ := json.Marshal(pair[1][name])
+			if !bytes.Equal(l, r) && (field == "" || name < field) {
+				field = name
+			}
+		}
+	}
+	return field
+}
+
+func evacuate(s *manifest.Set, o Order) []manifest.Item {
+	k := manifest.Key{Kind: manifest.Evacuations, Name: o.Of}
+	body, _ := json.Marshal(map[string]bool{"begun": o.Begun})
+	old, there := s.Get(k)
+	if there && bytes.Equal(old.Body, body) || !there && !o.Begun {
+		return nil
+	}
+	return []manifest.Item{{Kind: k.Kind, Name: k.Name, Version: old.Version + 1, Body: body}}
+}
+
+func begin(s *manifest.Set, o Order) ([]manifest.Item, error) {
+	if _, ok := s.Get(manifest.Key{Kind: manifest.Services, Name: o.Of}); !ok {
+		return nil, faults.New(faults.Invalid, "service: %s does not stand", o.Of)
+	}
+	old, _ := s.Get(manifest.Key{Kind: manifest.Rollouts, Name: o.Of})
+	was := pilotage.Read(old)
+	first, _ := s.Get(manifest.Key{Kind: manifest.Settled, Name: o.Of})
+	settled := pilotage.Settled(first, was)
+	switch {
+	case was.State == pilotage.Running && was.Target == o.Target: // the same once more
+		return nil, nil
+	case was.State == pilotage.Running:
+		return nil, faults.New(faults.UnderWay, "%s is being moved to %s", o.Of, was.Target)
+	case was.Target == o.Target && was.Term == o.Term && o.Now-was.Began < was.Term+o.Again: // a late copy of the last one
+		return nil, nil
+	}
+	return []manifest.Item{pilotage.Rollout{Service: o.Of, Order: was.Order + 1, From: settled, Base: was.Build(), Target: o.Target,
+		Began: o.Now, Term: o.Term, State: pilotage.Running}.Item()}, nil
+}
+
+// String is the order in a log.
+func (o Order) String() string {
+	return fmt.Sprintf("%s %s, %d items", o.Kind, o.Of, len(o.Items))
+}
--- /dev/null
+++ b/internal/harbour/quorum/node.go
@@ -0,0 +1,1007 @@
+package quorum
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"portflow/internal/harbour/faults"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/muster"
+	"portflow/internal/harbour/orders"
+)
+
+// Phase is where this process's own proposal stands.
+type Phase uint8
+
+const (
+	Idle Phase = iota
+	Preparing
+	Accepting
+)
+
+func (p Phase) String() string { return [...]string{"idle", "preparing", "accepting"}[p] }
+
+// The times of the agreement, nanoseconds of a monotonic clock. None of them is needed for its safety.
+const (
+	sendAgain   = int64(250e6) // to those that have not answered a step of a proposal, or a read
+	giveUp      = int64(2e9)   // a proposal that gets no further: the next try has a higher ballot
+	handAgain   = int64(350e6) // an order that was handed over is proposed here
+	stuck       = int64(500e6) // a vote that nobody tells the end of is brought to its end by another
+	turn        = int64(150e6) // each member waits for those before it
+	fetchAgain  = int64(500e6)
+	fetchSoon   = int64(250e6) // a peer that has more is asked
+	beginAgain  = int64(250e6) // a start looks again for how far the core is
+	silentFor   = int64(3e9)   // a member that has a successor in its zone goes
+	orderWaits  = int64(2500e6)
+	mostWaiting = 512 // orders, and reads, beyond which more are refused at once
+	mostItems   = 4096
+	keptChanges = 512
+	keptItems   = 16384
+	chunkBytes  = 256 << 10
+	mostBehind  = 64 // numbers by which one that comes in may be behind
+)
+
+// Peer is another control process that is heard, as it last said of itself.
+type Peer struct {
+	Member  muster.Member
+	Epoch   uint64
+	Applied uint64
+	Whole   bool
+}
+
+// Event is what happens to a node. Exactly one of the pointers, or Tick, is set.
+type Event struct {
+	Now     int64   // monotonic, nanoseconds
+	Chance  float64 // in [0, 1)
+	Tick    bool
+	From    string   // IP number, of a message or a peer
+	Message *Message // that came
+	Peer    *Peer    // is heard, and says this
+	Lost    bool     // From isn't heard any more
+	Order   *orders.Order
+	Read    bool // somebody wants the set as it is now, not as it was
+	Recover bool // an operator makes this process the whole core, as the others never come back
+	Tag     uint64
+}
+
+type pending struct {
+	tag    uint64
+	order  orders.Order
+	came   int64
+	handed int64  // when it was handed over, 0 for not
+	to     string // whom
+	by     string // the IP number of the process that handed it over here, empty for this one
+	theirs uint64 // its tag there
+	local  bool   // it is proposed here
+}
+
+type read struct {
+	epoch  uint64
+	came   int64
+	asked  int64
+	yes    map[string]string
+	target uint64
+	known  bool // the target is
+}
+
+type kept struct {
+	number uint64
+	items  []manifest.Item
+}
+
+// Node is a control process's part in the agreement. It is not safe for two goroutines.
+type Node struct {
+	Set     *manifest.Set
+	self    muster.Member
+	life    string
+	perZone int
+	disk    Disk
+	list    muster.List
+	whole   bool // since this life began, it has had all that was decided when it asked
+	muted   bool // its disk holds less than what it knows: it says nothing that must be on disk
+	began   int64
+
+	phase   Phase
+	number  uint64
+	ballot  Ballot
+	seen    uint64
+	sticky  bool // the ballot is the last that more than half promised, as far as is known: no need to prepare
+	fresh   bool // more than half have told that nothing is decided beyond what is applied here
+	value   []manifest.Item
+	mine    []uint64 // tags of the orders in it
+	yes     map[string]string
+	no      map[string]bool
+	members []muster.Member
+	old     []manifest.Item
+	best    Ballot
+	bestOf  []manifest.Item
+	since   int64
+	sent    int64
+	retry   int64
+	voted   int64 // when this process last voted
+
+	wait  []*pending
+	reads map[uint64]*read
+	last  uint64 // tag of this process's own
+
+	peers  map[string]Peer
+	silent map[string]int64
+	apart  int64 // since when a peer has had more, 0 for none
+	fetch  struct {
+		from   string
+		at     int64
+		behind uint64
+		parts  []int
+		items  []manifest.Item
+	}
+	ring     []kept
+	ringed   int
+	out      *Effects
+	Counts   Counts
+	restarts int
+}
+
+// Counts are for the log.
+type Counts struct{ Decided, Prepared, Proposed, Beaten, Handed, Fetches, Cuts, Reads, TakenOver int64 }
+
+// New is a node that begins with what its disk held. perZone is how many members a zone has at the least before one that
+// is silent may go.
+func New(self muster.Member, life string, perZone int, disk Disk, set *manifest.Set, now int64) *Node {
+	self.ID = disk.ID
+	return &Node{Set: set, self: self, life: life, perZone: max(1, perZone), disk: disk, list: muster.Of(set), seen: disk.Promised.N, began: now,
+		reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
+}
+
+// List is the membership as of what is applied here.
+func (x *Node) List() muster.List { return x.list }
+
+// Applied is the number of the last change that this process has applied.
+func (x *Node) Applied() uint64 { return x.disk.Applied }
+
+// Disk is what must be on disk beside the items.
+func (x *Node) Disk() Disk { return x.disk }
+
+// Whole tells whether this process has had, since it started, all that was decided when it asked more than half.
+func (x *Node) Whole() bool { return x.whole }
+
+// Member tells whether this process's vote counts.
+func (x *Node) Member() bool { return x.list.Has(x.self.IP, x.self.ID) }
+
+// Hears tells whether more than half of the members are heard, this process among them if it is one.
+func (x *Node) Hears() bool {
+	yes := map[string]string{x.self.IP: x.self.ID}
+	for ip, p := range x.peers {
+		yes[ip] = p.Member.ID
+	}
+	return x.list.Quorum(yes)
+}
+
+// Down are the members that aren't heard.
+func (x *Node) Down() (ips []string) {
+	for _, m := range x.list.Members {
+		if p, heard := x.peers[m.IP]; m.IP != x.self.IP && (!heard || p.Member.ID != m.ID) || m.IP == x.self.IP && !x.Member() {
+			ips = append(ips, m.IP)
+		}
+	}
+	return ips
+}
+
+// Busy tells whether a tick should come soon.
+func (x *Node) Busy() bool {
+	return x.phase != Idle || len(x.wait) > 0 || len(x.reads) > 0 || x.disk.At == x.disk.Applied+1 || !x.whole || x.fetch.from != ""
+}
+
+// Phase is where this process's own proposal stands.
+func (x *Node) Phase() Phase { return x.phase }
+
+// Mute has the node say nothing that rests on its disk, as the disk lacks some of it; or ends that.
+func (x *Node) Mute(on bool) { x.muted = on }
+
+// Step is the one function that changes a node.
+func (x *Node) Step(e Event) Effects {
+	x.out = &Effects{Send: map[string][]Message{}, Synced: map[string][]Message{}}
+	switch {
+	case e.Message != nil:
+		x.receive(e, *e.Message)
+	case e.Peer != nil:
+		x.peers[e.From] = *e.Peer
+		delete(x.silent, e.From)
+		x.behind(e.Now)
+	case e.Lost:
+		delete(x.peers, e.From)
+		x.silent[e.From] = e.Now
+		x.lostHand(e.From)
+		if x.fetch.from == e.From {
+			x.stopFetch()
+		}
+	case e.Order != nil:
+		x.order(e.Now, &pending{tag: e.Tag, order: *e.Order})
+	case e.Read:
+		x.read(e.Now, e.Tag)
+	case e.Recover:
+		x.force(e.Now)
+	case e.Tick:
+		x.tick(e)
+	}
+	x.pump(e)
+	out := *x.out
+	x.out = nil
+	return out
+}
+
+func (x *Node) say(to string, m Message) {
+	m.Epoch, m.ID, m.Applied = x.list.Epoch, x.self.ID, x.disk.Applied
+	if to == x.self.IP {
+		x.receive(Event{Now: x.sent, From: to}, m)
+		return
+	}
+	x.out.Send[to] = append(x.out.Send[to], m)
+}
+
+// sayOn says it once what it rests on is on disk.
+func (x *Node) sayOn(to string, m Message) {
+	m.Epoch, m.ID, m.Applied = x.list.Epoch, x.self.ID, x.disk.Applied
+	x.write()
+	if !x.muted {
+		x.out.Synced[to] = append(x.out.Synced[to], m)
+	}
+}
+
+func (x *Node) write() {
+	d := x.disk
+	x.out.Disk = &d
+}
+
+func (x *Node) answer(tag uint64, r Result) {
+	if tag != 0 {
+		x.out.Answers = append(x.out.Answers, Answer{tag, r})
+	}
+}
+
+// voters are those who are asked about the next number: the members, or the founders before there are any; and with them
+// those who come in by the value.
+func (x *Node) voters() (ips []string) {
+	if x.disk.Applied == 0 {
+		return x.disk.Founders
+	}
+	for _, m := range x.list.Members {
+		ips = append(ips, m.IP)
+	}
+	if x.phase == Accepting {
+		for _, m := range listIn(x.value).Members {
+			if !slices.Contains(ips, m.IP) {
+				ips = append(ips, m.IP)
+			}
+		}
+	}
+	return ips
+}
+
+// listIn is the list that a value sets, the zero List for none.
+func listIn(value []manifest.Item) muster.List {
+	for _, i := range value {
+		if i.Key() == muster.Key {
+			return muster.Read(i)
+		}
+	}
+	return muster.List{}
+}
+
+// enough tells whether those who said yes decide: more than half of the members, or of the founders; and of the members
+// that the value makes, as those must have taken it over.
+func (x *Node) enough(yes map[string]string, value []manifest.Item) bool {
+	if x.disk.Applied == 0 {
+		n := 0
+		for ip := range yes {
+			if slices.Contains(x.disk.Founders, ip) {
+				n++
+			}
+		}
+		if n < len(x.disk.Founders)/2+1 {
+			return false
+		}
+	} else if !x.list.Quorum(yes) {
+		return false
+	}
+	next := listIn(value)
+	return next.Epoch == 0 || next.Quorum(yes)
+}
+
+// may tells whether a process's word counts at the next number.
+func (x *Node) may(ip, id string, value []manifest.Item) bool {
+	if x.disk.Applied == 0 {
+		return slices.Contains(x.disk.Founders, ip)
+	}
+	return x.list.Has(ip, id) || listIn(value).Has(ip, id)
+}
+
+// receive takes a message.
+func (x *Node) receive(e Event, m Message) {
+	switch m.Kind {
+	case Prepare, Accept:
+		x.asked(e, m)
+	case Promise, Voted, Beaten, Ahead, Behind:
+		x.told(e, m)
+	case Commit:
+		x.committed(e, m)
+	case Confirm:
+		x.say(e.From, Message{Kind: Confirmed, Tag: m.Tag, Number: max(x.disk.Applied, x.disk.At)})
+	case Confirmed:
+		if r := x.reads[m.Tag]; r != nil && !r.known {
+			r.yes[e.From] = m.ID
+			r.target = max(r.target, m.Number)
+			r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch
+			x.readOn(e.Now, m.Tag, r)
+		}
+	case Fetch:
+		x.give(e.From, m)
+	case Changes:
+		x.follow(e, m)
+	case Parts:
+		x.cut(e, m)
+	case Hand:
+		if m.Order != nil {
+			x.order(e.Now, &pending{order: *m.Order, by: e.From, theirs: m.Tag})
+		}
+	case Handed:
+		x.handed(e, m)
+	}
+}
+
+// asked is the acceptor: it votes on the number after the last that it has applied, and on no other.
+func (x *Node) asked(e Event, m Message) {
+	next := x.disk.Applied + 1
+	switch {
+	case m.Number < next:
+		x.say(e.From, Message{Kind: Ahead, Number: m.Number, Ballot: m.Ballot})
+		return
+	case m.Number > next:
+		x.say(e.From, Message{Kind: Behind, Number: m.Number, Ballot: m.Ballot})
+		x.ask(e.Now, e.From)
+		return
+	case !x.may(x.self.IP, x.self.ID, m.Value) || !x.may(e.From, m.ID, nil) || x.muted:
+		return
+	case m.Ballot.Less(x.disk.Promised):
+		x.say(e.From, Message{Kind: Beaten, Number: m.Number, Ballot: x.disk.Promised, Vote: m.Ballot})
+		return
+	}
+	x.disk.Promised = m.Ballot
+	x.seen = max(x.seen, m.Ballot.N)
+	if m.Kind == Accept {
+		x.disk.Vote, x.disk.At, x.disk.Value = m.Ballot, m.Number, m.Value
+		x.voted = e.Now
+		x.sayOn(e.From, Message{Kind: Voted, Number: m.Number, Ballot: m.Ballot})
+		return
+	}
+	r := Message{Kind: Promise, Number: m.Number, Ballot: m.Ballot}
+	if x.disk.At == m.Number {
+		r.Vote, r.Value = x.disk.Vote, x.disk.Value
+	}
+	if m.Number == 1 {
+		self := x.self
+		r.Member = &self
+		if all := x.Set.All(); len(all) > 0 {
+			r.Batches = [][]manifest.Item{all}
+		}
+	}
+	x.sayOn(e.From, r)
+}
+
+// told is the proposer, as answers come.
+func (x *Node) told(e Event, m Message) {
+	switch {
+	case m.Kind == Behind:
+		return
+	case m.Kind == Ahead:
+		if m.Applied > x.disk.Applied {
+			x.idle(e, false)
+			x.ask(e.Now, e.From)
+		}
+		return
+	case m.Kind == Beaten:
+		x.seen = max(x.seen, m.Ballot.N)
+		if x.phase == Idle || m.Number != x.number || m.Vote != x.ballot {
+			return
+		}
+		x.Counts.Beaten++
+		x.sticky = false
+		if x.no[e.From] = true; len(x.voters())-len(x.no) < len(x.voters())/2+1 {
+			x.idle(e, true)
+		}
+		return
+	case m.Number != x.number || m.Ballot != x.ballot || !x.may(e.From, m.ID, x.value):
+		return
+	}
+	switch {
+	case m.Kind == Promise && x.phase == Preparing:
+		x.yes[e.From] = m.ID
+		if m.Vote != (Ballot{}) && x.best.Less(m.Vote) {
+			x.best, x.bestOf = m.Vote, m.Value
+		}
+		if m.Member != nil {
+			x.members = append(x.members, *m.Member)
+		}
+		for _, b := range m.Batches {
+			x.old = append(x.old, b...)
+		}
+		if x.enough(x.yes, nil) {
+			x.accept(e)
+		}
+	case m.Kind == Voted && x.phase == Accepting:
+		if x.yes[e.From] = m.ID; x.enough(x.yes, x.value) {
+			x.decide(e)
+		}
+	}
+}
+
+// idle ends a proposal without an end.
+func (x *Node) idle(e Event, beaten bool) {
+	if x.phase != Idle && beaten {
+		x.retry = e.Now + int64(e.Chance*float64(turn)*float64(1+x.restarts))
+		x.restarts = min(x.restarts+1, 4)
+	}
+	x.phase, x.sticky, x.value, x.mine, x.members, x.old, x.bestOf = Idle, false, nil, nil, nil, nil, nil
+}
+
+// prepare begins a proposal with a new ballot.
+func (x *Node) prepare(e Event) {
+	x.seen++
+	x.Counts.Prepared++
+	x.phase, x.number, x.ballot = Preparing, x.disk.Applied+1, Ballot{x.seen, x.life}
+	x.yes, x.no, x.best, x.bestOf, x.members, x.old, x.value, x.mine = map[string]string{}, map[string]bool{}, Ballot{}, nil, nil, nil, nil, nil
+	x.since, x.sent, x.fresh = e.Now, e.Now, false
+	x.propose()
+}
+
+// accept asks for votes: on the value of the highest ballot that was told, or on this process's own orders.
+func (x *Node) accept(e Event) {
+	value, mine := x.bestOf, []uint64(nil)
+	switch {
+	case x.best != (Ballot{}):
+		x.Counts.TakenOver++
+	case x.disk.Applied == 0:
+		value = x.found()
+	default:
+		x.fresh = true
+		value, mine = x.build(e.Now)
+	}
+	if len(value) == 0 {
+		x.phase, x.sticky = Idle, true
+		x.restarts = 0
+		return
+	}
+	x.vote(e, value, mine)
+}
+
+// vote asks for votes on a value; with a ballot this is done once a number.
+func (x *Node) vote(e Event, value []manifest.Item, mine []uint64) {
+	x.Counts.Proposed++
+	x.phase, x.number, x.value, x.mine, x.yes = Accepting, x.disk.Applied+1, value, mine, map[string]string{}
+	x.no = map[string]bool{}
+	x.since, x.sent, x.sticky = e.Now, e.Now, true
+	x.propose()
+}
+
+// propose says the present step to all who haven't answered it.
+func (x *Node) propose() {
+	m := Message{Kind: Prepare, Number: x.number, Ballot: x.ballot}
+	if x.phase == Accepting {
+		m.Kind, m.Value = Accept, x.value
+	}
+	for _, ip := range x.voters() {
+		if _, said := x.yes[ip]; !said && ip != x.self.IP {
+			x.say(ip, m)
+		}
+	}
+	if _, said := x.yes[x.self.IP]; !said && slices.Contains(x.voters(), x.self.IP) {
+		x.say(x.self.IP, m)
+	}
+}
+
+// found is the first value: those who promised are the first members. On disks of before the agreement there may be items:
+// the newest of all hold.
+func (x *Node) found() []manifest.Item {
+	all := manifest.NewSet()
+	for _, i := range x.old {
+		if i.Kind != manifest.Core {
+			all.Merge(i)
+		}
+	}
+	return append(all.All(), muster.List{}.Join(x.members, nil).Item())
+}
+
+// build makes a value of the orders that wait, and answers those that need none.
+func (x *Node) build(now int64) (value []manifest.Item, mine []uint64) {
+	var next *manifest.Set
+	at := map[manifest.Key]int{}
+	var left []*pending
+	for _, p := range x.wait {
+		if left = append(left, p); !p.local || len(value) >= mostItems || p.order.Kind == orders.Join && listIn(value).Epoch != 0 {
+			continue
+		}
+		set := x.Set
+		if next != nil {
+			set = next
+		}
+		items, err := orders.Apply(set, p.order)
+		if (err != nil || len(items) == 0) && next != nil { // by what is not decided yet: it is looked at again
+			if items, err = orders.Apply(x.Set, p.order); err == nil && len(items) > 0 {
+				continue
+			}
+		}
+		switch {
+		case err != nil:
+			k := faults.Of(err)
+			if k != faults.Conflict && !x.fresh { // it may be wrong only by what this process doesn't know yet
+				x.sticky = false
+				continue
+			}
+			left = left[:len(left)-1]
+			x.end(p, Result{Kind: k, Reason: err.Error(), Number: x.disk.Applied})
+			continue
+		case len(items) == 0:
+			left = left[:len(left)-1]
+			x.end(p, Result{Number: x.disk.Applied})
+			continue
+		}
+		if next == nil {
+			next = x.Set.Clone()
+		}
+		for _, i := range items {
+			next.Merge(i)
+			if n, there := at[i.Key()]; there {
+				value[n] = i
+			} else {
+				at[i.Key()] = len(value)
+				value = append(value, i)
+			}
+		}
+		mine = append(mine, p.tag)
+	}
+	x.wait = left
+	return value, mine
+}
+
+// end tells how an order ended, here or where it came from.
+func (x *Node) end(p *pending, r Result) {
+	if p.by != "" {
+		x.say(p.by, Message{Kind: Handed, Tag: p.theirs, Result: &r})
+		return
+	}
+	x.answer(p.tag, r)
+}
+
+// decide is where a number is decided by this process's proposal.
+func (x *Node) decide(e Event) {
+	value, mine, ballot, number, sticky := x.value, x.mine, x.ballot, x.number, x.sticky
+	x.phase, x.value, x.mine, x.restarts = Idle, nil, nil, 0
+	x.apply(e.Now, number, value)
+	x.sticky = sticky
+	for ip := range x.peers {
+		x.say(ip, Message{Kind: Commit, Number: number, Ballot: ballot})
+	}
+	x.wait = slices.DeleteFunc(x.wait, func(p *pending) bool {
+		if slices.Contains(mine, p.tag) {
+			x.end(p, Result{Number: number})
+			return true
+		}
+		return false
+	})
+}
+
+// committed learns a decision that another's proposal brought.
+func (x *Node) committed(e Event, m Message) {
+	if m.Number <= x.disk.Applied {
+		return
+	}
+	if m.Number == x.disk.Applied+1 && x.disk.At == m.Number && x.disk.Vote == m.Ballot {
+		value := x.disk.Value
+		if x.phase != Idle {
+			x.idle(e, false)
+		}
+		x.sticky = false
+		x.apply(e.Now, m.Number, value)
+		return
+	}
+	x.ask(e.Now, e.From)
+}
+
+// apply is the one place where a decided change comes into the set.
+func (x *Node) apply(now int64, number uint64, items []manifest.Item) {
+	for _, i := range items {
+		if x.Set.Merge(i) {
+			x.out.Items = append(x.out.Items, i)
+		}
+	}
+	x.ring, x.ringed = append(x.ring, kept{number, items}), x.ringed+len(items)
+	for len(x.ring) > keptChanges || x.ringed > keptItems && len(x.ring) > 0 {
+		x.ringed -= len(x.ring[0].items)
+		x.ring = x.ring[1:]
+	}
+	x.applied(now, number)
+	x.Counts.Decided++
+}
+
+func (x *Node) applied(now int64, number uint64) {
+	x.disk.Applied = number
+	if x.disk.At <= number {
+		x.disk.Vote, x.disk.At, x.disk.Value = Ballot{}, 0, nil
+	}
+	x.list = muster.Of(x.Set)
+	x.out.Changed = true
+	x.write()
+	for tag, r := range x.reads {
+		x.readOn(now, tag, r)
+	}
+}
+
+// order takes an order up.
+func (x *Node) order(now int64, p *pending) {
+	p.came = now
+	if len(x.wait) >= mostWaiting {
+		x.end(p, Result{Kind: faults.Unready, Reason: "too many orders wait"})
+		return
+	}
+	if p.by != "" || p.tag == 0 {
+		x.last++
+		p.tag = x.last
+	}
+	if p.by != "" && !x.Member() {
+		x.end(p, Result{Kind: faults.Unready, Reason: "no member of the core"})
+		return
+	}
+	p.local = p.by != ""
+	x.wait = append(x.wait, p)
+}
+
+// first is the member that proposes for the others as long as it is heard. Nothing rests on that all see the same one.
+func (x *Node) first() string {
+	for _, m := range x.list.Members {
+		if m.IP == x.self.IP && x.Member() {
+			return m.IP
+		}
+		if p, heard := x.peers[m.IP]; heard && p.Whole && p.Member.ID == m.ID {
+			return m.IP
+		}
+	}
+	return ""
+}
+
+func (x *Node) lostHand(ip string) {
+	for _, p := range x.wait {
+		if p.to == ip {
+			p.local = p.local || x.Member()
+		}
+	}
+}
+
+// handed is how an order ended that was handed over.
+func (x *Node) handed(e Event, m Message) {
+	for n, p := range x.wait {
+		if p.tag == m.Tag && p.to == e.From && m.Result != nil {
+			if m.Result.Kind == faults.Unready {
+				p.local = p.local || x.Member()
+				return
+			}
+			x.wait = slices.Delete(x.wait, n, n+1)
+			x.end(p, *m.Result)
+			return
+		}
+	}
+}
+
+// pump goes on with what waits, where nothing of it is under way.
+func (x *Node) pump(e Event) {
+	x.wait = slices.DeleteFunc(x.wait, func(p *pending) bool {
+		if e.Now-p.came <= orderWaits {
+			return false
+		}
+		x.end(p, Result{Kind: faults.Unready, Reason: "not yet kept by more than half of the core"})
+		return true
+	})
+	if !x.whole || x.disk.Applied == 0 {
+		return
+	}
+	first, local := x.first(), false
+	for _, p := range x.wait {
+		if !p.local {
+			switch {
+			case first == x.self.IP:
+				p.local = true
+			case p.handed == 0 && first != "":
+				x.Counts.Handed++
+				p.handed, p.to = e.Now, first
+				o := p.order
+				x.say(first, Message{Kind: Hand, Tag: p.tag, Order: &o})
+			case e.Now-max(p.handed, p.came) > handAgain:
+				p.local = x.Member()
+			}
+		}
+		local = local || p.local
+	}
+	if x.phase != Idle || e.Now < x.retry || !x.Member() || x.muted {
+		return
+	}
+	left := x.disk.At == x.disk.Applied+1 && e.Now-x.voted > stuck+int64(x.before())*turn
+	if !local && !left {
+		return
+	}
+	if x.sticky && !left && x.disk.At != x.disk.Applied+1 {
+		x.fresh = false
+		if value, mine := x.build(e.Now); len(value) > 0 {
+			x.vote(e, value, mine)
+			return
+		} else if x.sticky || !slices.ContainsFunc(x.wait, func(p *pending) bool { return p.local }) {
+			return
+		}
+	}
+	x.prepare(e)
+}
+
+// before is how many members that are heard come before this one.
+func (x *Node) before() (n int) {
+	for _, m := range x.list.Members {
+		if _, heard := x.peers[m.IP]; heard && m.IP < x.self.IP {
+			n++
+		}
+	}
+	return n
+}
+
+// tick looks at what has waited for long.
+func (x *Node) tick(e Event) {
+	if x.phase != Idle {
+		if e.Now-x.since > giveUp {
+			x.idle(e, true)
+		} else if e.Now-x.sent > sendAgain {
+			x.sent = e.Now
+			x.propose()
+		}
+	}
+	x.behind(e.Now)
+	if x.disk.Applied == 0 {
+		x.begin(e)
+		return
+	}
+	if !x.whole && x.reads[0] == nil {
+		x.read(e.Now, 0)
+	}
+	for tag, r := range x.reads {
+		switch {
+		case e.Now-r.came > orderWaits:
+			delete(x.reads, tag)
+			x.answer(tag, Result{Kind: faults.Unready, Reason: "not enough of the core tells how far it is"})
+		case !r.known && e.Now-r.asked > sendAgain:
+			x.inquire(e.Now, tag, r)
+		case r.known && x.phase == Idle && x.whole && x.Member() && r.target == x.disk.Applied+1 && e.Now-r.asked > stuck/2 && e.Now >= x.retry:
+			x.prepare(e) // a vote that nobody ends
+		}
+	}
+	x.upkeep(e)
+}
+
+// begin makes the first epoch: the founders are named by the settings of the first start, alike at all, and more than half
+// of them decide the first number as any other. A process whose disk was lost is no founder any more.
+func (x *Node) begin(e Event) {
+	at := slices.Index(x.disk.Founders, x.self.IP)
+	if at < 0 || x.phase != Idle || e.Now < x.retry || e.Now-x.began < int64(at)*2*turn {
+		return
+	}
+	n := 1
+	for _, ip := range x.disk.Founders {
+		if _, heard := x.peers[ip]; heard {
+			n++
+		}
+	}
+	if n >= len(x.disk.Founders)/2+1 {
+		x.prepare(e)
+	}
+}
+
+// upkeep has the first member bring in who has come, and let go who has a successor.
+func (x *Node) upkeep(e Event) {
+	for _, m := range x.list.Members {
+		if _, heard := x.peers[m.IP]; m.IP != x.self.IP && !heard && x.silent[m.IP] == 0 {
+			x.silent[m.IP] = e.Now
+		}
+	}
+	if !x.whole || x.first() != x.self.IP || slices.ContainsFunc(x.wait, func(p *pending) bool { return p.order.Kind == orders.Join }) {
+		return
+	}
+	var in []muster.Member
+	for _, ip := range slices.Sorted(maps.Keys(x.peers)) {
+		if p := x.peers[ip]; p.Whole && !x.list.Has(ip, p.Member.ID) && p.Applied+mostBehind >= x.disk.Applied && p.Member.ID != "" {
+			in = append(in, p.Member)
+		}
+	}
+	var silent []string
+	for _, m := range x.list.Members {
+		if since := x.silent[m.IP]; since != 0 && e.Now-since > silentFor {
+			silent = append(silent, m.IP)
+		}
+	}
+	out := x.list.Join(in, nil).Surplus(silent, x.perZone)
+	if len(in)+len(out) > 0 {
+		x.order(e.Now, &pending{order: orders.Order{Kind: orders.Join, In: in, Out: out}})
+	}
+}
+
+// force makes this process the whole core: a number and an epoch that fence all that was before.
+func (x *Node) force(now int64) {
+	x.idle(Event{Now: now}, false)
+	next := muster.List{Epoch: x.list.Epoch + 1<<16, Members: []muster.Member{x.self}}
+	x.ring, x.ringed = nil, 0
+	x.whole = true
+	x.apply(now, x.disk.Applied+1<<32, []manifest.Item{next.Item()})
+}
+
+// read begins a read: it is answered once this process has all that was decided when it came.
+func (x *Node) read(now int64, tag uint64) {
+	if len(x.reads) >= mostWaiting {
+		x.answer(tag, Result{Kind: faults.Unready, Reason: "too many reads wait"})
+		return
+	}
+	r := &read{came: now}
+	x.reads[tag] = r
+	x.Counts.Reads++
+	x.inquire(now, tag, r)
+}
+
+func (x *Node) inquire(now int64, tag uint64, r *read) {
+	r.asked, r.epoch, r.yes, r.target, r.known = now, x.list.Epoch, map[string]string{}, x.disk.Applied, false
+	for _, m := range x.list.Members {
+		if m.IP != x.self.IP {
+			x.say(m.IP, Message{Kind: Confirm, Tag: tag})
+		}
+	}
+	x.receive(Event{Now: now, From: x.self.IP}, Message{Kind: Confirmed, Tag: tag, ID: x.self.ID, Number: max(x.disk.Applied, x.disk.At)})
+}
+
+// readOn ends a read, or begins it anew where the members have changed meanwhile.
+func (x *Node) readOn(now int64, tag uint64, r *read) {
+	switch {
+	case x.reads[tag] != r:
+	case r.epoch != x.list.Epoch:
+		if r.known || r.target <= x.disk.Applied {
+			x.inquire(now, tag, r)
+		}
+	case r.known && r.target <= x.disk.Applied:
+		delete(x.reads, tag)
+		if tag == 0 {
+			x.whole, x.out.Changed = true, true
+		}
+		x.answer(tag, Result{Number: x.disk.Applied})
+	}
+}
+
+// behind asks a peer that has had more for a while.
+func (x *Node) behind(now int64) {
+	best := ""
+	for _, ip := range slices.Sorted(maps.Keys(x.peers)) {
+		if p := x.peers[ip]; p.Applied > x.disk.Applied && (best == "" || p.Applied > x.peers[best].Applied) {
+			best = ip
+		}
+	}
+	switch {
+	case best == "":
+		x.apart = 0
+	case x.apart == 0:
+		x.apart = now
+		fallthrough
+	default:
+		if !x.whole || now-x.apart >= fetchSoon {
+			x.ask(now, best)
+		}
+	}
+}
+
+// ask asks a peer for what was decided since.
+func (x *Node) ask(now int64, ip string) {
+	if x.fetch.from != "" && now-x.fetch.at < fetchAgain || ip == x.self.IP {
+		return
+	}
+	x.Counts.Fetches++
+	sums := x.Set.Sums()
+	x.stopFetch()
+	x.fetch.from, x.fetch.at, x.fetch.behind = ip, now, x.disk.Applied
+	x.say(ip, Message{Kind: Fetch, Sums: sums[:]})
+}
+
+func (x *Node) stopFetch() {
+	x.fetch.from, x.fetch.parts, x.fetch.items = "", nil, nil
+}
+
+// give tells what was decided since: the changes, as long as they are kept; else a consistent cut, in chunks.
+func (x *Node) give(to string, m Message) {
+	if m.Applied >= x.disk.Applied || x.disk.Applied == 0 {
+		return
+	}
+	if len(x.ring) > 0 && x.ring[0].number <= m.Applied+1 {
+		var batches [][]manifest.Item
+		n := 0
+		for _, k := range x.ring {
+			if k.number > m.Applied && n < keptItems/4 {
+				batches = append(batches, k.items)
+				n += len(k.items) + 1
+			}
+		}
+		x.say(to, Message{Kind: Changes, Number: m.Applied, Batches: batches})
+		return
+	}
+	x.Counts.Cuts++
+	parts := x.Set.Differ(m.Sums)
+	chunk := Message{Kind: Parts, Number: x.disk.Applied, Parts: parts, Tag: x.Set.Sum()}
+	size := 0
+	for _, i := range x.Set.In(parts) {
+		if chunk.Value, size = append(chunk.Value, i), size+len(i.Body)+96; size >= chunkBytes {
+			x.say(to, chunk)
+			chunk.Value, chunk.Parts, size = nil, nil, 0
+		}
+	}
+	chunk.Last = true
+	x.say(to, chunk)
+}
+
+// follow applies changes that follow on what is had.
+func (x *Node) follow(e Event, m Message) {
+	if x.fetch.from != e.From || m.Number > x.disk.Applied {
+		return
+	}
+	x.stopFetch()
+	for n, items := range m.Batches {
+		if number := m.Number + uint64(n) + 1; number == x.disk.Applied+1 {
+			x.idle(e, false)
+			x.apply(e.Now, number, items)
+		}
+	}
+	if m.Applied > x.disk.Applied {
+		x.ask(e.Now, e.From)
+	}
+}
+
+// cut takes a chunk of a consistent cut, and puts it in the place of what is had once it is there as a whole.
+func (x *Node) cut(e Event, m Message) {
+	f := &x.fetch
+	if f.from != e.From || f.behind != x.disk.Applied {
+		return
+	}
+	f.at = e.Now
+	if m.Parts != nil {
+		f.parts, f.items = m.Parts, nil
+	}
+	if f.items = append(f.items, m.Value...); !m.Last {
+		return
+	}
+	parts, items := f.parts, f.items
+	x.stopFetch()
+	if m.Number <= x.disk.Applied {
+		return
+	}
+	next := x.Set.Clone()
+	if next.Replace(parts, items); next.Sum() != m.Tag {
+		return // it is asked for again
+	}
+	x.idle(e, false)
+	news, gone := x.Set.Replace(parts, items)
+	x.out.Items, x.out.Gone = append(x.out.Items, news...), append(x.out.Gone, gone...)
+	x.ring, x.ringed = nil, 0
+	x.applied(e.Now, m.Number)
+}
+
+// String is the node's state in a log.
+func (x *Node) String() string {
+	return fmt.Sprintf("number %d, epoch %d of %d, %v, whole %v", x.disk.Applied, x.list.Epoch, len(x.list.Members), x.phase, x.whole)
+}
+
+// Silent tells for how long each member that isn't heard has been silent, nanoseconds.
+func (x *Node) Silent(now int64) map[string]int64 {
+	all := map[string]int64{}
+	for _, ip := range x.Down() {
+		if at := x.silent[ip]; at != 0 {
+			all[ip] = cmp.Or(now-at, 1)
+		}
+	}
+	return all
+}
