--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -1,5 +1,5 @@
 // Package bridge is what a control process knows and how far it may be gone by: which hosts and routers there are, the
-// items, the votes, the other control processes, and the news. It does no I/O and has no clock.
+// items (as package quorum has them decided), the votes, the other control processes, and the news. It does no I/O and has no clock.
 package bridge
 
 import (
@@ -10,6 +10,7 @@
 	"portflow/internal/harbour/berths"
 	"portflow/internal/harbour/lookout"
 	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/quorum"
 	"portflow/internal/harbour/signals"
 )
 
@@ -18,7 +19,7 @@
 
 const (
 	Adrift  Standing = iota // it may lack what was acknowledged: it feeds nobody and takes no order
-	Alone                   // it has heard from more than half of the core, and doesn't now
+	Alone                   // it has had all that was decided when it asked, and doesn't hear more than half of the members now
 	InTouch                 // it hears more than half
 )
 
@@ -27,14 +28,12 @@
 // Peer is another control process, as it is heard over the line that this one dialled.
 type Peer struct {
 	Status signals.Status
-	synced bool  // since this life began, all that differed was taken over from it
-	apart  int64 // since when it has had other items, 0 while it has the same
 }
 
 // State is what a control process knows. It is not safe for two goroutines.
 type State struct {
 	Self     signals.Hello
-	Size     int // control processes of the core
+	Node     *quorum.Node // this process's part in the agreement of the core
 	Set      *manifest.Set
 	Register *berths.Register
 	Fronts   map[string]signals.Front
@@ -42,12 +41,8 @@
 	Polls    map[PollKey]signals.Poll
 	Asides   map[string]lookout.Judgement // by host: those that were set aside of late
 	Views    map[PollKey]signals.Poll     // the newest figures of routers that hang here
-	Cells    map[string]signals.Cell      // by register: this process's part of it
-	FromDisk bool                         // the disk held the whole state when it was opened, or this is the first start
-	Whole    bool
-	Peers    map[string]*Peer // by IP, those that are heard now
-	lost     map[string]int64 // by name, control processes that are not heard, since when
-	synced   map[string]bool  // by IP, intact ones whose items were taken over in this life
+	Peers    map[string]*Peer             // by IP, those that are heard now
+	lost     map[string]int64             // by name, control processes that are not heard, since when
 }
 
 // Front is a router as control knows it.
@@ -59,57 +54,28 @@
 // KeptNews is how many changes are kept for those who are behind.
 const KeptNews = 4096
 
-// NewState begins with what the disk held.
-func NewState(self signals.Hello, size int, items []manifest.Item, intact bool, beat int64) *State {
-	s := &State{Self: self, Size: size, Set: manifest.NewSet(), Register: berths.New(self.Name, beat),
-		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{}, Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{},
-		Cells: map[string]signals.Cell{}, FromDisk: intact, Peers: map[string]*Peer{}, lost: map[string]int64{}, synced: map[string]bool{}}
-	for _, i := range items {
-		s.Set.Merge(i)
-	}
-	s.weigh()
-	return s
-}
-
-// Majority is how many of the core are more than half.
-func (s *State) Majority() int { return s.Size/2 + 1 }
-
-// weigh finds out whether the state is whole. An intact disk and enough others are more than half; who lost its disk needs
-// so many others that any half that acknowledged something, less itself, is among them.
-func (s *State) weigh() {
-	need := s.Majority() - 1
-	if !s.FromDisk {
-		need = s.Size - s.Majority() + 1
-	}
-	s.Whole = s.Whole || len(s.synced) >= need || s.Size > 1 && s.all()
-}
-
-// all tells whether all that any of the core still has was taken over: where every disk was lost there is no more.
-func (s *State) all() bool {
-	n := 0
-	for _, p := range s.Peers {
-		if p.synced {
-			n++
-		}
-	}
-	return n == s.Size-1
+// NewState begins with a node that has what the disk held.
+func NewState(self signals.Hello, node *quorum.Node, beat int64) *State {
+	return &State{Self: self, Node: node, Set: node.Set, Register: berths.New(self.Name, beat),
+		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{},
+		Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{}, Peers: map[string]*Peer{}, lost: map[string]int64{}}
 }
 
 // Standing tells how far this process may be gone by.
 func (s *State) Standing() Standing {
 	switch {
-	case !s.Whole:
+	case !s.Node.Whole():
 		return Adrift
-	case 1+len(s.Counted()) < s.Majority():
+	case !s.Node.Hears():
 		return Alone
 	}
 	return InTouch
 }
 
-// Counted are the peers that are heard and hold what they were told to keep.
+// Counted are the peers that are heard and whose votes count.
 func (s *State) Counted() (ips []string) {
 	for ip, p := range s.Peers {
-		if p.Status.Intact {
+		if p.Status.Member {
 			ips = append(ips, ip)
 		}
 	}
@@ -117,66 +83,20 @@
 	return ips
 }
 
-// Counts tells whether an acknowledgement of a peer counts.
-func (s *State) Counts(ip string) bool {
-	p := s.Peers[ip]
-	return p != nil && p.Status.Intact
-}
-
-// Intact tells whether what this process keeps counts for more than half: its disk held all, or it has become whole.
-func (s *State) Intact() bool { return s.FromDisk || s.Whole }
-
 // Status is what others are told of this process.
 func (s *State) Status() signals.Status {
-	return signals.Status{Whole: s.Whole, Intact: s.Intact(), Majority: s.Standing() == InTouch, Sum: s.Set.Sum()}
+	return signals.Status{Whole: s.Node.Whole(), Member: s.Node.Member(), Majority: s.Standing() == InTouch, Sum: s.Set.Sum(),
+		Epoch: s.Node.List().Epoch, Number: s.Node.Applied()}
 }
 
-// Heard notes that a peer is heard, and how it stands; it tells whether its items should be asked for.
-func (s *State) Heard(ip string, st signals.Status) (differs bool) {
+// Heard notes that a peer is heard, and how it stands.
+func (s *State) Heard(ip string, st signals.Status) {
 	p := s.Peers[ip]
 	if p == nil {
 		p = &Peer{}
 		s.Peers[ip] = p
 	}
 	p.Status = st
-	if st.Sum == s.Set.Sum() {
-		s.Synced(ip)
-		return false
-	}
-	return true
-}
-
-// settling is for how long a peer's items may differ before it is asked for them: an order reaches the others one by one,
-// and each tells its new sum a moment after it has it.
-const settling = int64(400e6)
-
-// Differs tells whether a peer that is heard has had other items for long enough to be asked for them. Who isn't whole asks
-// at once.
-func (s *State) Differs(now int64, ip string) bool {
-	p := s.Peers[ip]
-	if p == nil || p.Status.Sum == s.Set.Sum() {
-		if p != nil {
-			p.apart = 0
-		}
-		return false
-	}
-	if p.apart == 0 {
-		p.apart = now
-	}
-	return !s.Whole || now-p.apart >= settling
-}
-
-// Synced notes that all that a peer has was taken over.
-func (s *State) Synced(ip string) {
-	p := s.Peers[ip]
-	if p == nil {
-		return
-	}
-	p.synced = true
-	if p.Status.Intact {
-		s.synced[ip] = true
-	}
-	s.weigh()
 }
 
 // Lost notes that a peer isn't heard any more: its hosts and routers are now for others to hear of.
@@ -217,16 +137,6 @@
 	}
 }
 
-// Merge takes items in, and tells those that were new.
-func (s *State) Merge(items []manifest.Item) (news []manifest.Item) {
-	for _, i := range items {
-		if s.Set.Merge(i) {
-			news = append(news, i)
-		}
-	}
-	return news
-}
-
 // Publish tells items to the routers that hang here.
 func (s *State) Publish(items []manifest.Item) {
 	for _, i := range items {
--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -12,9 +12,9 @@
 	"github.com/go-chi/chi/v5"
 
 	"portflow/internal/harbour/berths"
-	"portflow/internal/harbour/bridge"
 	"portflow/internal/harbour/faults"
 	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/orders"
 	"portflow/internal/harbour/rpc"
 )
 
@@ -75,7 +75,10 @@
 func (m *Master) resolve(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	m.mu.Lock()
-	all := m.state.Addresses(q.Get("zone-name"), q.Get("region-name"), m.Boot.Zones)
+	var all []string
+	if m.ready() == nil { // else what it knows of routers is old
+		all = m.state.Addresses(q.Get("zone-name"), q.Get("region-name"), m.Boot.Zones)
+	}
 	m.mu.Unlock()
 	if len(all) == 0 {
 		a := faults.Unready.Answer()
@@ -111,10 +114,11 @@
 	}
 	_, known := m.state.Set.Get(manifest.Key{Kind: manifest.Settled, Name: h.Service})
 	to := m.near(h.Zone)
-	m.mu.Unlock()
-	if !known { // the first hosts' version is the one that is not on trial
+	if !known && !m.settling[h.Service] { // the first hosts' version is the one that is not on trial
+		m.settling[h.Service] = true
 		go m.settle(h.Service, h.Version)
 	}
+	m.mu.Unlock()
 	if to != "" {
 		return map[string]string{"heartbeat-address": to}, nil
 	}
@@ -139,11 +143,12 @@
 	return net.JoinHostPort(best, port)
 }
 
+// settle has the core note a service's first version.
 func (m *Master) settle(service, version string) {
-	body, _ := json.Marshal(map[string]string{"version": version})
-	ctx, cancel := context.WithTimeout(m.ctx, answerIn)
-	defer cancel()
-	m.store(ctx, []manifest.Item{{Kind: manifest.Settled, Name: service, Version: 1, Body: body}})
+	m.submit(m.ctx, orders.Order{Kind: orders.Settle, Of: service, Version: version})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.settling, service)
 }
 
 func (m *Master) leave(_ context.Context, id string, _ []byte) (any, error) {
@@ -162,70 +167,33 @@
 	return nil, nil
 }
 
-// ready tells whether this process may take orders; the caller holds the lock.
-func (m *Master) ready() error {
-	if s := m.state.Standing(); s != bridge.InTouch {
-		return faults.New(faults.Unready, "this process is %v: it hears %d others of a core of %d", s, len(m.state.Peers), m.state.Size)
-	}
-	return nil
-}
-
-// modify takes a configuration.
+// modify takes a configuration, as a whole or not at all.
 func (m *Master) modify(ctx context.Context, _ string, body []byte) (any, error) {
 	items, err := manifest.Read(body)
 	if err != nil {
 		return nil, err
 	}
-	m.mu.Lock()
-	err = m.ready()
-	if err == nil {
-		_, err = m.state.Set.Check(items)
-	}
-	m.mu.Unlock()
-	if err != nil {
+	if err := m.submit(ctx, orders.Order{Kind: orders.Modify, Items: items}); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerIn)
-	defer cancel()
-	if err := m.store(ctx, items); err != nil {
-		return nil, faults.Wrap(faults.Unready, err, "not yet kept by more than half of the core")
-	}
 	return map[string]any{}, nil
 }
 
-// read tells all items that stand, as more than half of the core has them.
-func (m *Master) read(context.Context, string, []byte) (any, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.ready(); err != nil {
+// read tells all items that stand, as they did when the call came or later.
+func (m *Master) read(ctx context.Context, _ string, _ []byte) (any, error) {
+	if err := m.confirm(ctx); err != nil {
 		return nil, err
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	raw, err := m.state.Set.Write()
 	return json.RawMessage(raw), err
 }
 
-// evacuate begins or withdraws the evacuation of a zone. Its register's next version lies above any that was, by the time
-// of day, so that orders through two processes fall in their order.
+// evacuate begins or withdraws the evacuation of a zone.
 func (m *Master) evacuate(ctx context.Context, zone string, begun bool) (any, error) {
 	if _, ok := m.Boot.Zones[zone]; !ok {
 		return nil, faults.New(faults.Missing, "of: no zone %q", zone)
 	}
-	body, _ := json.Marshal(map[string]bool{"begun": begun})
-	m.mu.Lock()
-	err := m.ready()
-	old, there := m.state.Set.Get(manifest.Key{Kind: manifest.Evacuations, Name: zone})
-	m.mu.Unlock()
-	if err != nil {
-		return nil, err
-	}
-	i := manifest.Item{Kind: manifest.Evacuations, Name: zone, Version: max(old.Version+1, uint64(m.clock()/1e6)), Body: body}
-	if there && string(old.Body) == string(body) { // it stands: it is only to be kept by enough
-		i = old
-	}
-	ctx, cancel := context.WithTimeout(ctx, answerIn)
-	defer cancel()
-	if err := m.store(ctx, []manifest.Item{i}); err != nil {
-		return nil, faults.Wrap(faults.Unready, err, "not yet kept by more than half of the core")
-	}
-	return nil, nil
+	return nil, m.submit(ctx, orders.Order{Kind: orders.Evacuate, Of: zone, Begun: begun})
 }
--- a/internal/harbour/harbourmaster/keeper.go
+++ b/internal/harbour/harbourmaster/keeper.go
@@ -1,18 +1,23 @@
 package harbourmaster
 
 import (
+	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"portflow/internal/harbour/logbook"
 	"portflow/internal/harbour/manifest"
 )
 
-// job is items to be kept; done is told once they are synced.
+// job is what is to be kept; done is told once it is synced.
 type job struct {
-	items []manifest.Item
-	cells map[string][]byte
-	whole bool
-	done  func()
+	items   []manifest.Item
+	gone    []manifest.Key
+	cells   map[string][]byte
+	whole   bool
+	rewrite bool // what isn't among the items goes
+	done    func()
 }
 
 const (
@@ -28,14 +33,22 @@
 	fail func(error)
 }
 
-func (k *keeper) keep(j job) {
+// keep tells whether the job was taken: not, where the disk hangs.
+func (k *keeper) keep(j job) bool {
 	select {
 	case k.in <- j:
-	default: // the disk hangs: others' acknowledgements have to do, and the items come again by repair
+		return true
+	default:
 		k.fail(errFull)
+		return false
 	}
 }
 
+// idle tells whether nothing waits for the disk.
+func (k *keeper) idle() bool { return len(k.in) == 0 }
+
+var errFull = errors.New("too many orders wait for the disk")
+
 func (k *keeper) run() {
 	for {
 		var all []job
@@ -53,17 +66,29 @@
 				more = false
 			}
 		}
-		var items []manifest.Item
-		cells, whole := map[string][]byte{}, false
+		var last job // all of them in one, in their order
+		items := map[manifest.Key]manifest.Item{}
+		gone := map[manifest.Key]bool{}
+		last.cells = map[string][]byte{}
 		for _, j := range all {
-			items = append(items, j.items...)
-			whole = whole || j.whole
-			for name, raw := range j.cells {
-				cells[name] = raw
+			if last.whole = last.whole || j.whole; j.rewrite {
+				last.rewrite = true
+				clear(items)
+				clear(gone)
+			}
+			for _, i := range j.items {
+				items[i.Key()] = i
+				delete(gone, i.Key())
+			}
+			for _, key := range j.gone {
+				gone[key] = true
+				delete(items, key)
 			}
+			maps.Copy(last.cells, j.cells)
 		}
+		last.items, last.gone = slices.Collect(maps.Values(items)), slices.Collect(maps.Keys(gone))
 		for {
-			err := k.book.Write(items, cells, whole)
+			err := k.write(last)
 			if err == nil {
 				break
 			}
@@ -79,3 +104,10 @@
 		}
 	}
 }
+
+func (k *keeper) write(j job) error {
+	if j.rewrite {
+		return k.book.Rewrite(j.items, j.cells, j.whole)
+	}
+	return k.book.Replace(j.items, j.gone, j.cells, j.whole)
+}
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -13,30 +13,36 @@
 
 // Survey is who is in the harbour, as one control process sees it. Times are seconds.
 type Survey struct {
-	Node      string                      `json:"node"`
-	Standing  string                      `json:"standing"`
-	Core      []CoreState                 `json:"core"`
-	Routers   []RouterState               `json:"routers"`
-	Hosts     []HostState                 `json:"hosts"`
-	Rollouts  []RolloutState              `json:"rollouts"`
-	Shares    []tonnage.State             `json:"shares,omitempty"`
-	Callers   map[string][]tonnage.Caller `json:"callers,omitempty"` // by service: the last hour, of the routers that hang here
-	Evacuated []string                    `json:"evacuated"`
-	Yielding  []string                    `json:"yielding"` // items that stand and are not in force, with the reason
-	Items     int                         `json:"items"`
-	Highest   uint64                      `json:"highest"` // version of any item of the configuration, dropped ones too
-	News      uint64                      `json:"news"`
-	Syncs     int64                       `json:"syncs"`
+	Node       string                      `json:"node"`
+	Standing   string                      `json:"standing"`
+	Core       []CoreState                 `json:"core"`
+	Routers    []RouterState               `json:"routers"`
+	Hosts      []HostState                 `json:"hosts"`
+	Rollouts   []RolloutState              `json:"rollouts"`
+	Shares     []tonnage.State             `json:"shares,omitempty"`
+	Callers    map[string][]tonnage.Caller `json:"callers,omitempty"` // by service: the last hour, of the routers that hang here
+	Evacuated  []string                    `json:"evacuated"`
+	Yielding   []string                    `json:"yielding"` // items that stand and are not in force, with the reason
+	Items      int                         `json:"items"`
+	Highest    uint64                      `json:"highest"` // version of any item of the configuration, dropped ones too
+	News       uint64                      `json:"news"`
+	Syncs      int64                       `json:"syncs"`
+	Epoch      uint64                      `json:"epoch"`       // of the members
+	Number     uint64                      `json:"number"`      // of the last change that is applied here
+	Bears      int                         `json:"bears"`       // members more that may be lost; below 0 no order can be taken
+	BearsZones []string                    `json:"bears_zones"` // zones, each of which alone may be lost
 }
 
 // CoreState is another control process.
 type CoreState struct {
-	IP    string `json:"ip"`
-	Name  string `json:"name"`
-	Zone  string `json:"zone"`
-	Heard bool   `json:"heard"`
-	Whole bool   `json:"whole"`
-	Same  bool   `json:"same"` // it has the same items
+	IP     string  `json:"ip"`
+	Name   string  `json:"name"`
+	Zone   string  `json:"zone"`
+	Heard  bool    `json:"heard"`
+	Whole  bool    `json:"whole"`
+	Same   bool    `json:"same"`   // it has applied the same changes
+	Member bool    `json:"member"` // its vote counts
+	Silent float64 `json:"silent"` // for how long it hasn't been heard
 }
 
 // RouterState is a router.
@@ -91,16 +97,25 @@
 	if !m.dealer.Off() {
 		s.Shares, s.Callers = m.dealer.States(now, m.Boot.Name), m.dealer.Hour(now)
 	}
-	for ip, zone := range m.state.Set.Members() {
-		c := CoreState{IP: ip, Zone: zone, Heard: ip == m.Boot.IP, Whole: ip == m.Boot.IP && m.state.Whole, Same: ip == m.Boot.IP}
-		if i, ok := m.state.Set.Get(manifest.Key{Kind: manifest.Core, Name: ip}); ok {
-			c.Name, _ = i.Tree()["name"].(string)
+	list, silent := m.state.Node.List(), m.state.Node.Silent(now)
+	for _, x := range list.Members {
+		c := CoreState{IP: x.IP, Name: x.Name, Zone: x.Zone, Member: true, Silent: float64(silent[x.IP]) / 1e9}
+		if x.IP == m.Boot.IP {
+			c.Heard, c.Whole, c.Same = true, m.state.Node.Whole(), true
 		}
-		if p := m.state.Peers[ip]; p != nil {
-			c.Heard, c.Whole, c.Same = true, p.Status.Whole, p.Status.Sum == m.state.Set.Sum()
+		if p := m.state.Peers[x.IP]; p != nil {
+			c.Heard, c.Whole, c.Same = true, p.Status.Whole, p.Status.Number == m.state.Node.Applied()
 		}
 		s.Core = append(s.Core, c)
 	}
+	for ip, p := range m.state.Peers {
+		if _, member := list.At(ip); !member && m.ends[ip] != nil {
+			x := m.ends[ip].member
+			s.Core = append(s.Core, CoreState{IP: ip, Name: x.Name, Zone: x.Zone, Heard: true, Whole: p.Status.Whole, Same: p.Status.Number == m.state.Node.Applied()})
+		}
+	}
+	s.Epoch, s.Number = list.Epoch, m.state.Node.Applied()
+	s.Bears, s.BearsZones = list.Bears(m.state.Node.Down())
 	slices.SortFunc(s.Core, func(a, b CoreState) int { return strings.Compare(a.Name, b.Name) })
 	number := map[string]int{}
 	for i, f := range m.state.Roster() {
--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -85,6 +85,7 @@
 	items   map[Key]Item
 	sums    [Parts]uint64
 	dropped int
+	forgot  []Key // since it was last asked for
 }
 
 // MostDropped is how many dropped items stay known: under a megabyte of memory and of disk. Beyond it those of the lowest
@@ -134,9 +135,17 @@
 		s.sums[i.Key().part()] ^= i.sum()
 		delete(s.items, i.Key())
 		s.dropped--
+		s.forgot = append(s.forgot, i.Key())
 	}
 }
 
+// Forgotten are the dropped items that were forgotten since this was last asked.
+func (s *Set) Forgotten() []Key {
+	all := s.forgot
+	s.forgot = nil
+	return all
+}
+
 // Get is the item at a key.
 func (s *Set) Get(k Key) (Item, bool) {
 	i, ok := s.items[k]
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -136,6 +136,8 @@
 		parts  []int
 		items  []manifest.Item
 	}
+	unsaved  []manifest.Item // applied, and not yet in a write
+	gone     []manifest.Key
 	ring     []kept
 	ringed   int
 	out      *Effects
@@ -206,8 +208,12 @@
 	case e.Message != nil:
 		x.receive(e, *e.Message)
 	case e.Peer != nil:
+		_, heard := x.peers[e.From]
 		x.peers[e.From] = *e.Peer
 		delete(x.silent, e.From)
+		if !heard {
+			x.met(e)
+		}
 		x.behind(e.Now)
 	case e.Lost:
 		delete(x.peers, e.From)
@@ -231,6 +237,23 @@
 	return out
 }
 
+// met says to one who has only just come to be heard what it is asked now, and not with the next repeat.
+func (x *Node) met(e Event) {
+	if x.phase != Idle {
+		if _, said := x.yes[e.From]; !said && slices.Contains(x.voters(), e.From) {
+			x.say(e.From, x.proposal())
+		}
+	}
+	for tag, r := range x.reads {
+		if _, member := x.list.At(e.From); member && !r.known {
+			x.say(e.From, Message{Kind: Confirm, Tag: tag})
+		}
+	}
+	if x.disk.Applied > 0 && !x.whole && x.reads[0] == nil {
+		x.read(e.Now, 0)
+	}
+}
+
 func (x *Node) say(to string, m Message) {
 	m.Epoch, m.ID, m.Applied = x.list.Epoch, x.self.ID, x.disk.Applied
 	if to == x.self.IP {
@@ -249,9 +272,13 @@
 	}
 }
 
+// write has the record written, and with it what has come into the set since the last write. A change whose vote is on this
+// disk need not be written when it is applied: it goes along with the next vote, so that an order costs a disk one sync.
 func (x *Node) write() {
 	d := x.disk
 	x.out.Disk = &d
+	x.out.Items, x.out.Gone = append(x.out.Items, x.unsaved...), append(x.out.Gone, x.gone...)
+	x.unsaved, x.gone = nil, nil
 }
 
 func (x *Node) answer(tag uint64, r Result) {
@@ -484,12 +511,17 @@
 	x.propose()
 }
 
-// propose says the present step to all who haven't answered it.
-func (x *Node) propose() {
-	m := Message{Kind: Prepare, Number: x.number, Ballot: x.ballot}
+// proposal is the present step.
+func (x *Node) proposal() Message {
 	if x.phase == Accepting {
-		m.Kind, m.Value = Accept, x.value
+		return Message{Kind: Accept, Number: x.number, Ballot: x.ballot, Value: x.value}
 	}
+	return Message{Kind: Prepare, Number: x.number, Ballot: x.ballot}
+}
+
+// propose says the present step to all who haven't answered it.
+func (x *Node) propose() {
+	m := x.proposal()
 	for _, ip := range x.voters() {
 		if _, said := x.yes[ip]; !said && ip != x.self.IP {
 			x.say(ip, m)
@@ -612,9 +644,11 @@
 func (x *Node) apply(now int64, number uint64, items []manifest.Item) {
 	for _, i := range items {
 		if x.Set.Merge(i) {
-			x.out.Items = append(x.out.Items, i)
+			x.out.News, x.unsaved = append(x.out.News, i), append(x.unsaved, i)
 		}
 	}
+	gone := x.Set.Forgotten()
+	x.out.Left, x.gone = append(x.out.Left, gone...), append(x.gone, gone...)
 	x.ring, x.ringed = append(x.ring, kept{number, items}), x.ringed+len(items)
 	for len(x.ring) > keptChanges || x.ringed > keptItems && len(x.ring) > 0 {
 		x.ringed -= len(x.ring[0].items)
@@ -626,12 +660,15 @@
 
 func (x *Node) applied(now int64, number uint64) {
 	x.disk.Applied = number
+	saved := x.disk.At == number && len(x.unsaved) <= mostItems
 	if x.disk.At <= number {
 		x.disk.Vote, x.disk.At, x.disk.Value = Ballot{}, 0, nil
 	}
 	x.list = muster.Of(x.Set)
 	x.out.Changed = true
-	x.write()
+	if !saved {
+		x.write()
+	}
 	for tag, r := range x.reads {
 		x.readOn(now, tag, r)
 	}
@@ -775,7 +812,7 @@
 			x.answer(tag, Result{Kind: faults.Unready, Reason: "not enough of the core tells how far it is"})
 		case !r.known && e.Now-r.asked > sendAgain:
 			x.inquire(e.Now, tag, r)
-		case r.known && x.phase == Idle && x.whole && x.Member() && r.target == x.disk.Applied+1 && e.Now-r.asked > stuck/2 && e.Now >= x.retry:
+		case r.known && x.phase == Idle && x.Member() && r.target == x.disk.Applied+1 && e.Now-r.asked > stuck/2 && e.Now >= x.retry:
 			x.prepare(e) // a vote that nobody ends
 		}
 	}
@@ -985,7 +1022,8 @@
 	}
 	x.idle(e, false)
 	news, gone := x.Set.Replace(parts, items)
-	x.out.Items, x.out.Gone = append(x.out.Items, news...), append(x.out.Gone, gone...)
+	x.out.News, x.unsaved = append(x.out.News, news...), append(x.unsaved, news...)
+	x.out.Left, x.gone, x.out.Cut = append(x.out.Left, gone...), append(x.gone, gone...), true
 	x.ring, x.ringed = nil, 0
 	x.applied(e.Now, m.Number)
 }
--- a/internal/harbour/quorum/words.go
+++ b/internal/harbour/quorum/words.go
@@ -91,10 +91,13 @@
 // Effects are what a step asks of the carrier, to be done in this order: the write is queued before anything else, and
 // Synced messages go out once it is on disk.
 type Effects struct {
-	Disk    *Disk                // to be written, with Items, in one synced step
-	Items   []manifest.Item      // applied: to be written, and told to those who follow
-	Gone    []manifest.Key       // no longer in the set
-	Changed bool                 // the set has changed
+	Disk    *Disk                // to be written, with Items and Gone, in one synced step
+	Items   []manifest.Item      // what has come into the set since the last write
+	Gone    []manifest.Key       // what is no longer in it
+	News    []manifest.Item      // applied in this step: to be told to those who follow
+	Left    []manifest.Key       // no longer in the set since this step
+	Cut     bool                 // the set was taken over from another
+	Changed bool                 // the set, the list or this process's standing has changed
 	Send    map[string][]Message // by IP number, at once
 	Synced  map[string][]Message // once the disk has it
 	Answers []Answer
--- a/internal/harbour/signals/words.go
+++ b/internal/harbour/signals/words.go
@@ -1,8 +1,9 @@
 package signals
 
 import (
+	"encoding/json"
+
 	"portflow/internal/harbour/lookout"
-	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/tonnage"
 )
 
@@ -14,13 +15,7 @@
 	Ack    uint64                     `json:"a,omitempty"` // up: the number up to which the news was taken
 	Front  *Front                     `json:"f,omitempty"` // up, from a router: how it is
 	Polls  []Poll                     `json:"p,omitempty"` // up, from a router
-	Store  *Store                     `json:"o,omitempty"` // up, between control processes: to be kept on disk
-	Stored uint64                     `json:"k,omitempty"` // down: it is
-	Want   []uint64                   `json:"w,omitempty"` // up: the sums of what is had, for what differs
-	Items  []manifest.Item            `json:"i,omitempty"` // down: what differs
-	Given  bool                       `json:"g,omitempty"` // down: that was all of it
-	Ask    *Ask                       `json:"q,omitempty"` // up, between control processes: a step of a register
-	Reply  *Reply                     `json:"r,omitempty"` // down
+	Agreed json.RawMessage            `json:"q,omitempty"` // up, between control processes: a quorum.Message, laid out once for all
 	Seen   map[string][]lookout.Count `json:"e,omitempty"` // up, from a router: hosts with bad outcomes, by service
 	Tons   *Tons                      `json:"t,omitempty"` // up from a router, down to it, and down between control processes
 }
@@ -43,6 +38,7 @@
 	Control bool   `json:"c,omitempty"`
 	Life    string `json:"l,omitempty"` // whose news it has, and up to which number
 	Have    uint64 `json:"h,omitempty"`
+	ID      string `json:"d,omitempty"` // of a control process's disk
 }
 
 // News is a batch: all numbers after From up to To, or a snapshot as of To.
@@ -52,18 +48,16 @@
 	To       uint64 `json:"t"`
 	Snapshot bool   `json:"s,omitempty"`
 	Notes    []Note `json:"n,omitempty"`
+	Epoch    uint64 `json:"e,omitempty"` // the set's epoch and number as of this batch: who has had a later number doesn't go back
+	Number   uint64 `json:"u,omitempty"`
 }
 
 // Status is how a control process stands.
 type Status struct {
-	Whole    bool   `json:"w,omitempty"` // it knows all that more than half of the core has acknowledged
-	Intact   bool   `json:"i,omitempty"` // its disk has been whole since its last loss
-	Majority bool   `json:"m,omitempty"` // it hears more than half of the core
+	Whole    bool   `json:"w,omitempty"` // since its start it has had all that was decided when it asked more than half
+	Member   bool   `json:"i,omitempty"` // of the core as of its epoch: its vote counts
+	Majority bool   `json:"m,omitempty"` // it is whole, and hears more than half of the members
 	Sum      uint64 `json:"s,omitempty"`
-}
-
-// Store is an order to keep items on disk.
-type Store struct {
-	ID    uint64          `json:"i"`
-	Items []manifest.Item `json:"s"`
+	Epoch    uint64 `json:"e,omitempty"`
+	Number   uint64 `json:"n,omitempty"` // of the last change that it has applied
 }
--- a/internal/lab/basin/drawn_test.go
+++ b/internal/lab/basin/drawn_test.go
@@ -36,6 +36,7 @@
 	draw  chance.Source
 	sent  map[string]map[string]bool // by route and version: the prefixes that were sent
 	acked map[string]string          // by route: the newest version that was acknowledged
+	won   map[string]string          // by route and version: the prefix that was acknowledged
 	next  int
 	late  int               // orders that a calm core did not take in time
 	mu    sync.Mutex        // over the chance and what follows
@@ -68,7 +69,7 @@
 	if twice {
 		many = 2
 	}
-	done := make(chan bool, many)
+	done := make(chan [2]int, many)
 	for k := range many {
 		prefix := fmt.Sprintf("/%s-%s-%d/", route, version, k)
 		if o.sent[route+version] == nil {
@@ -82,17 +83,26 @@
 			o.mu.Lock()
 			o.by = max(0, by)
 			o.mu.Unlock()
-			done <- status == 200
+			done <- [2]int{status, k}
 		}()
 	}
 	began := time.Now()
+	taken, rivals := 0, 0
 	for range many {
-		if <-done {
+		switch x := <-done; x[0] {
+		case 200:
+			taken++
 			o.acked[route] = max(o.acked[route], version)
-		} else {
+			o.won[route+version] = fmt.Sprintf("/%s-%s-%d/", route, version, x[1])
+		case 409:
+			rivals++
+		default:
 			o.late++
 		}
 	}
+	if taken != 1 || rivals != many-1 { // one number, one content: the others are told so, and come into force nowhere
+		o.h.broken("LOST: of %d contents of %s %s %d were taken, %d refused", many, route, version, taken, rivals)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	took[o.now] = append(took[o.now], time.Since(began))
@@ -256,7 +266,7 @@
 		c.Assert(h.Start(), qt.IsNil)
 		defer h.Stop()
 		time.Sleep(2 * time.Second)
-		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, acked: map[string]string{}, ends: map[string]string{}, now: "calm"}
+		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, acked: map[string]string{}, won: map[string]string{}, ends: map[string]string{}, now: "calm"}
 		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look), 5*time.Second, 0)
 		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
 		watching, watched := make(chan bool), make(chan bool)
@@ -366,6 +376,9 @@
 				qt.Commentf("LOST: %s %s was acknowledged, %d stands; %v, closing %d", route, version, i.Version, harms, closing))
 			prefix, _ := i.Tree()["path-prefix"].(string)
 			c.Check(o.sent[route+manifest.Digits(i.Version)][prefix], qt.IsTrue, qt.Commentf("%s %s was never sent", route, prefix))
+			if want := o.won[route+manifest.Digits(i.Version)]; want != "" {
+				c.Check(prefix, qt.Equals, want, qt.Commentf("LOST: %s %s stands with another content", route, manifest.Digits(i.Version)))
+			}
 		}
 		if o.evac != "" {
 			_, _, answer := h.Order("harbour.read", "", nil, time.Second, 0)
