The agreement mended by what its drawn simulation found; a number's rivals stay refused

Cause: a simulation of the pure node found a process answering calls of its own, a storm of prepares (6,694 ballots in 0.03 s: who is behind prepared again at each Ahead), orders refused here and taken by their copy there, a list of members proposed that could never be taken over, a read held at a process that has nothing. Change: each as traced; answers go on either line between two processes, and who is dialled dials back at once. Items keep marks of their last eight versions, so that a rival of a passed version is refused still, and what was taken is confirmed whatever stands now.

--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -141,6 +141,7 @@
 func (s *State) Publish(items []manifest.Item) {
 	for _, i := range items {
 		if now, ok := s.Set.Get(i.Key()); ok && now.Same(i) {
+			now.Past = nil // is of no use to routers
 			s.Ledger.Add(signals.Note{Item: &now})
 		}
 	}
@@ -231,6 +232,7 @@
 		hosts = s.Register.Own()
 	} else {
 		for _, i := range s.Set.All() {
+			i.Past = nil
 			notes = append(notes, signals.Note{Item: &i})
 		}
 	}
--- a/internal/harbour/harbourmaster/core.go
+++ b/internal/harbour/harbourmaster/core.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// say sends messages of the agreement on the lines that this process dialled; what can't be sent is lost, as on its way. The
+// say sends messages of the agreement, on either line between two processes; what can't be sent is lost, as on its way. The
 // caller holds the lock.
 func (m *Master) say(all map[string][]quorum.Message) {
 	for ip, messages := range all {
@@ -141,8 +141,11 @@
 				m.step(quorum.Event{From: ip, Message: &x})
 				continue
 			}
-			e := m.ends[ip]
-			if e == nil || e.line == nil {
+			l := m.back[ip] // the line that it dialled, until this process's own is up
+			if e := m.ends[ip]; e != nil && e.line != nil {
+				l = e.line
+			}
+			if l == nil {
 				continue
 			}
 			raw, err := json.Marshal(x)
@@ -150,7 +153,7 @@
 				klog.ErrorS(err, "agreement")
 				continue
 			}
-			e.line.Send(signals.Word{Agreed: raw})
+			l.Send(signals.Word{Agreed: raw})
 		}
 	}
 }
@@ -203,6 +206,21 @@
 	}
 }
 
+// dialled notes that another control process follows here, and is there: this one dials it at once. The caller holds the
+// lock.
+func (m *Master) dialled(ip string, l *lines.Line[signals.Word]) {
+	m.back[ip] = l
+	if e := m.ends[ip]; e != nil && e.line == nil {
+		if e.again != nil {
+			e.again()
+		}
+		select {
+		case e.poke <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // change is the one place where this process's standing is noted; the caller holds the lock.
 func (m *Master) change() {
 	if s := m.state.Standing(); s != m.stands {
@@ -230,7 +248,7 @@
 		}
 		for ip := range ips {
 			if ip != m.Boot.IP && m.ends[ip] == nil {
-				m.ends[ip] = &end{ip: ip}
+				m.ends[ip] = &end{ip: ip, poke: make(chan struct{}, 1)}
 				go m.follow(m.ends[ip])
 			}
 		}
@@ -252,6 +270,9 @@
 func (m *Master) follow(e *end) {
 	for failures := 0; m.ctx.Err() == nil; failures++ {
 		ctx, cancel := context.WithTimeout(m.ctx, dialIn)
+		m.mu.Lock()
+		e.again = cancel
+		m.mu.Unlock()
 		c, err := m.Sea.Dial(ctx, "tcp", net.JoinHostPort(e.ip, strconv.Itoa(m.Boot.Ports[0])))
 		cancel()
 		if err == nil {
@@ -260,6 +281,7 @@
 		}
 		select {
 		case <-time.After(min(time.Second, 50*time.Millisecond<<min(failures, 5))):
+		case <-e.poke: // it dialled: it is there again
 		case <-m.ctx.Done():
 		}
 	}
@@ -311,6 +333,8 @@
 		} else if w.News.Life != e.follower.Life || w.News.To > e.follower.Have {
 			l.Close(errors.New("news does not follow"))
 		}
+	case w.Agreed != nil:
+		m.agreed(e.ip, w.Agreed)
 	case w.Tons != nil:
 		m.dealer.Zone(m.clock(), e.name, w.Tons.Sums, w.Tons.Loads)
 	}
--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -47,6 +47,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.hung, f)
+	if m.back[f.who.IP] == f.line {
+		delete(m.back, f.who.IP)
+	}
 	m.dealer.Gone(f.front.Name)
 	m.watch.Gone(f.front.Name)
 	if f.front.Name != "" { // it hangs here no longer
@@ -146,6 +149,7 @@
 		if w.Hello.Control {
 			kind = convoy.Control
 			f.line.SetPace(lines.Slow)
+			m.dialled(w.Hello.IP, f.line)
 			m.state.Renew()
 			m.wake()
 		}
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -50,8 +50,9 @@
 	state    *bridge.State
 	news     chan struct{} // closed and made anew when there is news
 	ends     map[string]*end
-	waits    map[uint64]chan quorum.Result // orders and reads that are under way, by tag
-	hung     map[*follower]bool            // who follows here
+	waits    map[uint64]chan quorum.Result        // orders and reads that are under way, by tag
+	hung     map[*follower]bool                   // who follows here
+	back     map[string]*lines.Line[signals.Word] // by IP number, lines that other control processes dialled
 	lastTag  uint64
 	rounds   map[string]bool // rollouts whose end this process asks for now
 	settling map[string]bool // services whose first version this process asks for now
@@ -79,6 +80,8 @@
 	member   muster.Member
 	line     *lines.Line[signals.Word]
 	follower signals.Follower
+	again    func()        // ends the dial that is under way
+	poke     chan struct{} // has it dialled at once
 }
 
 // Start brings a control process up; it serves until the context ends.
@@ -91,7 +94,7 @@
 	b := o.Boot
 	ctx, cancel := context.WithCancel(parent)
 	m := &Master{Options: o, ctx: ctx, cancel: cancel, news: make(chan struct{}), ends: map[string]*end{},
-		waits: map[uint64]chan quorum.Result{}, hung: map[*follower]bool{}, rounds: map[string]bool{}, settling: map[string]bool{},
+		waits: map[uint64]chan quorum.Result{}, hung: map[*follower]bool{}, back: map[string]*lines.Line[signals.Word]{}, rounds: map[string]bool{}, settling: map[string]bool{},
 		dealer: tonnage.NewDealer(), watch: lookout.NewWatch(), draw: chance.Source{Seed: o.Seed},
 		clock: router.NewClock(), life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
 	disk, set, gone, made := m.load(items, cells, whole, book.Repaired)
--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -29,6 +29,33 @@
 	Version uint64          `json:"v"`
 	Dropped bool            `json:"d,omitempty"`
 	Body    json.RawMessage `json:"b,omitempty"`
+	Past    []Mark          `json:"p,omitempty"` // of the versions that it had before, the newest last; not told to routers
+}
+
+// Mark is what is kept of an earlier version: enough to know a rival of it.
+type Mark struct {
+	Version uint64 `json:"v"`
+	Sum     uint64 `json:"s"`
+}
+
+// MostMarks is how many earlier versions of an item are known.
+const MostMarks = 8
+
+// After is the item as it follows on another of its key.
+func (i Item) After(old Item) Item {
+	i.Past = append(slices.Clone(old.Past), Mark{old.Version, old.sum()})
+	i.Past = i.Past[max(0, len(i.Past)-MostMarks):]
+	return i
+}
+
+// Was tells whether an item of an earlier version of this one is that one, another with its number, or not known.
+func (i Item) Was(x Item) (known, same bool) {
+	for _, m := range i.Past {
+		if m.Version == x.Version {
+			return true, m.Sum == x.sum()
+		}
+	}
+	return false, false
 }
 
 // Key is an item's place.
--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -88,15 +88,31 @@
 	return nil, faults.New(faults.Malformed, "no such order: %q", o.Kind)
 }
 
-// modify takes a change as a whole or not at all: one number, one content.
+// modify takes a change as a whole or not at all: one number, one content. What is behind what stands changes nothing; a
+// rival of one of the versions that are still known is refused, with all that came with it.
 func modify(s *manifest.Set, change []manifest.Item) ([]manifest.Item, error) {
+	var rest []manifest.Item
 	for _, i := range change {
 		old, there := s.Get(i.Key())
 		if there && old.Version == i.Version && !old.Same(i) {
 			return nil, conflict(i, old)
 		}
+		known, same := old.Was(i)
+		if known && !same {
+			return nil, faults.New(faults.Conflict, "%s %s: version %s was taken with another content; version %s stands", i.Kind, i.Name,
+				manifest.Digits(i.Version), manifest.Digits(old.Version))
+		}
+		if !(there && (old.Same(i) || known)) { // what was taken is no error, whatever stands now
+			rest = append(rest, i)
+		}
+	}
+	news, err := s.Check(rest)
+	for n, i := range news {
+		if old, there := s.Get(i.Key()); there {
+			news[n] = i.After(old)
+		}
 	}
-	return s.Check(change)
+	return news, err
 }
 
 // conflict names the item, the field that differs and the content that stands.
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -75,6 +75,7 @@
 	by     string // the IP number of the process that handed it over here, empty for this one
 	theirs uint64 // its tag there
 	local  bool   // it is proposed here
+	own    bool   // it is the node's own: nobody waits for its end
 }
 
 type read struct {
@@ -244,7 +245,8 @@
 			x.say(e.From, x.proposal())
 		}
 	}
-	for tag, r := range x.reads {
+	for _, tag := range x.asking() {
+		r := x.reads[tag]
 		if _, member := x.list.At(e.From); member && !r.known {
 			x.say(e.From, Message{Kind: Confirm, Tag: tag})
 		}
@@ -423,7 +425,10 @@
 		return
 	case m.Kind == Ahead:
 		if m.Applied > x.disk.Applied {
-			x.idle(e, false)
+			if x.phase != Idle && m.Number == x.number && m.Ballot == x.ballot {
+				x.idle(e, false)
+				x.retry = e.Now + fetchSoon // at the latest; what is fetched ends it
+			}
 			x.ask(e.Now, e.From)
 		}
 		return
@@ -497,6 +502,7 @@
 	if len(value) == 0 {
 		x.phase, x.sticky = Idle, true
 		x.restarts = 0
+		x.voted = e.Now // what may be voted for here alone is looked at again in a while
 		return
 	}
 	x.vote(e, value, mine)
@@ -571,6 +577,10 @@
 				continue
 			}
 			left = left[:len(left)-1]
+			if k != faults.Conflict && p.handed != 0 { // its copy may still be taken, once what it lacks is there
+				x.end(p, Result{Kind: faults.Unready, Reason: "not clear yet: " + err.Error()})
+				continue
+			}
 			x.end(p, Result{Kind: k, Reason: err.Error(), Number: x.disk.Applied})
 			continue
 		case len(items) == 0:
@@ -602,7 +612,9 @@
 		x.say(p.by, Message{Kind: Handed, Tag: p.theirs, Result: &r})
 		return
 	}
-	x.answer(p.tag, r)
+	if !p.own {
+		x.answer(p.tag, r)
+	}
 }
 
 // decide is where a number is decided by this process's proposal.
@@ -611,7 +623,7 @@
 	x.phase, x.value, x.mine, x.restarts = Idle, nil, nil, 0
 	x.apply(e.Now, number, value)
 	x.sticky = sticky
-	for ip := range x.peers {
+	for _, ip := range slices.Sorted(maps.Keys(x.peers)) {
 		x.say(ip, Message{Kind: Commit, Number: number, Ballot: ballot})
 	}
 	x.wait = slices.DeleteFunc(x.wait, func(p *pending) bool {
@@ -665,12 +677,13 @@
 		x.disk.Vote, x.disk.At, x.disk.Value = Ballot{}, 0, nil
 	}
 	x.list = muster.Of(x.Set)
+	x.retry = 0
 	x.out.Changed = true
 	if !saved {
 		x.write()
 	}
-	for tag, r := range x.reads {
-		x.readOn(now, tag, r)
+	for _, tag := range x.asking() {
+		x.readOn(now, tag, x.reads[tag])
 	}
 	if !x.whole && x.reads[0] == nil {
 		x.read(now, 0)
@@ -680,14 +693,14 @@
 // order takes an order up.
 func (x *Node) order(now int64, p *pending) {
 	p.came = now
+	if p.own = p.by == "" && p.tag == 0; p.by != "" || p.own {
+		x.last++
+		p.tag = x.last
+	}
 	if len(x.wait) >= mostWaiting {
 		x.end(p, Result{Kind: faults.Unready, Reason: "too many orders wait"})
 		return
 	}
-	if p.by != "" || p.tag == 0 {
-		x.last++
-		p.tag = x.last
-	}
 	if p.by != "" && !x.Member() {
 		x.end(p, Result{Kind: faults.Unready, Reason: "no member of the core"})
 		return
@@ -801,6 +814,12 @@
 		}
 	}
 	x.behind(e.Now)
+	for _, tag := range x.asking() {
+		if e.Now-x.reads[tag].came > orderWaits {
+			delete(x.reads, tag)
+			x.answer(tag, Result{Kind: faults.Unready, Reason: "not enough of the core tells how far it is"})
+		}
+	}
 	if x.disk.Applied == 0 {
 		x.begin(e)
 		return
@@ -808,11 +827,9 @@
 	if !x.whole && x.reads[0] == nil {
 		x.read(e.Now, 0)
 	}
-	for tag, r := range x.reads {
+	for _, tag := range x.asking() {
+		r := x.reads[tag]
 		switch {
-		case e.Now-r.came > orderWaits:
-			delete(x.reads, tag)
-			x.answer(tag, Result{Kind: faults.Unready, Reason: "not enough of the core tells how far it is"})
 		case !r.known && e.Now-r.asked > sendAgain:
 			x.inquire(e.Now, tag, r)
 		case r.known && x.phase == Idle && x.Member() && r.target == x.disk.Applied+1 && e.Now-r.asked > stuck/2 && e.Now >= x.retry:
@@ -863,11 +880,27 @@
 		}
 	}
 	out := x.list.Join(in, nil).Surplus(silent, x.perZone)
-	if len(in)+len(out) > 0 {
+	if len(out) > 1 {
+		out = out[:1]
+	}
+	if len(in)+len(out) > 0 && x.bears(x.list.Join(in, out)) >= max(0, x.bears(x.list)) {
 		x.order(e.Now, &pending{order: orders.Order{Kind: orders.Join, In: in, Out: out}})
 	}
 }
 
+// bears is how many members of a list may be lost beside those that aren't heard now. A list that bears less than the
+// present one, or nothing, isn't proposed: it couldn't be taken over by more than half of it.
+func (x *Node) bears(l muster.List) int {
+	var down []string
+	for _, m := range l.Members {
+		if p, heard := x.peers[m.IP]; m.IP != x.self.IP && (!heard || p.Member.ID != m.ID) {
+			down = append(down, m.IP)
+		}
+	}
+	n, _ := l.Bears(down)
+	return n
+}
+
 // force makes this process the whole core: a number and an epoch that fence all that was before.
 func (x *Node) force(now int64) {
 	x.idle(Event{Now: now}, false)
@@ -899,6 +932,9 @@
 	x.receive(Event{Now: now, From: x.self.IP}, Message{Kind: Confirmed, Tag: tag, ID: x.self.ID, Number: max(x.disk.Applied, x.disk.At)})
 }
 
+// asking are the tags of the reads that wait, in order.
+func (x *Node) asking() []uint64 { return slices.Sorted(maps.Keys(x.reads)) }
+
 // readOn ends a read, or begins it anew where the members have changed meanwhile.
 func (x *Node) readOn(now int64, tag uint64, r *read) {
 	switch {
