After a loss of all a vote that more than half have on disk is known as decided without a proposal

Change: who answers a read tells its vote that is on disk; a process that sees its own among more than half applies it. Only where that isn't so a proposal is made, in turns.

--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -83,6 +83,7 @@
 	came   int64
 	asked  int64
 	yes    map[string]string
+	votes  map[string]Message // those that told of a vote on the number after what is applied here
 	target uint64
 	known  bool // the target is
 }
@@ -100,8 +101,9 @@
 	perZone int
 	disk    Disk
 	list    muster.List
-	whole   bool // since this life began, it has had all that was decided when it asked
-	muted   bool // its disk holds less than what it knows: it says nothing that must be on disk
+	whole   bool   // since this life began, it has had all that was decided when it asked
+	kept    Ballot // of the vote that is on disk
+	muted   bool   // its disk holds less than what it knows: it says nothing that must be on disk
 	began   int64
 
 	phase   Phase
@@ -154,7 +156,7 @@
 func New(self muster.Member, life string, perZone int, disk Disk, set *manifest.Set, now int64) *Node {
 	self.ID = disk.ID
 	return &Node{Set: set, self: self, life: life, perZone: max(1, perZone), disk: disk, list: muster.Of(set), seen: disk.Promised.N, began: now,
-		reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
+		kept: disk.Vote, reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
 }
 
 // List is the membership as of what is applied here.
@@ -356,14 +358,22 @@
 	case Commit:
 		x.committed(e, m)
 	case Confirm:
-		x.say(e.From, Message{Kind: Confirmed, Tag: m.Tag, Number: max(x.disk.Applied, x.disk.At)})
+		x.say(e.From, x.confirmed(m.Tag))
 	case Confirmed:
-		if r := x.reads[m.Tag]; r != nil && !r.known {
+		if r := x.reads[m.Tag]; r != nil {
 			r.yes[e.From] = m.ID
-			r.target = max(r.target, m.Number)
-			r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch
+			r.votes[e.From] = m
+			if !r.known {
+				r.target = max(r.target, m.Number)
+				r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch
+			}
+			x.chosen(e, r)
 			x.readOn(e.Now, m.Tag, r)
 		}
+	case Kept:
+		if e.From == x.self.IP && m.Number == x.disk.At && m.Ballot == x.disk.Vote {
+			x.kept = m.Ballot
+		}
 	case Fetch:
 		x.give(e.From, m)
 	case Changes:
@@ -402,6 +412,7 @@
 		x.disk.Vote, x.disk.At, x.disk.Value = m.Ballot, m.Number, m.Value
 		x.voted = e.Now
 		x.sayOn(e.From, Message{Kind: Voted, Number: m.Number, Ballot: m.Ballot})
+		x.sayOn(x.self.IP, Message{Kind: Kept, Number: m.Number, Ballot: m.Ballot})
 		return
 	}
 	r := Message{Kind: Promise, Number: m.Number, Ballot: m.Ballot}
@@ -832,7 +843,8 @@
 		switch {
 		case !r.known && e.Now-r.asked > sendAgain:
 			x.inquire(e.Now, tag, r)
-		case r.known && x.phase == Idle && x.Member() && r.target == x.disk.Applied+1 && e.Now-r.asked > stuck/2 && e.Now >= x.retry:
+		case r.known && x.phase == Idle && x.Member() && r.target == x.disk.Applied+1 &&
+			e.Now-r.asked > sendAgain+int64(x.before())*turn && e.Now >= x.retry:
 			x.prepare(e) // a vote that nobody ends
 		}
 	}
@@ -924,12 +936,45 @@
 
 func (x *Node) inquire(now int64, tag uint64, r *read) {
 	r.asked, r.epoch, r.yes, r.target, r.known = now, x.list.Epoch, map[string]string{}, x.disk.Applied, false
+	r.votes = map[string]Message{}
 	for _, m := range x.list.Members {
 		if m.IP != x.self.IP {
 			x.say(m.IP, Message{Kind: Confirm, Tag: tag})
 		}
 	}
-	x.receive(Event{Now: now, From: x.self.IP}, Message{Kind: Confirmed, Tag: tag, ID: x.self.ID, Number: max(x.disk.Applied, x.disk.At)})
+	x.say(x.self.IP, x.confirmed(tag))
+}
+
+// confirmed is how far this process is.
+func (x *Node) confirmed(tag uint64) Message {
+	m := Message{Kind: Confirmed, Tag: tag, Number: max(x.disk.Applied, x.disk.At)}
+	if x.disk.At == x.disk.Applied+1 && x.kept == x.disk.Vote {
+		m.Vote = x.disk.Vote
+	}
+	return m
+}
+
+// chosen finds out whether the vote of this process on the next number is one of those that have decided it already: more
+// than half have it on their disks. After a loss of power of all nobody need propose anything.
+func (x *Node) chosen(e Event, r *read) {
+	number, vote := x.disk.Applied+1, x.disk.Vote
+	if x.disk.At != number || vote == (Ballot{}) || x.disk.Applied == 0 {
+		return
+	}
+	yes := map[string]string{}
+	for ip, m := range r.votes {
+		if m.Number == number && m.Vote == vote {
+			yes[ip] = m.ID
+		}
+	}
+	if x.enough(yes, x.disk.Value) {
+		value := x.disk.Value
+		if x.phase != Idle {
+			x.idle(e, false)
+		}
+		x.sticky = false
+		x.apply(e.Now, number, value)
+	}
 }
 
 // asking are the tags of the reads that wait, in order.
--- a/internal/harbour/quorum/words.go
+++ b/internal/harbour/quorum/words.go
@@ -34,7 +34,8 @@
 	Behind    Kind = "l" // the sender has applied less (Applied) than is needed here
 	Ahead     Kind = "h" // the sender has applied more, or is of a later epoch
 	Confirm   Kind = "r" // a reader asks how far there are votes
-	Confirmed Kind = "s"
+	Confirmed Kind = "s" // with the vote that is on its disk on the number after the last applied
+	Kept      Kind = "y" // to itself: its vote on Number in Ballot is on disk
 	Fetch     Kind = "f" // asks for what was decided after Applied; Sums are of the parts that are had
 	Changes   Kind = "g" // Batches follow on number Number
 	Parts     Kind = "w" // a chunk of a consistent cut as of Number: whole parts of the set
