--- a/internal/lab/basin/disk.go
+++ b/internal/lab/basin/disk.go
@@ -20,6 +20,7 @@
 	Delay  time.Duration // of a sync
 	Refuse bool          // writes and syncs fail
 	Syncs  int
+	hangs  chan struct{} // closed when syncs go on; nil while they do
 }
 
 type file struct {
@@ -46,6 +47,19 @@
 	d.Delay, d.Refuse = delay, refuse
 }
 
+// hang has syncs wait, or go on.
+func (d *Disk) hang(hangs bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case hangs && d.hangs == nil:
+		d.hangs = make(chan struct{})
+	case !hangs && d.hangs != nil:
+		close(d.hangs)
+		d.hangs = nil
+	}
+}
+
 func (d *Disk) syncs() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -200,6 +214,12 @@
 	time.Sleep(wait)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for d.hangs != nil {
+		hangs := d.hangs
+		d.mu.Unlock()
+		<-hangs
+		d.mu.Lock()
+	}
 	if d.Refuse || w.handle.dead() {
 		return errRefused
 	}
--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"portflow/internal/harbour/fairway"
 	"portflow/internal/harbour/harbourmaster"
 	"portflow/internal/harbour/papers"
@@ -207,6 +209,46 @@
 	}
 }
 
+// Replace has a new machine take the place of one that is lost for good: another IP number and name, an empty disk. Who
+// starts from now on is given its address with the seeds in the lost one's place.
+func (m *Master) Replace() {
+	m.Kill()
+	h := m.h
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastHost++
+	old, ip := m.Boot.IP, fmt.Sprintf("10.%d.1.%d", zoneOf(m.Boot.IP)+1, h.lastHost)
+	m.Disk = NewDisk()
+	m.Disk.Delay = 5 * time.Millisecond
+	m.Boot.IP, m.Boot.Name = ip, fmt.Sprintf("%s-anew-%d", m.Boot.Name, h.lastHost)
+	listen := map[string]string{}
+	for name, at := range m.Boot.Listen {
+		listen[name] = moved(at, old, ip)
+	}
+	m.Boot.Listen = listen
+	for _, x := range h.Masters {
+		x.Boot.Seeds = lo.Map(x.Boot.Seeds, func(at string, _ int) string { return moved(at, old, ip) })
+	}
+	for _, f := range h.Fairways {
+		f.Boot.Seeds = lo.Map(f.Boot.Seeds, func(at string, _ int) string { return moved(at, old, ip) })
+	}
+}
+
+// moved is an address, at another IP number if it was at the old one.
+func moved(address, old, now string) string {
+	if host, port, _ := net.SplitHostPort(address); host == old {
+		return net.JoinHostPort(now, port)
+	}
+	return address
+}
+
+// control is the address of a control process's calls.
+func (h *Harbour) control(at int) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.Masters[at].Boot.Listen["control"]
+}
+
 // Standing is how far it may be gone by, as it says of itself.
 func (m *Master) Standing() string {
 	if m.cancel == nil {
--- a/internal/lab/basin/sea.go
+++ b/internal/lab/basin/sea.go
@@ -28,6 +28,7 @@
 	conns     map[*conn]bool
 	cuts      map[[2]string]bool // from, to
 	down      map[string]bool
+	frozen    map[string]bool
 	port      int
 	draw      chance.Source
 	Bytes     map[[2]string]int64 // from, to
@@ -36,14 +37,40 @@
 // NewSea makes a calm one.
 func NewSea(delay func(a, b string) time.Duration, seed uint64) *Sea {
 	return &Sea{Delay: delay, Silent: 1500 * time.Millisecond, listeners: map[string]*listener{}, packets: map[string]*packet{},
-		conns: map[*conn]bool{}, cuts: map[[2]string]bool{}, down: map[string]bool{}, port: 20000, draw: chance.Source{Seed: seed},
+		conns: map[*conn]bool{}, cuts: map[[2]string]bool{}, down: map[string]bool{}, frozen: map[string]bool{}, port: 20000, draw: chance.Source{Seed: seed},
 		Bytes: map[[2]string]int64{}}
 }
 
 // Cut cuts or joins two machines, both ways.
 func (s *Sea) Cut(a, b string, cut bool) {
+	s.part(cut, [2]string{a, b}, [2]string{b, a})
+}
+
+// CutWay cuts or joins one direction between two machines: what the first sends doesn't reach the other. As nothing that
+// the other sends is acknowledged either, that gives up after Silent.
+func (s *Sea) CutWay(from, to string, cut bool) {
+	s.part(cut, [2]string{from, to})
+}
+
+// Freeze has a machine stand still, or go on: nothing comes or goes. Others give up what it doesn't acknowledge; what it had
+// sent itself waits in its memory and goes out when it is thawed. Its processes' timers run on all the same.
+func (s *Sea) Freeze(ip string, frozen bool) {
+	s.mu.Lock()
+	if frozen {
+		s.frozen[ip] = true
+	} else {
+		delete(s.frozen, ip)
+	}
+	s.mu.Unlock()
+	if !frozen {
+		s.part(false)
+	}
+}
+
+// part cuts ways, or joins them and lets go on what is held up no longer.
+func (s *Sea) part(cut bool, ways ...[2]string) {
 	s.mu.Lock()
-	for _, x := range [][2]string{{a, b}, {b, a}} {
+	for _, x := range ways {
 		if cut {
 			s.cuts[x] = true
 		} else {
@@ -97,7 +124,7 @@
 }
 
 func (s *Sea) parted(from, to string) bool {
-	return s.cuts[[2]string{from, to}] || s.down[from] || s.down[to]
+	return s.cuts[[2]string{from, to}] || s.down[from] || s.down[to] || s.frozen[from] || s.frozen[to]
 }
 
 // Process is the network as one process has it.
@@ -398,15 +425,18 @@
 func (c *conn) put(p piece) {
 	from, to := c.local.IP.String(), c.remote.IP.String()
 	c.sea.mu.Lock()
-	parted := c.sea.parted(from, to)
+	parted, deaf, frozen := c.sea.parted(from, to), c.sea.parted(to, from), c.sea.frozen[from]
 	c.sea.Bytes[[2]string{from, to}] += int64(len(p.data))
 	c.sea.mu.Unlock()
+	if !parted && deaf {
+		time.AfterFunc(c.sea.Silent, func() { c.unheard() })
+	}
 	if !parted {
 		p.at = time.Now().Add(c.sea.Delay(from, to))
 		if n := len(c.out.pieces); n > 0 && c.out.pieces[n-1].at.IsZero() {
 			p.at = time.Time{} // behind what is held up
 		}
-	} else {
+	} else if !frozen {
 		time.AfterFunc(c.sea.Silent, func() { c.giveUp() })
 	}
 	c.out.pieces = append(c.out.pieces, p)
@@ -431,6 +461,18 @@
 	}
 }
 
+// unheard ends this side if the way back is still cut, so that nothing of what it sent was acknowledged.
+func (c *conn) unheard() {
+	from, to := c.local.IP.String(), c.remote.IP.String()
+	c.sea.mu.Lock()
+	deaf := c.sea.parted(to, from)
+	c.sea.mu.Unlock()
+	if deaf {
+		c.in.fail(syscall.ETIMEDOUT)
+		c.out.fail(syscall.ETIMEDOUT)
+	}
+}
+
 // free lets what a cut held up go on.
 func (c *conn) free() {
 	from, to := c.local.IP.String(), c.remote.IP.String()
