A test for a disk that refuses once: its logbook is never written to again

Ruled out: the emulator's disk. It refuses only while it is told to; three writes after that failed all the same.

Change: TestLogbookAfterRefusal, which fails on the present code. The mend belongs to internal/harbour/logbook (close and open the store again after a refusal) and isn't made here.

--- a/internal/lab/basin/logbook_test.go
+++ b/internal/lab/basin/logbook_test.go
@@ -42,6 +42,22 @@
 	}
 }
 
+// A disk that refuses for a while is written to again once it doesn't: its process goes on, and was not restarted.
+func TestLogbookAfterRefusal(t *testing.T) {
+	c := qt.New(t)
+	d := NewDisk()
+	book, _, _, _, err := logbook.Open(d.Handle())
+	c.Assert(err, qt.IsNil)
+	c.Assert(book.Write([]manifest.Item{item("r", 1)}, nil, true), qt.IsNil)
+	d.set(0, true)
+	c.Assert(book.Write([]manifest.Item{item("r", 2)}, nil, false), qt.IsNotNil)
+	d.set(0, false)
+	c.Check(book.Write([]manifest.Item{item("r", 3)}, nil, false), qt.IsNil)
+	_, items, _, _, err := logbook.Open(d.Handle())
+	c.Assert(err, qt.IsNil)
+	c.Check(newest(items), qt.Equals, uint64(3))
+}
+
 // A disk with spoilt bytes is never taken for an empty or an earlier one: an error at the start, or what can still be read
 // with the word that it is not all; the others make that good before this process counts. Only what spoils the last record,
 // as a loss of power would, reads as a write that didn't come through.
