--- a/internal/lab/basin/drawn_test.go
+++ b/internal/lab/basin/drawn_test.go
@@ -35,6 +35,7 @@
 	h     *Harbour
 	draw  chance.Source
 	sent  map[string]map[string]bool // by route and version: the prefixes that were sent
+	won   map[string]string          // by route and version: the one that was acknowledged
 	acked map[string]string          // by route: the newest version that was acknowledged
 	next  int
 	late  int               // orders that a calm core did not take in time
@@ -68,7 +69,11 @@
 	if twice {
 		many = 2
 	}
-	done := make(chan bool, many)
+	type ending struct {
+		prefix string
+		status int
+	}
+	done := make(chan ending, many)
 	for k := range many {
 		prefix := fmt.Sprintf("/%s-%s-%d/", route, version, k)
 		if o.sent[route+version] == nil {
@@ -82,17 +87,26 @@
 			o.mu.Lock()
 			o.by = max(0, by)
 			o.mu.Unlock()
-			done <- status == 200
+			done <- ending{prefix, status}
 		}()
 	}
-	began := time.Now()
+	began, refused := time.Now(), 0
 	for range many {
-		if <-done {
+		switch e := <-done; {
+		case e.status == 200 && o.won[route+version] != "":
+			o.h.broken("TWICE: %s %s was acknowledged as %s and as %s", route, version, o.won[route+version], e.prefix)
+		case e.status == 200:
+			o.won[route+version] = e.prefix
 			o.acked[route] = max(o.acked[route], version)
-		} else {
+		case e.status == 409:
+			refused++
+		default:
 			o.late++
 		}
 	}
+	if refused > 0 && o.won[route+version] == "" { // right only where the other one was taken
+		o.late += refused
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	took[o.now] = append(took[o.now], time.Since(began))
@@ -256,7 +270,7 @@
 		c.Assert(h.Start(), qt.IsNil)
 		defer h.Stop()
 		time.Sleep(2 * time.Second)
-		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, acked: map[string]string{}, ends: map[string]string{}, now: "calm"}
+		o := &operator{h: h, draw: chance.Source{Seed: uint64(seed) * 977}, sent: map[string]map[string]bool{}, won: map[string]string{}, acked: map[string]string{}, ends: map[string]string{}, now: "calm"}
 		status, _, answer := h.Order("configuration.modify", "", h.Configure(true, look), 5*time.Second, 0)
 		c.Assert(status, qt.Equals, 200, qt.Commentf("%s", answer))
 		watching, watched := make(chan bool), make(chan bool)
@@ -366,6 +380,9 @@
 				qt.Commentf("LOST: %s %s was acknowledged, %d stands; %v, closing %d", route, version, i.Version, harms, closing))
 			prefix, _ := i.Tree()["path-prefix"].(string)
 			c.Check(o.sent[route+manifest.Digits(i.Version)][prefix], qt.IsTrue, qt.Commentf("%s %s was never sent", route, prefix))
+			if won := o.won[route+manifest.Digits(i.Version)]; won != "" {
+				c.Check(prefix, qt.Equals, won, qt.Commentf("LOST: of two contents of one version; %v, closing %d", harms, closing))
+			}
 		}
 		if o.evac != "" {
 			_, _, answer := h.Order("harbour.read", "", nil, time.Second, 0)
