--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -38,6 +38,7 @@
 	Sea     sea.Sea
 	Disk    storage.Storage
 	Seed    uint64
+	Clock   router.Clock // nanoseconds since 1970, never back; none for this machine's, anchored once
 }
 
 // Master is a control process that runs.
@@ -96,7 +97,10 @@
 	m := &Master{Options: o, ctx: ctx, cancel: cancel, news: make(chan struct{}), ends: map[string]*end{},
 		waits: map[uint64]chan quorum.Result{}, hung: map[*follower]bool{}, back: map[string]*lines.Line[signals.Word]{}, rounds: map[string]bool{}, settling: map[string]bool{},
 		dealer: tonnage.NewDealer(), watch: lookout.NewWatch(), draw: chance.Source{Seed: o.Seed},
-		clock: router.NewClock(), life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
+		clock: o.Clock, life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
+	if m.clock == nil {
+		m.clock = router.NewClock() // a step of the time of day changes nothing
+	}
 	disk, set, gone, made := m.load(items, cells, whole, book.Repaired)
 	member := muster.Member{IP: b.IP, ID: disk.ID, Name: b.Name, Zone: b.Zone}
 	m.state = bridge.NewState(signals.Hello{Name: b.Name, IP: b.IP, Zone: b.Zone, Control: true, ID: disk.ID},
