A survey says whether it is the newest; orders that were handed over hold for what stood then

Change: an evacuation or a rollout's begin that is handed over is bound to the version that it found; harbour.read asks more than half of the members, and says 'not confirmed' where it can't.

--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"portflow/internal/harbour/bridge"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/pilotage"
 	"portflow/internal/harbour/tonnage"
@@ -15,6 +16,7 @@
 type Survey struct {
 	Node       string                      `json:"node"`
 	Standing   string                      `json:"standing"`
+	Current    bool                        `json:"current"` // more than half of the members have confirmed that nothing newer was decided
 	Core       []CoreState                 `json:"core"`
 	Routers    []RouterState               `json:"routers"`
 	Hosts      []HostState                 `json:"hosts"`
@@ -88,12 +90,18 @@
 	Exposure  float64    `json:"exposure"` // requests that it may still give to the version at once
 }
 
-func (m *Master) survey(context.Context, string, []byte) (any, error) {
+// survey tells what this process knows, in any standing: an operator needs it most when little works. Where it can't confirm
+// with more than half of the members that it is the newest, it says so.
+func (m *Master) survey(ctx context.Context, _ string, _ []byte) (any, error) {
+	err := m.confirm(ctx)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock()
 	s := Survey{Node: m.Boot.Name, Standing: m.state.Standing().String(), Items: m.state.Set.Len(), Highest: m.state.Set.Highest(), News: m.state.Ledger.Last(),
 		Syncs: m.keeper.book.Syncs.Load(), Yielding: manifest.Draw(m.state.Set).Yielding}
+	if s.Current = err == nil; !s.Current && s.Standing == bridge.InTouch.String() {
+		s.Standing = "not confirmed"
+	}
 	if !m.dealer.Off() {
 		s.Shares, s.Callers = m.dealer.States(now, m.Boot.Name), m.dealer.Hour(now)
 	}
--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -41,6 +41,8 @@
 	In      []muster.Member `json:"m,omitempty"`
 	Out     []string        `json:"x,omitempty"` // IP numbers
 	Version string          `json:"v,omitempty"`
+	Bound   bool            `json:"c,omitempty"` // it holds only while what it changes is of version Base
+	Base    uint64          `json:"z,omitempty"`
 }
 
 // Apply tells which items the order sets where a set stands; none where it stands already. The error tells why it can't be
@@ -50,10 +52,15 @@
 	switch o.Kind {
 	case Modify:
 		return modify(s, o.Items)
-	case Evacuate:
-		return evacuate(s, o), nil
-	case Begin:
-		return begin(s, o)
+	case Evacuate, Begin:
+		items, err := begin(s, o)
+		if o.Kind == Evacuate {
+			items, err = evacuate(s, o), nil
+		}
+		if len(items) > 0 && o.moved(s) {
+			return nil, faults.New(faults.Unready, "%s: it was changed since the order was handed over", o.Of)
+		}
+		return items, err
 	case End:
 		i, _ := s.Get(manifest.Key{Kind: manifest.Rollouts, Name: o.Of})
 		r := pilotage.Read(i)
@@ -88,6 +95,34 @@
 	return nil, faults.New(faults.Malformed, "no such order: %q", o.Kind)
 }
 
+// key is what an order changes whose outcome rests on what stands.
+func (o Order) key() (manifest.Key, bool) {
+	switch o.Kind {
+	case Evacuate:
+		return manifest.Key{Kind: manifest.Evacuations, Name: o.Of}, true
+	case Begin:
+		return manifest.Key{Kind: manifest.Rollouts, Name: o.Of}, true
+	}
+	return manifest.Key{}, false
+}
+
+// Bind is the order as it is handed to another process: it holds only while what it changes stands as it does here, so that
+// no copy of it comes into force after a later order.
+func Bind(s *manifest.Set, o Order) Order {
+	if k, ok := o.key(); ok {
+		i, _ := s.Get(k)
+		o.Bound, o.Base = true, i.Version
+	}
+	return o
+}
+
+// moved tells that an order was bound to what stands no more.
+func (o Order) moved(s *manifest.Set) bool {
+	k, ok := o.key()
+	i, _ := s.Get(k)
+	return ok && o.Bound && i.Version != o.Base
+}
+
 // modify takes a change as a whole or not at all: one number, one content. What is behind what stands changes nothing; a
 // rival of one of the versions that are still known is refused, with all that came with it.
 func modify(s *manifest.Set, change []manifest.Item) ([]manifest.Item, error) {
@@ -99,8 +134,8 @@
 		}
 		known, same := old.Was(i)
 		if known && !same {
-			return nil, faults.New(faults.Conflict, "%s %s: version %s was taken with another content; version %s stands", i.Kind, i.Name,
-				manifest.Digits(i.Version), manifest.Digits(old.Version))
+			return nil, faults.New(faults.Conflict, "%s %s: version %s was taken with another content; version %s stands as %s", i.Kind, i.Name,
+				manifest.Digits(i.Version), manifest.Digits(old.Version), stands(old))
 		}
 		if !(there && (old.Same(i) || known)) { // what was taken is no error, whatever stands now
 			rest = append(rest, i)
@@ -117,11 +152,14 @@
 
 // conflict names the item, the field that differs and the content that stands.
 func conflict(i, old manifest.Item) error {
-	stands := string(old.Body)
-	if old.Dropped {
-		stands = "dropped"
+	return faults.New(faults.Conflict, "%s %s: %s: version %s stands as %s", i.Kind, i.Name, Differs(i, old), manifest.Digits(i.Version), stands(old))
+}
+
+func stands(i manifest.Item) string {
+	if i.Dropped {
+		return "dropped"
 	}
-	return faults.New(faults.Conflict, "%s %s: %s: version %s stands as %s", i.Kind, i.Name, Differs(i, old), manifest.Digits(i.Version), stands)
+	return string(i.Body)
 }
 
 // Differs is the first field, by name, in which two items of one number differ.
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -777,7 +777,7 @@
 			case p.handed == 0 && first != "":
 				x.Counts.Handed++
 				p.handed, p.to = e.Now, first
-				o := p.order
+				o := orders.Bind(x.Set, p.order)
 				x.say(first, Message{Kind: Hand, Tag: p.tag, Order: &o})
 			case e.Now-max(p.handed, p.came) > handAgain:
 				p.local = x.Member()
