A spoilt last record, a spoilt list of tables and a disk that was repaired are no longer said to be whole

Change: the last record is torn only if it is cut short or sectors of it were never written; what is there to its end and bad is spoilt (its bytes are read as a batch, so that a spoilt length shows too). The list of tables is read alike. A repair takes the disk's word back, and a file marks the disk before the store's own opening takes away what showed it, so that an end in the middle changes nothing. What looks like both costs a catching up, but for a last byte that turned zero.

--- a/internal/harbour/logbook/inspect.go
+++ b/internal/harbour/logbook/inspect.go
@@ -1,6 +1,7 @@
 package logbook
 
 import (
+	"bytes"
 	"encoding/binary"
 	"hash/crc32"
 )
@@ -33,28 +34,136 @@
 	return kind, head + n
 }
 
-// Spoilt tells whether a journal has bad bytes before a record that begins after them. Each write is synced before the next
-// one begins, so that a loss of power can only tear the last record; what is bad before another was spoilt later, and
-// records that were synced are missing.
-func Spoilt(journal []byte) bool {
-	bad := false
-	for start := 0; start < len(journal); start += block {
-		b := journal[start:min(start+block, len(journal))]
+// Spoilt tells whether a journal has bad bytes in a record that was synced. Each write is synced before the next one begins,
+// so that a loss of power can only tear the last record: what is bad before another was spoilt later. Of the last record a
+// loss of power leaves the beginning, or sectors that were never written, which read as zeros; one that is there to its end,
+// and bad, was spoilt too. What looks like both is taken for spoilt, which costs a catching up, unless the last byte is zero.
+func Spoilt(journal []byte) bool { return spoilt(journal, isBatch, 1) }
+
+// spoiltList does it for the list of the store's tables, which has the same layout and is synced as a journal is.
+func spoiltList(list []byte) bool { return spoilt(list, isEdit, unwrittenAtLeast) }
+
+// spoilt does it for any file of that layout; complete tells whether bytes are a record to its end, which its beginning
+// isn't; tail is how many zeros at the file's end are none of a record's own.
+func spoilt(file []byte, complete func([]byte) bool, tail int) bool {
+	var record []byte // what is good of the one that goes on
+	bad := -1         // where bad bytes began
+	torn := false     // they were never written
+	for start := 0; start < len(file); start += block {
+		b := file[start:min(start+block, len(file))]
 		for at := 0; at < len(b); {
 			kind, n := chunk(b[at:])
 			switch {
 			case n > 0:
-				if bad && kind <= firstType {
-					return true
+				if bad >= 0 {
+					if torn = torn || unwritten(file, bad, start+at, tail); !torn || kind <= firstType {
+						return true
+					}
 				}
+				if kind <= firstType {
+					record = record[:0]
+				}
+				record = append(record, b[at+head:at+n]...)
 				at += n
 			case len(b)-at < head && len(b) == block: // the rest of a block that holds no chunk
 				at = len(b)
 			default: // each place may be where the next one begins
-				bad = true
+				if bad < 0 {
+					bad = start + at
+				}
 				at++
 			}
 		}
 	}
-	return false
+	if bad < 0 || torn || unwritten(file, bad, len(file), tail) || len(file)-bad < head {
+		return false
+	}
+	end := bad + head + int(binary.LittleEndian.Uint16(file[bad+4:]))
+	if end <= len(file) || bad/block != (len(file)-1)/block {
+		return true // it is there to its end, or runs over the end of a block
+	}
+	if file[bad+6] <= firstType {
+		record = nil
+	}
+	return complete(append(record[:len(record):len(record)], file[bad+head:]...))
+}
+
+const (
+	sector           = 512 // bytes that a disk writes whole or not at all
+	unwrittenAtLeast = 8   // zeros that are no part of a number in a record
+)
+
+// unwritten tells whether a part of the bytes that lies in one sector is all zeros, or the file ends with so many.
+func unwritten(file []byte, from, to, tail int) bool {
+	zeros := func(b []byte) bool { return len(bytes.Trim(b, "\x00")) == 0 }
+	for at := from; at < to; {
+		next := min(to, at-at%sector+sector)
+		if next-at >= unwrittenAtLeast && zeros(file[at:next]) {
+			return true
+		}
+		at = next
+	}
+	return to == len(file) && to-from >= tail && zeros(file[to-tail:])
+}
+
+// isBatch tells whether bytes are a batch of writes to its end: a number of eight bytes, how many there are in four, and
+// each: its kind, the length of its key, the key, and but for a deletion the length of the value and the value.
+func isBatch(b []byte) bool {
+	if len(b) < 12 {
+		return false
+	}
+	count := binary.LittleEndian.Uint32(b[8:])
+	b = b[12:]
+	field := func() bool {
+		n, size := binary.Uvarint(b)
+		if size <= 0 || n > uint64(len(b)-size) {
+			return false
+		}
+		b = b[size+int(n):]
+		return true
+	}
+	for ; count > 0; count-- {
+		if len(b) == 0 {
+			return false
+		}
+		put := b[0] == 1
+		if b = b[1:]; !field() || put && !field() {
+			return false
+		}
+	}
+	return true
+}
+
+// isEdit tells whether bytes are a change of the list of tables to its end: fields, each a number that says what it is, and
+// its parts: n for a number, b for bytes with their length before them.
+func isEdit(b []byte) bool {
+	fields := map[uint64]string{1: "b", 2: "n", 3: "n", 4: "n", 5: "nb", 6: "nn", 7: "nnnbb", 9: "n"}
+	number := func() (n uint64, ok bool) {
+		n, size := binary.Uvarint(b)
+		if size <= 0 {
+			return 0, false
+		}
+		b = b[size:]
+		return n, true
+	}
+	if len(b) == 0 {
+		return false
+	}
+	for len(b) > 0 {
+		tag, ok := number()
+		parts, known := fields[tag]
+		if !ok || !known {
+			return false
+		}
+		for _, p := range parts {
+			n, ok := number()
+			if !ok || p == 'b' && n > uint64(len(b)) {
+				return false
+			}
+			if p == 'b' {
+				b = b[n:]
+			}
+		}
+	}
+	return true
 }
--- a/internal/harbour/logbook/logbook.go
+++ b/internal/harbour/logbook/logbook.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"sync/atomic"
 
@@ -31,6 +32,7 @@
 	disk   storage.Storage
 	db     *leveldb.DB // nil after a write that was refused
 	closed bool
+	marked bool // as spoilt, until a write has put right what was
 	items  map[manifest.Key]manifest.Item
 	cells  map[string][]byte
 	whole  bool
@@ -53,15 +55,14 @@
 )
 
 // Open opens the logbook in a folder, and reads all items. What can't be read is repaired as far as it can be, and said so:
-// the rest comes from the other control processes, as whole is false then.
+// the rest comes from the other control processes, as whole is false then, until a write says that it is whole again.
 func Open(s storage.Storage) (b *Book, items []manifest.Item, cells map[string][]byte, whole bool, err error) {
 	b = &Book{disk: s, lock: make(chan struct{}, 1), items: map[manifest.Key]manifest.Item{}, cells: map[string][]byte{}}
-	var repaired bool
-	if b.db, repaired, err = open(s); err != nil {
+	if b.db, b.Repaired, err = open(s); err != nil {
 		return nil, nil, nil, false, fmt.Errorf("logbook: %w", err)
 	}
-	b.Repaired = repaired
 	cells = map[string][]byte{}
+	bad := new(leveldb.Batch)
 	err = each(b.db, func(key string, raw []byte) {
 		if register, ok := strings.CutPrefix(key, cellKey); ok {
 			b.cells[register] = bytes.Clone(raw)
@@ -74,28 +75,75 @@
 			b.whole = true
 		case json.Unmarshal(raw, &i) != nil || key != name(i.Key()):
 			b.Repaired = true
+			bad.Delete([]byte(key))
 		default:
 			b.items[i.Key()] = i
 			items = append(items, i)
 		}
 	})
-	b.Repaired = b.Repaired || err != nil
-	return b, items, cells, b.whole && !b.Repaired, nil
+	if b.Repaired = b.Repaired || err != nil; b.Repaired {
+		b.whole = false
+		bad.Delete([]byte(wholeKey)) // or the next start would find a disk that is well and says that it is whole
+		if err = b.db.Write(bad, synced); err == nil {
+			err = unmark(s)
+		}
+		if err != nil {
+			b.db.Close()
+			return nil, nil, nil, false, fmt.Errorf("logbook: repairing: %w", err)
+		}
+	}
+	return b, items, cells, b.whole, nil
 }
 
-// open opens the store; repaired says that something on the disk could not be read.
+// open opens the store; repaired says that something on the disk could not be read. The store's own opening writes its
+// journals anew and so takes away what shows that they were spoilt: a file marks that before.
 func open(s storage.Storage) (db *leveldb.DB, repaired bool, err error) {
 	if repaired, err = inspect(s); err != nil {
 		return nil, false, err
 	}
+	if repaired {
+		if err := putMark(s); err != nil {
+			return nil, false, err
+		}
+	}
 	db, err = leveldb.Open(s, options)
 	if dberrors.IsCorrupted(err) {
 		repaired = true
-		db, err = leveldb.Recover(s, options)
+		if err = putMark(s); err == nil {
+			db, err = leveldb.Recover(s, options)
+		}
 	}
 	return db, repaired, err
 }
 
+// mark is the file that says that the disk was found spoilt and still says of itself that it is whole. The store leaves
+// files of this kind alone.
+var mark = storage.FileDesc{Type: storage.TypeTemp, Num: 1 << 30}
+
+func putMark(s storage.Storage) error {
+	w, err := s.Create(mark)
+	if err != nil {
+		return fmt.Errorf("marking: %w", err)
+	}
+	if _, err = w.Write([]byte("spoilt\n")); err == nil {
+		err = w.Sync()
+	}
+	if e := w.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return fmt.Errorf("marking: %w", err)
+	}
+	return nil
+}
+
+func unmark(s storage.Storage) error {
+	if err := s.Remove(mark); err != nil && !os.IsNotExist(err) {
+		return fmt.Errorf("the mark: %w", err)
+	}
+	return nil
+}
+
 // each hands all rows to take, in the order of their keys; what it is given is good until it returns.
 func each(db *leveldb.DB, take func(key string, raw []byte)) error {
 	it := db.NewIterator(nil, nil)
@@ -106,13 +154,18 @@
 	return it.Error()
 }
 
-// inspect looks for journals with bad bytes among good ones: the store would pass over them without a word.
+// inspect looks for journals and lists of tables with bad bytes among good ones, and for the mark that some were found: the store would pass
+// over them without a word.
 func inspect(s storage.Storage) (spoilt bool, err error) {
-	files, err := s.List(storage.TypeJournal)
+	files, err := s.List(storage.TypeJournal | storage.TypeManifest | storage.TypeTemp)
 	if err != nil {
 		return false, fmt.Errorf("listing: %w", err)
 	}
 	for _, f := range files {
+		if f.Type == storage.TypeTemp {
+			spoilt = spoilt || f == mark
+			continue
+		}
 		r, err := s.Open(f)
 		if err != nil {
 			return false, fmt.Errorf("%v: %w", f, err)
@@ -122,7 +175,11 @@
 		if err != nil {
 			return false, fmt.Errorf("%v: %w", f, err)
 		}
-		spoilt = spoilt || Spoilt(raw)
+		if f.Type == storage.TypeManifest {
+			spoilt = spoilt || spoiltList(raw)
+		} else {
+			spoilt = spoilt || Spoilt(raw)
+		}
 	}
 	return spoilt, nil
 }
@@ -181,6 +238,9 @@
 		b.db = nil
 		return fmt.Errorf("logbook: %w", err)
 	}
+	if b.marked && unmark(b.disk) == nil { // left there it costs a catching up at the next start
+		b.marked = false
+	}
 	for _, k := range gone {
 		delete(b.items, k)
 	}
@@ -201,7 +261,7 @@
 // reopen opens the store again after a write that was refused: the store takes none after it, and numbers the next one as
 // the one that failed, so that a start would pass over it. What differs from what was written before goes into the batch.
 func (b *Book) reopen(batch *leveldb.Batch) error {
-	db, _, err := open(b.disk)
+	db, repaired, err := open(b.disk)
 	if err != nil {
 		return err
 	}
@@ -234,7 +294,7 @@
 	for key, raw := range want {
 		batch.Put([]byte(key), raw)
 	}
-	b.db = db
+	b.db, b.marked = db, b.marked || repaired
 	b.Reopened.Add(1)
 	return nil
 }
--- /dev/null
+++ b/internal/harbour/logbook/logbook_test.go
@@ -0,0 +1,156 @@
+package logbook
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+
+	"portflow/internal/harbour/manifest"
+)
+
+// small is a disk in memory with a few writes in its journal.
+func small(t testing.TB, writes int) (storage.Storage, storage.FileDesc, []byte) {
+	s := storage.NewMemStorage()
+	book, _, _, _, err := Open(s)
+	qt.Assert(t, err, qt.IsNil)
+	for n := range writes {
+		i := manifest.Item{Kind: manifest.Routes, Name: fmt.Sprint("r", n%3), Version: uint64(n + 1), Body: []byte(`{"a":1}`)}
+		qt.Assert(t, book.Write([]manifest.Item{i}, map[string][]byte{"number": {byte(n)}}, n == 0), qt.IsNil)
+	}
+	qt.Assert(t, book.Close(), qt.IsNil)
+	all, err := s.List(storage.TypeJournal)
+	qt.Assert(t, err, qt.IsNil)
+	return s, all[0], read(t, s, all[0])
+}
+
+func read(t testing.TB, s storage.Storage, fd storage.FileDesc) []byte {
+	r, err := s.Open(fd)
+	qt.Assert(t, err, qt.IsNil)
+	defer r.Close()
+	raw, err := io.ReadAll(r)
+	qt.Assert(t, err, qt.IsNil)
+	return raw
+}
+
+// journal lays records out as whole chunks.
+func journal(records ...[]byte) (b []byte) {
+	for _, r := range records {
+		sum := crc32.Checksum(append([]byte{wholeType}, r...), castagnoli)
+		b = binary.LittleEndian.AppendUint32(b, (sum>>15|sum<<17)+0xa282ead8)
+		b = binary.LittleEndian.AppendUint16(b, uint16(len(r)))
+		b = append(append(b, wholeType), r...)
+	}
+	return b
+}
+
+// Of the last record: its beginning, and sectors that were never written, are what a loss of power leaves; what is there to
+// its end and bad, was spoilt, also where its length is.
+func TestTheLastRecord(t *testing.T) {
+	_, _, raw := small(t, 5)
+	last := 0
+	for at := 0; at < len(raw); {
+		_, n := chunk(raw[at:])
+		last, at = at, at+n
+	}
+	bad := func(at int, x byte) []byte {
+		b := bytes.Clone(raw)
+		b[at] ^= x
+		return b
+	}
+	for name, x := range map[string]struct {
+		b    []byte
+		want bool
+	}{
+		"good":                       {raw, false},
+		"cut in its head":            {raw[:last+5], false},
+		"cut after its head":         {raw[:last+head], false},
+		"cut before its end":         {raw[:len(raw)-1], false},
+		"a bad sum":                  {bad(last, 1), true},
+		"a longer length":            {bad(last+4, 0x80), true},
+		"a shorter length":           {bad(last+4, 1), true},
+		"a length over the block":    {bad(last+5, 0xff), true},
+		"a bad kind":                 {bad(last+6, 0xf0), true},
+		"a bad byte":                 {bad(len(raw)-2, 4), true},
+		"zeros to the end":           {append(bytes.Clone(raw[:last+20]), make([]byte, len(raw)-last-20)...), false},
+		"bad, and a good one behind": {append(bad(last, 1), raw[:40]...), true},
+	} {
+		t.Run(name, func(t *testing.T) { qt.Check(t, Spoilt(x.b), qt.Equals, x.want) })
+	}
+}
+
+// Any bytes for a journal: the reader neither crashes nor takes what was made of a good one by one bad byte for whole.
+func FuzzJournal(f *testing.F) {
+	_, _, raw := small(f, 4)
+	f.Add(raw, uint16(3), byte(1))
+	f.Add(raw[:len(raw)-3], uint16(70), byte(0x5a))
+	f.Add(journal([]byte("no batch"), nil), uint16(0), byte(0))
+	f.Add(bytes.Repeat([]byte{0}, 600), uint16(9), byte(9))
+	f.Fuzz(func(t *testing.T, b []byte, at uint16, x byte) {
+		if len(b) > 2*block {
+			return
+		}
+		Spoilt(b)
+		spoiltList(b)
+		for _, file := range []storage.FileType{storage.TypeJournal, storage.TypeManifest} {
+			s, fd, _ := small(t, 4)
+			if file == storage.TypeManifest {
+				fd, _ = s.GetMeta()
+			}
+			w, err := s.Create(fd) // in the place of the good one
+			qt.Assert(t, err, qt.IsNil)
+			w.Write(b)
+			w.Close()
+			if book, _, _, _, err := Open(s); err == nil {
+				qt.Assert(t, book.Write(nil, nil, true), qt.IsNil)
+				book.Close()
+			}
+		}
+		if x == 0 {
+			return
+		}
+		s, fd, good := small(t, 4)
+		place := int(at) % len(good)
+		if place == len(good)-1 && good[place] == x { // reads as a write that did not come through
+			return
+		}
+		good[place] ^= x
+		w, err := s.Create(fd)
+		qt.Assert(t, err, qt.IsNil)
+		w.Write(good)
+		w.Close()
+		book, items, cells, whole, err := Open(s)
+		if err != nil {
+			return
+		}
+		defer book.Close()
+		if whole && (len(items) != 3 || !bytes.Equal(cells["number"], []byte{3})) {
+			t.Fatalf("byte %d ^ %x: %d items, %v, said to be whole", place, x, len(items), cells)
+		}
+	})
+}
+
+// Items that go leave the disk in the step that writes others, and are not there at the next start.
+func TestReplace(t *testing.T) {
+	c := qt.New(t)
+	s, _, _ := small(c, 3)
+	book, items, _, _, err := Open(s)
+	c.Assert(err, qt.IsNil)
+	c.Assert(items, qt.HasLen, 3)
+	syncs := book.Syncs.Load()
+	i := manifest.Item{Kind: manifest.Routes, Name: "new", Version: 9}
+	c.Assert(book.Replace([]manifest.Item{i}, []manifest.Key{items[0].Key(), items[1].Key(), {Kind: "x", Name: "never there"}}, map[string][]byte{"number": nil, "id": []byte("a")}, false), qt.IsNil)
+	c.Check(book.Syncs.Load()-syncs, qt.Equals, int64(1))
+	c.Assert(book.Close(), qt.IsNil)
+	_, items, cells, whole, err := Open(s)
+	c.Assert(err, qt.IsNil)
+	c.Check(items, qt.HasLen, 2)
+	c.Check(items[0].Name, qt.Equals, "new")
+	c.Check(cells, qt.DeepEquals, map[string][]byte{"id": []byte("a")})
+	c.Check(whole, qt.IsTrue)
+}
