A vote counts as kept by its number; new lists are voted on only by those sure to take over

Change: what is kept is a number with a ballot; a list goes into a value only after a fresh promise, and only if those who promised and those who come in are more than half of it; letting a member go must leave one more loss to bear; what is unsaved is a map, the last holds.

--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -36,7 +36,7 @@
 	Term    int64           `json:"d,omitempty"`
 	Now     int64           `json:"n,omitempty"` // when it came, Unix
 	Again   int64           `json:"a,omitempty"` // for how long the same begin may come again
-	Number  uint64          `json:"u,omitempty"` // of the rollout that ends
+	Number  uint64          `json:"u,omitempty"` // of the rollout that ends; the epoch that a change of members goes by, 0 for any
 	State   pilotage.State  `json:"s,omitempty"` // how it ends
 	In      []muster.Member `json:"m,omitempty"`
 	Out     []string        `json:"x,omitempty"` // IP numbers
@@ -79,6 +79,9 @@
 	case Join:
 		list := muster.Of(s)
 		next := list.Join(o.In, o.Out)
+		if o.Number != 0 && o.Number != list.Epoch {
+			return nil, faults.New(faults.Unready, "the members have changed since: epoch %d, not %d", list.Epoch, o.Number)
+		}
 		if next.Epoch == list.Epoch {
 			return nil, nil
 		}
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -101,9 +101,9 @@
 	perZone int
 	disk    Disk
 	list    muster.List
-	whole   bool   // since this life began, it has had all that was decided when it asked
-	kept    Ballot // of the vote that is on disk
-	muted   bool   // its disk holds less than what it knows: it says nothing that must be on disk
+	whole   bool    // since this life began, it has had all that was decided when it asked
+	kept    Message // the vote that is on disk: its number and its ballot
+	muted   bool    // its disk holds less than what it knows: it says nothing that must be on disk
 	began   int64
 
 	phase   Phase
@@ -139,8 +139,7 @@
 		parts  []int
 		items  []manifest.Item
 	}
-	unsaved  []manifest.Item // applied, and not yet in a write
-	gone     []manifest.Key
+	unsaved  map[manifest.Key]*manifest.Item // applied, and not yet in a write; nil for what has gone
 	ring     []kept
 	ringed   int
 	out      *Effects
@@ -156,7 +155,8 @@
 func New(self muster.Member, life string, perZone int, disk Disk, set *manifest.Set, now int64) *Node {
 	self.ID = disk.ID
 	return &Node{Set: set, self: self, life: life, perZone: max(1, perZone), disk: disk, list: muster.Of(set), seen: disk.Promised.N, began: now,
-		kept: disk.Vote, reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
+		kept: Message{Number: disk.At, Ballot: disk.Vote}, unsaved: map[manifest.Key]*manifest.Item{},
+		reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
 }
 
 // List is the membership as of what is applied here.
@@ -281,8 +281,31 @@
 func (x *Node) write() {
 	d := x.disk
 	x.out.Disk = &d
-	x.out.Items, x.out.Gone = append(x.out.Items, x.unsaved...), append(x.out.Gone, x.gone...)
-	x.unsaved, x.gone = nil, nil
+	for _, k := range x.unsavedKeys() {
+		if i, there := x.unsaved[k]; there && i != nil {
+			x.out.Items = append(x.out.Items, *i)
+		} else {
+			x.out.Gone = append(x.out.Gone, k)
+		}
+	}
+	clear(x.unsaved)
+}
+
+func (x *Node) unsavedKeys() []manifest.Key {
+	return slices.SortedFunc(maps.Keys(x.unsaved), func(a, b manifest.Key) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// save and drop note what has come into the set, and what has left it, for the next write: what was last holds.
+func (x *Node) save(i manifest.Item) {
+	x.out.News = append(x.out.News, i)
+	x.unsaved[i.Key()] = &i
+}
+
+func (x *Node) drop(k manifest.Key) {
+	x.out.Left = append(x.out.Left, k)
+	x.unsaved[k] = nil
 }
 
 func (x *Node) answer(tag uint64, r Result) {
@@ -371,8 +394,8 @@
 			x.readOn(e.Now, m.Tag, r)
 		}
 	case Kept:
-		if e.From == x.self.IP && m.Number == x.disk.At && m.Ballot == x.disk.Vote {
-			x.kept = m.Ballot
+		if e.From == x.self.IP {
+			x.kept = Message{Number: m.Number, Ballot: m.Ballot}
 		}
 	case Fetch:
 		x.give(e.From, m)
@@ -570,6 +593,15 @@
 		if left = append(left, p); !p.local || len(value) >= mostItems || p.order.Kind == orders.Join && listIn(value).Epoch != 0 {
 			continue
 		}
+		if p.order.Kind == orders.Join && !(x.fresh && x.takes(p.order)) {
+			if !x.fresh {
+				x.sticky = false // it is looked at again when more than half have promised anew
+				continue
+			}
+			left = left[:len(left)-1]
+			x.end(p, Result{Kind: faults.Unready, Reason: "the new members can't be sure to take over"})
+			continue
+		}
 		set := x.Set
 		if next != nil {
 			set = next
@@ -667,11 +699,12 @@
 func (x *Node) apply(now int64, number uint64, items []manifest.Item) {
 	for _, i := range items {
 		if x.Set.Merge(i) {
-			x.out.News, x.unsaved = append(x.out.News, i), append(x.unsaved, i)
+			x.save(i)
 		}
 	}
-	gone := x.Set.Forgotten()
-	x.out.Left, x.gone = append(x.out.Left, gone...), append(x.gone, gone...)
+	for _, k := range x.Set.Forgotten() {
+		x.drop(k)
+	}
 	x.ring, x.ringed = append(x.ring, kept{number, items}), x.ringed+len(items)
 	for len(x.ring) > keptChanges || x.ringed > keptItems && len(x.ring) > 0 {
 		x.ringed -= len(x.ring[0].items)
@@ -895,13 +928,29 @@
 	if len(out) > 1 {
 		out = out[:1]
 	}
-	if len(in)+len(out) > 0 && x.bears(x.list.Join(in, out)) >= max(0, x.bears(x.list)) {
-		x.order(e.Now, &pending{order: orders.Order{Kind: orders.Join, In: in, Out: out}})
+	if len(out) > 0 && x.bears(x.list.Join(in, out)) < max(1, x.bears(x.list)) {
+		out = nil
+	}
+	if len(in)+len(out) > 0 && x.bears(x.list.Join(in, out)) >= 0 {
+		x.order(e.Now, &pending{order: orders.Order{Kind: orders.Join, In: in, Out: out, Number: x.list.Epoch}})
 	}
 }
 
-// bears is how many members of a list may be lost beside those that aren't heard now. A list that bears less than the
-// present one, or nothing, isn't proposed: it couldn't be taken over by more than half of it.
+// takes tells whether those who have only just promised, and those that come in and are heard, are more than half of the
+// members that an order makes: else it might be decided and never taken over.
+func (x *Node) takes(o orders.Order) bool {
+	next, yes := x.list.Join(o.In, o.Out), map[string]string{}
+	maps.Copy(yes, x.yes)
+	for _, m := range o.In {
+		if p, heard := x.peers[m.IP]; heard {
+			yes[m.IP] = p.Member.ID
+		}
+	}
+	return next.Quorum(yes)
+}
+
+// bears is how many members of a list may be lost beside those that aren't heard now. A list that could not lose one more,
+// or fewer than the present one, isn't made by letting a member go.
 func (x *Node) bears(l muster.List) int {
 	var down []string
 	for _, m := range l.Members {
@@ -948,7 +997,7 @@
 // confirmed is how far this process is.
 func (x *Node) confirmed(tag uint64) Message {
 	m := Message{Kind: Confirmed, Tag: tag, Number: max(x.disk.Applied, x.disk.At)}
-	if x.disk.At == x.disk.Applied+1 && x.kept == x.disk.Vote {
+	if x.disk.At == x.disk.Applied+1 && x.kept.Number == x.disk.At && x.kept.Ballot == x.disk.Vote {
 		m.Vote = x.disk.Vote
 	}
 	return m
@@ -1106,8 +1155,13 @@
 	}
 	x.idle(e, false)
 	news, gone := x.Set.Replace(parts, items)
-	x.out.News, x.unsaved = append(x.out.News, news...), append(x.unsaved, news...)
-	x.out.Left, x.gone, x.out.Cut = append(x.out.Left, gone...), append(x.gone, gone...), true
+	for _, i := range news {
+		x.save(i)
+	}
+	for _, k := range gone {
+		x.drop(k)
+	}
+	x.out.Cut = true
 	x.ring, x.ringed = nil, 0
 	x.applied(e.Now, m.Number)
 }
