--- a/rules/rules.go
+++ b/rules/rules.go
@@ -56,6 +56,10 @@
 		}
 		if h := c.next; h != nil {
 			c.next = nil
+			if c.may != nil && !c.may.May(h.id) { // what was placed in this step took its place
+				d.place(c)
+				continue
+			}
 			c.handOffs = append(c.handOffs, &handOff{host: h, build: h.build, at: d.now, until: c.until,
 				number: len(c.handOffs), tie: d.tie(c, h.build)})
 			c.out++
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -568,3 +568,27 @@
 		}
 	}
 }
+
+// room is a question that has room for so many hand-offs of all commands.
+type room struct {
+	w    *world
+	most int
+}
+
+func (r room) May(uint32) bool { return len(r.w.sent) < r.most }
+
+// Commands that were held are placed in one step, as when the hosts of a service come back cold together: each is asked about
+// again when it goes, as those before it have taken what room there was.
+func TestAsksAgainWhereManyGoAtOnce(t *testing.T) {
+	for _, most := range []int{0, 1, 2, 5} {
+		w := newWorld(t, plain(), 7)
+		w.hear(News{Build: 4, Standing: Released, Cap: 1})
+		for id := range uint32(6) {
+			w.take(Command{ID: id, Band: 1, Left: 5000 * ms, May: room{w, most}})
+		}
+		w.failIf(len(w.sent) > 0, "%d sent with no host", len(w.sent))
+		w.four(Ready)
+		w.pass(20 * ms)
+		w.failIf(len(w.sent) != most, "%d sent, there was room for %d", len(w.sent), most)
+	}
+}
