Who comes to a zone that has its members stands by as a learner

Cause: an old member that came back beside its successor was voted in too, and a core of six became one of seven with a larger majority (read from the rule, then seen in the simulation's lists). Change: a learner comes in only where its zone has fewer members heard than it should have; proposals of a list are 0.4 s apart; the proposer counts itself among those sure to take over.

--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -33,6 +33,7 @@
 	fetchAgain  = int64(500e6)
 	fetchSoon   = int64(250e6) // a peer that has more is asked
 	beginAgain  = int64(250e6) // a start looks again for how far the core is
+	listAgain   = int64(400e6) // between proposals of a list
 	silentFor   = int64(3e9)   // a member that has a successor in its zone goes
 	orderWaits  = int64(2500e6)
 	mostWaiting = 512 // orders, and reads, beyond which more are refused at once
@@ -131,6 +132,7 @@
 
 	peers  map[string]Peer
 	silent map[string]int64
+	listed int64 // when the next list may be proposed
 	apart  int64 // since when a peer has had more, 0 for none
 	fetch  struct {
 		from   string
@@ -914,7 +916,8 @@
 	}
 	var in []muster.Member
 	for _, ip := range slices.Sorted(maps.Keys(x.peers)) {
-		if p := x.peers[ip]; p.Whole && !x.list.Has(ip, p.Member.ID) && p.Applied+mostBehind >= x.disk.Applied && p.Member.ID != "" {
+		if p := x.peers[ip]; p.Whole && !x.list.Has(ip, p.Member.ID) && p.Applied+mostBehind >= x.disk.Applied && p.Member.ID != "" &&
+			x.live(p.Member.Zone, in) < x.perZone {
 			in = append(in, p.Member)
 		}
 	}
@@ -931,15 +934,32 @@
 	if len(out) > 0 && x.bears(x.list.Join(in, out)) < max(1, x.bears(x.list)) {
 		out = nil
 	}
-	if len(in)+len(out) > 0 && x.bears(x.list.Join(in, out)) >= 0 {
+	if len(in)+len(out) > 0 && e.Now >= x.listed && x.bears(x.list.Join(in, out)) >= 0 {
+		x.listed = e.Now + listAgain
 		x.order(e.Now, &pending{order: orders.Order{Kind: orders.Join, In: in, Out: out, Number: x.list.Epoch}})
 	}
 }
 
+// live is how many members of a zone are heard, with those that come in. Where a zone has enough, who comes is a learner that
+// stands by: it is voted in once one of them is lost.
+func (x *Node) live(zone string, in []muster.Member) (n int) {
+	for _, m := range x.list.Members {
+		if p, heard := x.peers[m.IP]; m.Zone == zone && (m.IP == x.self.IP || heard && p.Member.ID == m.ID) {
+			n++
+		}
+	}
+	for _, m := range in {
+		if m.Zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // takes tells whether those who have only just promised, and those that come in and are heard, are more than half of the
 // members that an order makes: else it might be decided and never taken over.
 func (x *Node) takes(o orders.Order) bool {
-	next, yes := x.list.Join(o.In, o.Out), map[string]string{}
+	next, yes := x.list.Join(o.In, o.Out), map[string]string{x.self.IP: x.self.ID}
 	maps.Copy(yes, x.yes)
 	for _, m := range o.In {
 		if p, heard := x.peers[m.IP]; heard {
