Each attempt is a state machine; only what surely has not run is sent again or refused

Cause, each seen by a test on a real socket that failed before the change: an answer with Request-Not-Run or 421 was taken for the waiting request's before its id was looked at, so another request's late one had it sent again (3 arrivals of an unsafe request, answered 503). A host's second copy of it was believed on the connection where the request was sent again. A host's own 408 or 429 went on as a promise. A client that shut its writing side got an empty 200 that no host gave. A 101 nobody asked for was passed on. Connection could take Attempt-Id and Server-Seal away. Answers without an id, errors mostly, were passed to whoever waited. An answer without a stated end, and one in chunks to HTTP/1.0, looked whole where it was cut. HEAD and 304 were given a length of 0, 304 counted as a failure. A target that begins with two slashes came to the host as another. Two ids in a request went on. A request behind another in the same packet was not looked at for two framings, and the one behind it waited for the idle time (15 s: the deadline that ends the library's pending read was taken for that of an idle connection). A long answer offered as its client went was waited for for ever.

Change: internal/harbour/attempt, pure: phases and knowledge of one attempt, what a request's attempts allow, the judgement of an answer's head by its id first. The request's cargo follows it: the connection asks leave before the first byte (hosts.Track; nil for the old router, whose behaviour stays), refuses a connection that the request was written on before, and tells when it took nothing.

Not measured yet: processor time.

--- /dev/null
+++ b/internal/harbour/attempt/answer.go
@@ -0,0 +1,57 @@
+package attempt
+
+import "errors"
+
+// Answer is what an answer's head says.
+type Answer struct {
+	Status  int
+	IDs     []string // its Attempt-Id lines
+	NotRun  bool     // it carries Request-Not-Run
+	Sealed  bool     // it carries a Server-Seal
+	Encoded bool     // it carries a Content-Encoding
+	Bounded bool     // where it ends is stated: by a length, by chunks, or as it has no body
+}
+
+// Why an answer is none to the request that waits.
+var (
+	ErrOther    = errors.New("the answer is another request's")
+	ErrSeal     = errors.New("a success without a seal")
+	ErrEncoded  = errors.New("an encoding that nobody asked for")
+	ErrUnended  = errors.New("an answer without a stated end")
+	ErrSwitched = errors.New("another protocol that nobody asked for")
+	ErrBoth     = errors.New("a success that says it did not run")
+)
+
+// Judge tells what an answer is to the request with this id that waits on its connection. The id comes first: whatever else
+// an answer says, it says of the request that it names. A request without an id has answers without one.
+func Judge(id string, a Answer) (Event, error) {
+	switch {
+	case a.Status < 200:
+		return Extra, ErrSwitched
+	case !named(id, a.IDs):
+		return WrongID, ErrOther
+	case (a.NotRun || a.Status == 421) && a.Status < 400:
+		return Extra, ErrBoth
+	case a.Status == 421:
+		return Misdirected, nil
+	case a.NotRun:
+		return TurnedAway, nil
+	case a.Status < 300 && !a.Sealed:
+		return Extra, ErrSeal
+	case a.Encoded:
+		return Extra, ErrEncoded
+	case !a.Bounded:
+		return Cut, ErrUnended
+	}
+	return Answered, nil
+}
+
+// named tells whether an answer's ids name one request and no other.
+func named(id string, ids []string) bool {
+	for _, x := range ids {
+		if x != id {
+			return false
+		}
+	}
+	return id == "" || len(ids) > 0
+}
--- /dev/null
+++ b/internal/harbour/attempt/attempt_test.go
@@ -0,0 +1,133 @@
+package attempt
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// What is known after each event in each phase, as a table: where a row has no entry the event changes nothing.
+func TestAfter(t *testing.T) {
+	c := qt.New(t)
+	begun, partly, written := Attempt{Begun, MayHaveRun}, Attempt{Partly, MayHaveRun}, Attempt{Written, MayHaveRun}
+	never, maybe, ran := Attempt{Over, NotRun}, Attempt{Over, MayHaveRun}, Attempt{Over, Ran}
+	opening, open := Attempt{}, Attempt{Phase: Open}
+	type row map[Event]Attempt
+	before := row{Refused: never, Connected: open, Writing: begun, WroteNone: never, TurnedAway: opening, Misdirected: opening, Answered: opening,
+		WrongID: opening, Cut: opening, Extra: opening, Reset: never, Silence: never, Cancel: never}
+	ends := row{Refused: maybe, WroteNone: maybe, TurnedAway: never, Misdirected: never, Answered: ran, WrongID: maybe, Cut: maybe, Extra: maybe,
+		Reset: maybe, Silence: maybe, Cancel: maybe}
+	with := func(more row) row {
+		all := row{}
+		for _, r := range []row{ends, more} {
+			for e, a := range r {
+				all[e] = a
+			}
+		}
+		return all
+	}
+	for from, want := range map[Attempt]row{
+		opening: before,
+		open:    before,
+		begun:   with(row{WrotePart: partly, WroteAll: written, WroteNone: never}),
+		partly:  with(row{WroteAll: written}),
+		written: ends,
+		never:   {}, maybe: {}, ran: {},
+	} {
+		for _, e := range Events() {
+			expected, changes := want[e]
+			if !changes {
+				expected = from
+			}
+			c.Check(from.After(e), qt.Equals, expected, qt.Commentf("%v, %v: %v", from.Phase, from.Knowledge, e))
+		}
+	}
+}
+
+// A request is sent again only while nothing of it may have run, or where it is idempotent; never two at a time, nor after
+// its final answer.
+func TestRequest(t *testing.T) {
+	c := qt.New(t)
+	play := func(r Request, all ...Event) Request {
+		for _, e := range all {
+			r, _ = r.On(e)
+		}
+		return r
+	}
+	begin := func(r Request) Request {
+		r, ok := r.Begin()
+		c.Assert(ok, qt.IsTrue)
+		return r
+	}
+	for _, e := range Events() {
+		for _, sent := range []bool{false, true} {
+			once, twice := begin(Request{}), begin(Request{Idempotent: true})
+			c.Check(once.MaySend(), qt.IsFalse)
+			if sent {
+				once, twice = play(once, Connected, Writing, WroteAll, e), play(twice, Connected, Writing, WroteAll, e)
+			} else {
+				once, twice = play(once, e), play(twice, e)
+			}
+			over := once.Last().Phase == Over
+			c.Check(once.MaySend(), qt.Equals, over && once.Known() == NotRun, qt.Commentf("%v, %v", e, sent))
+			c.Check(once.Settle().MayRefuse(), qt.Equals, once.Known() == NotRun)
+			c.Check(twice.MaySend(), qt.Equals, over, qt.Commentf("%v, %v", e, sent))
+			c.Check(twice.Settle().MayRefuse(), qt.IsTrue)
+			c.Check(once.MayRefuse() || once.Settle().MaySend(), qt.IsFalse)
+			_, ok := once.Settle().On(Writing)
+			c.Check(ok, qt.IsFalse)
+			if over && once.MaySend() { // what a first attempt leaves open a second doesn't close
+				again := play(begin(once), Connected, Writing, Reset)
+				c.Check(again.Known(), qt.Equals, MayHaveRun)
+				c.Check(play(again, TurnedAway).Known(), qt.Equals, MayHaveRun)
+			}
+		}
+	}
+	r := play(begin(Request{}), Connected, Writing)
+	_, ok := r.On(Writing) // on a second connection
+	c.Check(ok, qt.IsFalse)
+	_, ok = Request{}.On(Writing)
+	c.Check(ok, qt.IsFalse)
+}
+
+func TestJudge(t *testing.T) {
+	c := qt.New(t)
+	fine := func(change func(*Answer)) Answer {
+		a := Answer{Status: 200, IDs: []string{"a"}, Sealed: true, Bounded: true}
+		change(&a)
+		return a
+	}
+	for name, x := range map[string]struct {
+		id   string
+		is   Answer
+		want Event
+		err  error
+	}{
+		"fine":                   {"a", fine(func(*Answer) {}), Answered, nil},
+		"an error":               {"a", Answer{Status: 500, IDs: []string{"a"}, Bounded: true}, Answered, nil},
+		"turned away":            {"a", Answer{Status: 503, IDs: []string{"a"}, NotRun: true, Bounded: true}, TurnedAway, nil},
+		"misdirected":            {"a", Answer{Status: 421, IDs: []string{"a"}, Bounded: true}, Misdirected, nil},
+		"another's":              {"a", fine(func(a *Answer) { a.IDs = []string{"b"} }), WrongID, ErrOther},
+		"another's not run":      {"a", Answer{Status: 503, IDs: []string{"b"}, NotRun: true, Bounded: true}, WrongID, ErrOther},
+		"another's 421":          {"a", Answer{Status: 421, IDs: []string{"b"}, Bounded: true}, WrongID, ErrOther},
+		"nobody's":               {"a", fine(func(a *Answer) { a.IDs = nil }), WrongID, ErrOther},
+		"nobody's error":         {"a", Answer{Status: 404, Bounded: true}, WrongID, ErrOther},
+		"two requests'":          {"a", fine(func(a *Answer) { a.IDs = []string{"a", "b"} }), WrongID, ErrOther},
+		"one's twice":            {"a", fine(func(a *Answer) { a.IDs = []string{"a", "a"} }), Answered, nil},
+		"to one without an id":   {"", Answer{Status: 400, NotRun: true, Bounded: true}, TurnedAway, nil},
+		"an id to one without":   {"", fine(func(*Answer) {}), WrongID, ErrOther},
+		"no seal":                {"a", fine(func(a *Answer) { a.Sealed = false }), Extra, ErrSeal},
+		"encoded":                {"a", fine(func(a *Answer) { a.Encoded = true }), Extra, ErrEncoded},
+		"no end":                 {"a", fine(func(a *Answer) { a.Bounded = false }), Cut, ErrUnended},
+		"an error without end":   {"a", Answer{Status: 500, IDs: []string{"a"}}, Cut, ErrUnended},
+		"switched":               {"a", fine(func(a *Answer) { a.Status = 101 }), Extra, ErrSwitched},
+		"a success that is none": {"a", fine(func(a *Answer) { a.NotRun = true }), Extra, ErrBoth},
+	} {
+		e, err := Judge(x.id, x.is)
+		c.Check(e, qt.Equals, x.want, qt.Commentf("%s", name))
+		c.Check(err, qt.Equals, x.err, qt.Commentf("%s", name))
+	}
+	for status := 100; status < 600; status++ {
+		c.Check(Promises(status), qt.Equals, status == 408 || status == 421 || status == 429 || status == 503)
+	}
+}
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -383,6 +383,12 @@
 
 // HandOff sends a request to a host; the rules chose it a moment ago.
 func (s *service) HandOff(to router.Host, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
+	c := r.Cargo.(*cargo)
+	if !c.begin() { // it may have run, or one is out: the rules don't ask for that
+		s.f.counts.withheld.Add(1)
+		go done(router.Outcome{Ending: rules.Unsent})
+		return unsent{}
+	}
 	s.mu.Lock()
 	b, began := s.berths[to.Name], s.f.clock()
 	s.out++
@@ -397,7 +403,6 @@
 	}
 	s.mu.Unlock()
 	s.f.counts.rings[to.Ring].Add(1)
-	c := r.Cargo.(*cargo)
 	if s.f.handed.all.Add(1); to.Ring > 0 && !c.homes {
 		s.f.handed.away.Add(1)
 	}
@@ -405,6 +410,7 @@
 		s.f.counts.again.Add(1)
 	}
 	return s.f.pool.HandOff(to, r, left, func(o router.Outcome) {
+		o.Ending = c.end(o.Ending)
 		s.mu.Lock()
 		if b != nil {
 			b.open--
@@ -427,6 +433,12 @@
 	})
 }
 
+// unsent is a hand-off that was not begun.
+type unsent struct{}
+
+func (unsent) Recall() {}
+func (unsent) Revoke() {}
+
 // saying is what the endings of hand-offs say of their hosts.
 var saying = [...]lookout.Outcome{rules.Fulfilled: lookout.Good, rules.Failed: lookout.Bad, rules.TurnedAway: lookout.Nothing,
 	rules.TimedOut: lookout.Bad, rules.NoConnect: lookout.Nothing, rules.Reset: lookout.Bad, rules.Recalled: lookout.Nothing,
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"portflow/internal/harbour/attempt"
 	"portflow/internal/harbour/faults"
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/parts/framing"
@@ -27,6 +28,7 @@
 // counts are the counters of a process, by what became of requests and of hand-offs.
 type counts struct {
 	taken, answered, again, gone, panics atomic.Int64
+	withheld                             atomic.Int64 // hand-offs that were wanted and must not be
 	faults                               [32]atomic.Int64
 	endings                              [16]atomic.Int64
 	rings                                [3]atomic.Int64 // hand-offs to this zone, its region, beyond
@@ -38,6 +40,9 @@
 func (c *counts) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "taken=%d answered=%d again=%d gone=%d panics=%d", c.taken.Load(), c.answered.Load(), c.again.Load(), c.gone.Load(), c.panics.Load())
+	if n := c.withheld.Load(); n > 0 {
+		fmt.Fprintf(&b, " withheld=%d", n)
+	}
 	for _, k := range faults.All() {
 		if n := c.faults[k].Load(); n > 0 {
 			fmt.Fprintf(&b, " %s=%d", k, n)
@@ -110,18 +115,16 @@
 	place  *room.Place
 	limits func() manifest.Bounds
 	mu     sync.Mutex
-	taken  bool // a request's head has been read: what comes is its body, or the next request
 	idle   bool
-	head   framing.Head
+	frames framing.Stream
 }
 
 func (c *caller) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle = false; n > 0 && !c.taken {
-		c.head.Read(b[:n])
-	}
+	c.idle = false
+	c.frames.Read(b[:n])
 	return n, err
 }
 
@@ -135,19 +138,19 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// take begins a request, and tells whether its framing can be read in two ways: a length there twice, or beside chunks.
-func (c *caller) take() (twice bool) {
+// take begins a request, and tells how it is framed. One that stood behind another in the same packet comes without a read:
+// the connection is idle no more all the same, else the library's own deadlines would be taken for that of an idle one.
+func (c *caller) take() framing.Fields {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	twice = c.head.Lengths > 1 || c.head.Codings > 1 || c.head.Lengths > 0 && c.head.Codings > 0
-	c.taken, c.head = true, framing.Head{}
-	return twice
+	c.idle = false
+	return c.frames.Take()
 }
 
 func (c *caller) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.taken, c.idle, c.head = false, true, framing.Head{}
+	c.idle = true
 }
 
 type callerKey struct{}
@@ -182,7 +185,13 @@
 	defer f.open.Add(-1)
 	began := f.clock()
 	v := f.view.Load()
-	if c, ok := r.Context().Value(callerKey{}).(*caller); ok && c.take() {
+	if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
+		if x := c.take(); x.Doubtful() || x.Codings > 0 && !r.ProtoAtLeast(1, 1) { // the library passes over codings there
+			f.refuse(w, faults.Malformed, 0)
+			return
+		}
+	}
+	if _, ok := target(r.RequestURI); !ok || len(r.Header["Attempt-Id"]) > 1 { // can't go on as it came, or has two ids
 		f.refuse(w, faults.Malformed, 0)
 		return
 	}
@@ -226,20 +235,29 @@
 		}
 	}
 	answers := make(router.Chan, 1)
+	load := &cargo{host: r.Host, header: passed(r.Header), id: r.Header.Get("Attempt-Id"), homes: len(route.Homes) > 0,
+		stream: make(chan *stream, 1), attempts: attempt.Request{Idempotent: route.Safe}}
 	c := &router.Command{Band: s.band(route), CutOff: began + left, Answer: answers, Most: route.Most,
-		May: func(h router.Host) bool { return s.may(h, route.Homes) },
-		Request: &router.Request{Method: r.Method, Target: r.RequestURI, Body: body,
-			Cargo: &cargo{host: r.Host, header: passed(r.Header), id: r.Header.Get("Attempt-Id"), homes: len(route.Homes) > 0, stream: make(chan *stream, 4)}}}
+		May:     func(h router.Host) bool { return s.may(h, route.Homes) },
+		Request: &router.Request{Method: r.Method, Target: r.RequestURI, Body: body, Cargo: load}}
 	s.reducer.Post(router.Taken{Command: c})
 	select {
 	case a := <-answers:
-		f.answer(w, s, a, c)
-	case t := <-c.Request.Cargo.(*cargo).stream:
+		f.answer(w, s, a, c, load.settle())
+	case t := <-load.stream:
+		load.settle()
 		s.reducer.Post(router.Streams{Command: c})
+		if t.length < 0 && !r.ProtoAtLeast(1, 1) { // the connection's end would be its only one, also where it is cut
+			t.done <- attempt.ErrUnended
+			f.refuse(w, faults.Broken, 0)
+			return
+		}
 		f.passOn(w, t)
-	case <-r.Context().Done():
+	case <-r.Context().Done(): // also where only its writing side is shut: no answer, as one that isn't given would be a success
+		load.settle()
 		f.counts.gone.Add(1)
 		s.reducer.Post(router.Left{Command: c})
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -308,32 +326,25 @@
 	return r.Split[0].Service
 }
 
-// answer gives a request's final answer.
-func (f *Fairway) answer(w http.ResponseWriter, s *service, a router.Answer, c *router.Command) {
+// answer gives a request's final answer; known is what is for ever known of its attempts.
+func (f *Fairway) answer(w http.ResponseWriter, s *service, a router.Answer, c *router.Command, known attempt.Request) {
 	h, _ := a.Reply.(*reply)
 	switch {
 	case a.Kind == router.Fulfilled && h != nil:
 		f.pass(w, h)
-	case a.Kind == router.Dismissed:
+	case a.Kind == router.Dismissed && known.MayRefuse():
 		f.refuse(w, faults.Crowded, s.wait(c.CutOff))
-	case h != nil && !h.unrun && !promises(h.status):
+	case h != nil && !h.unrun && !attempt.Promises(h.status):
 		f.pass(w, h)
+	case f.clock() >= c.CutOff-int64(20e6) && known.Known() == attempt.NotRun:
+		f.refuse(w, faults.Expired, 0)
 	case f.clock() >= c.CutOff-int64(20e6):
-		if tries := c.Request.Cargo.(*cargo).tries; tries == 0 {
-			f.refuse(w, faults.Expired, 0)
-			return
-		}
 		f.refuse(w, faults.Late, 0)
 	default:
 		f.refuse(w, faults.Broken, 0)
 	}
 }
 
-// promises tells whether a status promises that the request hasn't run.
-func promises(status int) bool {
-	return status == 429 || status == 503 || status == 408 || status == 421
-}
-
 // pass gives a host's answer as it is.
 func (f *Fairway) pass(w http.ResponseWriter, a *reply) {
 	f.counts.answered.Add(1)
@@ -347,7 +358,9 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
-	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	if !a.bodiless {
+		h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	}
 	if f.leaving.Load() {
 		h["Connection"] = []string{"close"}
 	}
--- a/internal/harbour/fairway/speech.go
+++ b/internal/harbour/fairway/speech.go
@@ -7,22 +7,126 @@
 	"net/http"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"portflow/internal/harbour/attempt"
 	"portflow/internal/parts/router"
 	"portflow/rules"
 )
 
-// cargo is a client's request as it goes on.
+// cargo is a client's request as it goes on, and what is known of its attempts at hosts.
 type cargo struct {
 	host   string
 	header http.Header
 	id     string       // of this try
 	tries  int          // hand-offs so far
 	homes  bool         // it may not go everywhere
-	stream chan *stream // gets an answer that is too long to be read whole
+	stream chan *stream // gets an answer that is too long to be read whole, while none is given
+
+	mu       sync.Mutex // over what follows: the reducer, the hand-off and the client's goroutine have it
+	attempts attempt.Request
+	conns    []any // that it was written on; as many as hand-offs at most
+}
+
+// begin begins an attempt where that may be.
+func (c *cargo) begin() (ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts, ok = c.attempts.Begin()
+	return ok
+}
+
+// on tells the attempts an event.
+func (c *cargo) on(e attempt.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts, _ = c.attempts.On(e)
+}
+
+// Spent tells whether it was written on this connection before.
+func (c *cargo) Spent(conn any) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.conns, conn)
+}
+
+// Write is asked for leave before a first byte goes to a host. There is none once the final answer is given.
+func (c *cargo) Write(conn any) (ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attempts, ok = c.attempts.On(attempt.Writing); ok {
+		c.conns = append(c.conns, conn)
+	}
+	return ok
+}
+
+// Wrote tells that so many bytes went. Which are the last is not told: some may have been all.
+func (c *cargo) Wrote(n int, err error) {
+	if n > 0 {
+		c.on(attempt.WrotePart)
+	} else if err != nil {
+		c.on(attempt.WroteNone)
+	}
+}
+
+// written tells whether bytes of the present attempt have gone: what comes before that answers another.
+func (c *cargo) written() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attempts.Last().Phase >= attempt.Begun
+}
+
+// offer gives the client's goroutine an answer to pass on, unless the final one is given.
+func (c *cargo) offer(t *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attempts.Settled {
+		return false
+	}
+	c.stream <- t // one attempt at a time, and one answer to each
+	return true
+}
+
+// settle tells what is known as the final answer is given: nothing is written, and no answer is taken up, after it.
+func (c *cargo) settle() attempt.Request {
+	c.mu.Lock()
+	c.attempts = c.attempts.Settle()
+	known := c.attempts
+	c.mu.Unlock()
+	for {
+		select {
+		case t := <-c.stream:
+			t.done <- errGone
+		default:
+			return known
+		}
+	}
+}
+
+// ends are the events that endings of hand-offs tell.
+var ends = [...]attempt.Event{rules.Fulfilled: attempt.Answered, rules.Failed: attempt.Answered, rules.TurnedAway: attempt.TurnedAway,
+	rules.TimedOut: attempt.Silence, rules.NoConnect: attempt.Refused, rules.Reset: attempt.Reset, rules.Recalled: attempt.Cancel,
+	rules.Unsent: attempt.Refused, rules.Spoilt: attempt.Extra}
+
+// end ends the present attempt, and tells the rules no more of it than is known: they send again, and refuse, what surely
+// has not run.
+func (c *cargo) end(e rules.Ending) rules.Ending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts, _ = c.attempts.On(ends[e])
+	switch known := c.attempts.Last().Knowledge; {
+	case known == attempt.NotRun && (e == rules.Reset || e == rules.TimedOut || e == rules.Spoilt):
+		return rules.NoConnect
+	case known == attempt.NotRun && e == rules.Recalled:
+		return rules.Unsent
+	case known != attempt.NotRun && (e == rules.NoConnect || e == rules.Unsent || e == rules.TurnedAway):
+		return rules.Reset
+	}
+	return e
 }
 
 // stream is an answer of which only the beginning has been read. Whoever takes it up reads the rest and says when it is done.
@@ -35,11 +139,12 @@
 
 // reply is a host's whole answer.
 type reply struct {
-	status int
-	header http.Header
-	body   []byte
-	unrun  bool // the host says that it has not run the request
-	other  bool // another host has the address
+	status   int
+	header   http.Header
+	body     []byte
+	bodiless bool // by its kind; the header may state the length that it would have
+	unrun    bool // the host says that it has not run the request
+	other    bool // another host has the address
 }
 
 // speech is what hosts are sent and what they answer.
@@ -49,12 +154,18 @@
 var hop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Expect"}
 
+// between are headers that are said between a client and a host: Connection can't take them away.
+var between = []string{"Attempt-Id", "Server-Seal", "Request-Not-Run", "Time-Remaining", "Retry-After", "Cache-Control", "Content-Type",
+	"Content-Encoding", "Content-Length"}
+
 // passed is a header without what concerns one connection only.
 func passed(h http.Header) http.Header {
 	out := h.Clone()
 	for _, v := range h["Connection"] {
 		for _, name := range strings.Split(v, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+			if name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)); !slices.Contains(between, name) {
+				delete(out, name)
+			}
 		}
 	}
 	for _, name := range hop {
@@ -78,7 +189,9 @@
 			h[strings.ToLower(name)] = v
 		}
 	}
-	req := &http.Request{Method: r.Method, URL: &url.URL{Scheme: "http", Host: to.Address, Opaque: r.Target}, Host: c.host,
+	u, _ := target(r.Target)
+	u.Scheme, u.Host = "http", to.Address
+	req := &http.Request{Method: r.Method, URL: u, Host: c.host,
 		Header: h, Body: io.NopCloser(bytes.NewReader(r.Body)), ContentLength: int64(len(r.Body))}
 	if len(r.Body) == 0 && r.Method != http.MethodGet {
 		req.Body = http.NoBody // else it would go out in chunks
@@ -86,48 +199,69 @@
 	return req
 }
 
+// target is a request's target as the library writes it unchanged; ok is false where it can't.
+func target(raw string) (u *url.URL, ok bool) {
+	if !strings.HasPrefix(raw, "//") {
+		return &url.URL{Opaque: raw}, true
+	}
+	path, query, more := strings.Cut(raw, "?") // the library would put a scheme before it, and a host reads the path's beginning as its name
+	plain, err := url.PathUnescape(path)
+	u = &url.URL{Path: plain, RawPath: path, RawQuery: query, ForceQuery: more && query == ""}
+	return u, err == nil && u.RequestURI() == raw
+}
+
 var (
-	errOther   = errors.New("the answer is another request's")
-	errSeal    = errors.New("a success without a seal")
-	errLong    = errors.New("a refusal or an error that doesn't end")
-	errEncoded = errors.New("an encoding that nobody asked for")
+	errLong = errors.New("a refusal or an error that doesn't end")
+	errGone = errors.New("the final answer is given")
 )
 
 // Answer reads a host's answer whole, and checks that it is one, and the one to this request.
 func (s speech) Answer(r *router.Request, resp *http.Response) (router.Outcome, error) {
 	c := r.Cargo.(*cargo)
+	if !c.written() {
+		return router.Outcome{}, attempt.ErrOther
+	}
+	h := resp.Header
+	bodiless := r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	what, err := attempt.Judge(c.id, attempt.Answer{Status: resp.StatusCode, IDs: h["Attempt-Id"], NotRun: h.Get("Request-Not-Run") != "",
+		Sealed: h.Get("Server-Seal") != "", Encoded: h.Get("Content-Encoding") != "",
+		Bounded: bodiless || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0})
+	if err != nil { // what else it says, and whether it ends, is no matter
+		c.on(what)
+		return router.Outcome{}, err
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.largest+1))
 	if err != nil {
+		c.on(attempt.Cut)
 		return router.Outcome{}, err
 	}
-	long := int64(len(body)) > s.largest
-	a := &reply{status: resp.StatusCode, header: passed(resp.Header), body: body,
-		unrun: resp.Header.Get("Request-Not-Run") != "" || resp.StatusCode == http.StatusMisdirectedRequest,
-		other: resp.StatusCode == http.StatusMisdirectedRequest}
-	delete(a.header, "Content-Length")
+	a := &reply{status: resp.StatusCode, header: passed(h), body: body, bodiless: bodiless,
+		unrun: what != attempt.Answered, other: what == attempt.Misdirected}
+	if !bodiless || a.status == http.StatusNoContent {
+		delete(a.header, "Content-Length")
+	}
 	o := router.Outcome{Ending: rules.Failed, Reply: a}
-	id := resp.Header.Get("Attempt-Id")
 	switch {
 	case a.unrun:
 		o.Ending = rules.TurnedAway
-	case id != c.id && (id != "" || a.status < 300):
-		return router.Outcome{}, errOther
-	case a.status < 300 && resp.Header.Get("Server-Seal") == "":
-		return router.Outcome{}, errSeal
-	case resp.Header.Get("Content-Encoding") != "":
-		return router.Outcome{}, errEncoded
-	case a.status < 300, a.status >= 400 && a.status < 500:
+	case a.status < 500 && !attempt.Promises(a.status):
 		o.Ending = rules.Fulfilled
 	}
-	if long {
+	if int64(len(body)) > s.largest {
 		if o.Ending != rules.Fulfilled {
+			c.on(attempt.Extra)
 			return router.Outcome{}, errLong
 		}
 		t := &stream{reply: a, length: resp.ContentLength, rest: resp.Body, done: make(chan error, 1)}
-		c.stream <- t
-		if err := <-t.done; err != nil {
+		err := errGone
+		if c.offer(t) {
+			err = <-t.done
+		}
+		if err != nil {
+			c.on(attempt.Cut)
 			return router.Outcome{}, err
 		}
 	}
+	c.on(what)
 	return o, nil
 }
--- a/internal/parts/hosts/conn.go
+++ b/internal/parts/hosts/conn.go
@@ -93,8 +93,9 @@
 }
 
 func (c *conn) Write(b []byte) (int, error) {
-	if h := c.handOff.Load(); h != nil {
-		if !c.fresh(h) {
+	h := c.handOff.Load()
+	if h != nil {
+		if !c.fresh(h) || h.spentOn(c) {
 			c.Close()
 			return 0, errSpent
 		}
@@ -103,7 +104,9 @@
 		}
 	}
 	n, err := c.Conn.Write(b)
-	c.flow.Out(n)
+	if c.flow.Out(n); h != nil && h.track != nil {
+		h.track.Wrote(n, err)
+	}
 	return n, err
 }
 
--- a/internal/parts/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -40,6 +40,16 @@
 	Answer(r *router.Request, resp *http.Response) (router.Outcome, error)
 }
 
+// Track follows what is written of a request. Where a request's Cargo is one, no byte of it goes without its leave.
+type Track interface {
+	// Spent tells whether the request was written on this connection before: a second answer to that may still come on it.
+	Spent(conn any) bool
+	// Write is asked before the first byte goes on a connection, at most once a hand-off.
+	Write(conn any) bool
+	// Wrote tells that a write took so many bytes.
+	Wrote(n int, err error)
+}
+
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -159,6 +169,7 @@
 
 type handOff struct {
 	cancel  context.CancelCauseFunc
+	track   Track // nil for none
 	began   time.Time
 	soon    *time.Timer // until it must have a connection, and then the rest of its answer
 	stands  atomic.Int32
@@ -171,11 +182,19 @@
 // mayWrite settles that the hand-off is sent on this connection, unless it was ended or sent on another before.
 func (h *handOff) mayWrite(c *conn) bool {
 	if h.stands.CompareAndSwap(waiting, writing) {
+		if h.track != nil && !h.track.Write(c) {
+			return false // nor on any other, as it stands so now
+		}
 		h.written.Store(c)
 	}
 	return h.written.Load() == c
 }
 
+// spentOn tells whether an earlier hand-off of the same request was written on this connection.
+func (h *handOff) spentOn(c *conn) bool {
+	return h.track != nil && h.written.Load() != c && h.track.Spent(c)
+}
+
 // Revoke ends the hand-off if nothing of it has been written.
 func (h *handOff) Revoke() { h.end(errRecalled) }
 
@@ -195,6 +214,7 @@
 func (p *Pool) HandOff(to router.Host, r *router.Request, left time.Duration, done func(router.Outcome)) router.HandOff {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	h := &handOff{cancel: cancel, began: time.Now()}
+	h.track, _ = r.Cargo.(Track)
 	p.do(func() {
 		defer cancel(nil)
 		var o router.Outcome
