--- /dev/null
+++ b/internal/harbour/convoy/carrier_test.go
@@ -0,0 +1,73 @@
+package convoy
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// mail is a socket that brings datagrams from one place, and then ends.
+type mail struct {
+	in   [][]byte
+	from *net.UDPAddr
+	out  [][]byte
+	to   []string
+}
+
+func (m *mail) ReadFrom(b []byte) (int, net.Addr, error) {
+	if len(m.in) == 0 {
+		return 0, nil, net.ErrClosed
+	}
+	n := copy(b, m.in[0])
+	m.in = m.in[1:]
+	return n, m.from, nil
+}
+
+func (m *mail) WriteTo(b []byte, to net.Addr) (int, error) {
+	m.out, m.to = append(m.out, append([]byte{}, b...)), append(m.to, to.String())
+	return len(b), nil
+}
+
+func (m *mail) Close() error                     { return nil }
+func (m *mail) LocalAddr() net.Addr              { return &net.UDPAddr{} }
+func (m *mail) SetDeadline(time.Time) error      { return nil }
+func (m *mail) SetReadDeadline(time.Time) error  { return nil }
+func (m *mail) SetWriteDeadline(time.Time) error { return nil }
+
+// FuzzDatagrams: whatever datagrams come, the view stays within its bounds and without its owner, answers go only where a
+// datagram came from, and stay within their size. Two in a row, as the second meets what the first left.
+func FuzzDatagrams(f *testing.F) {
+	f.Add([]byte(`{"f":{"i":"10.0.0.2","k":1,"z":"a"},"p":[{"i":"10.0.0.3","z":"b","a":3},{"i":"10.0.0.1","z":"c"}]}`), []byte(`{"f":{"i":"10.0.0.2","k":1,"z":"a"},"r":true,"p":[{"i":"10.0.0.4","z":""}]}`))
+	f.Add([]byte(`{"f":{"i":"10.0.0.2","k":1,"z":"a"},"t":"desk","g":"AAAA"}`), []byte(`{"f":{"i":"10.0.0.2"},"p":[{"i":"x","a":-1},{"i":"10.0.0.9","k":9}]}`))
+	f.Add([]byte(`{"f":{"i":"10.0.0.9","k":1}}`), []byte("\x00\xff"))
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		m := &mail{in: [][]byte{a, b}, from: &net.UDPAddr{IP: net.IPv4(10, 0, 0, 2), Port: 7601}}
+		self := Member{IP: "10.0.0.1", Kind: Traffic, Zone: "a"}
+		heard := 0
+		c := Start(self, m, [2]int{7600, 7601}, 1, func(topic string, _ []byte) {
+			if heard++; topic == "" {
+				t.Error("gossip of nothing")
+			}
+		})
+		c.Meet(Member{IP: "10.0.0.2", Kind: Traffic})
+		c.view.Begin() // so that an answer may come
+		c.listen()
+		all := c.Members()
+		if len(all) > Most {
+			t.Errorf("%d members", len(all))
+		}
+		for _, x := range all {
+			if same(x, self) || x.IP == "" || x.Kind > Traffic || x.Age < 0 {
+				t.Errorf("%+v", x)
+			}
+		}
+		if len(m.out)+heard+int(c.Foreign.Load()) > 2 {
+			t.Errorf("%d answers, %d heard, %d foreign, of two", len(m.out), heard, c.Foreign.Load())
+		}
+		for i, to := range m.to {
+			if to != "10.0.0.2:7601" || len(m.out[i]) > largest {
+				t.Errorf("%d bytes to %s", len(m.out[i]), to)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/harbour/fairway/allocs_test.go
@@ -0,0 +1,72 @@
+package fairway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// allocsMost is how many allocations a small request may cost the process, all parts of it: connections, rules, library.
+const allocsMost = 146
+
+// What a request costs in allocations, counted over many on one kept connection to one host: both ends of it here allocate
+// nothing.
+func TestAllocations(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in, answer := bufio.NewReader(c), []byte("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\nbody")
+				for {
+					line, err := in.ReadSlice('\n')
+					if err != nil {
+						return
+					}
+					if len(line) <= 2 {
+						c.Write(answer)
+					}
+				}
+			}()
+		}
+	}()
+	_, at := routed(t, &script{at: l.Addr().String()})
+	c, err := net.Dial("tcp", at)
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	request, answer, size := []byte("GET /look/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: a\r\nTime-Remaining: 1500\r\n\r\n"), make([]byte, 4096), 0
+	one := func() {
+		c.Write(request)
+		if size == 0 { // all are as long as the first
+			size, err = c.Read(answer)
+		} else {
+			_, err = io.ReadFull(c, answer[:size])
+		}
+		qt.Assert(t, err == nil && strings.HasPrefix(string(answer[:15]), "HTTP/1.1 200 OK"), qt.IsTrue)
+	}
+	const many = 1000
+	play := func() float64 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range many {
+			one()
+		}
+		runtime.ReadMemStats(&after)
+		return float64(after.Mallocs-before.Mallocs) / many
+	}
+	play()
+	least := min(play(), play(), play()) // what ticks in the background adds a little
+	t.Logf("%.1f allocations a request", least)
+	qt.Check(t, least <= allocsMost, qt.IsTrue, qt.Commentf("%.1f", least))
+}
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"k8s.io/klog/v2"
 
+	"portflow/internal/harbour/attempt"
 	"portflow/internal/harbour/berths"
 	"portflow/internal/harbour/convoy"
 	"portflow/internal/harbour/lanes"
@@ -410,7 +411,10 @@
 		s.f.counts.again.Add(1)
 	}
 	return s.f.pool.HandOff(to, r, left, func(o router.Outcome) {
-		o.Ending = c.end(o.Ending)
+		var odd attempt.Event
+		if o.Ending, odd = c.end(o.Ending); odd != 0 {
+			s.f.counts.odd[odd].Add(1)
+		}
 		s.mu.Lock()
 		if b != nil {
 			b.open--
--- /dev/null
+++ b/internal/harbour/fairway/fuzz_test.go
@@ -0,0 +1,298 @@
+package fairway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"portflow/internal/harbour/attempt"
+	"portflow/internal/parts/hosts"
+	"portflow/internal/parts/router"
+	"portflow/rules"
+)
+
+// told is a connection that answers what is written on it with bytes, and then ends.
+type told struct {
+	mu    sync.Mutex
+	turn  sync.Cond
+	raw   []byte
+	asked bool
+	over  bool
+}
+
+func newTold(raw []byte) *told {
+	c := &told{raw: raw}
+	c.turn.L = &c.mu
+	return c
+}
+
+func (c *told) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = true
+	c.turn.Broadcast()
+	return len(b), nil
+}
+
+func (c *told) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.asked && !c.over {
+		c.turn.Wait()
+	}
+	if c.over || len(c.raw) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, c.raw)
+	c.raw = c.raw[n:]
+	return n, nil
+}
+
+func (c *told) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+	c.turn.Broadcast()
+	return nil
+}
+
+func (c *told) Pending() bool                    { return false }
+func (c *told) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (c *told) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (c *told) SetDeadline(time.Time) error      { return nil }
+func (c *told) SetReadDeadline(time.Time) error  { return nil }
+func (c *told) SetWriteDeadline(time.Time) error { return nil }
+
+// FuzzHostAnswers: whatever a host sends, what is passed on is a whole answer with the request's id, and a seal where it is a
+// success; that a request has not run is only known where such an answer says so.
+func FuzzHostAnswers(f *testing.F) {
+	for _, x := range []string{
+		"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nhi",
+		"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: y\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 no\r\nAttempt-Id: a\r\nRequest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 no\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\n\r\nhi",
+		"HTTP/1.1 101 x\r\nAttempt-Id: a\r\nServer-Seal: s\r\n\r\nhi", "HTTP/1.1 204 x\r\nAttempt-Id: a\r\nServer-Seal: s\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi", "\x00\xff\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\nContent-Length: 99\r\n\r\n" + strings.Repeat("z", 99),
+	} {
+		f.Add([]byte(x), false)
+		f.Add([]byte(x), true)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, head bool) {
+		const most = 64 // bytes that are read whole
+		p := hosts.New(hosts.Options{Protocol: speech{most}, ConnectIn: time.Second, IdleIn: time.Second, Most: 2,
+			Dial: func(context.Context, string, string) (net.Conn, error) { return newTold(raw), nil }})
+		defer p.End()
+		method := "POST"
+		if head {
+			method = "HEAD"
+		}
+		c := &cargo{id: "a", header: http.Header{"Attempt-Id": {"a"}}, stream: make(chan *stream, 1)}
+		c.begin()
+		done := make(chan router.Outcome, 1)
+		p.HandOff(router.Host{Name: "i", Address: "10.0.0.1:1"}, &router.Request{Method: method, Target: "/", Cargo: c}, 5*time.Second,
+			func(o router.Outcome) {
+				o.Ending, _ = c.end(o.Ending)
+				done <- o
+			})
+		var long []byte
+		var o router.Outcome
+		select {
+		case o = <-done:
+		case s := <-c.stream:
+			var err error
+			long, err = io.ReadAll(s.rest)
+			long = append(append([]byte{}, s.body...), long...)
+			s.done <- err
+			o = <-done
+		}
+		known := c.settle().Known()
+		// as another reads the same bytes
+		in := bufio.NewReader(bytes.NewReader(raw))
+		var resp *http.Response
+		var body []byte
+		err := errors.New("nothing")
+		for n := 0; n < 200; n++ {
+			if resp, err = http.ReadResponse(in, &http.Request{Method: method}); err != nil || resp.StatusCode >= 200 {
+				break
+			}
+		}
+		if err == nil {
+			body, err = io.ReadAll(resp.Body)
+		}
+		switch o.Ending {
+		case rules.Fulfilled, rules.Failed, rules.TurnedAway:
+			a := o.Reply.(*reply)
+			if long == nil {
+				long = a.body
+			}
+			if err != nil || a.status != resp.StatusCode || len(resp.Header["Attempt-Id"]) == 0 || resp.Header.Get("Attempt-Id") != "a" || !bytes.Equal(long, body) {
+				t.Fatalf("%d %q passed, read as %v %q, %v", a.status, long, resp, body, err)
+			}
+			if a.status < 300 && a.header.Get("Server-Seal") == "" || o.Ending == rules.Fulfilled && attempt.Promises(a.status) {
+				t.Fatalf("%+v", a)
+			}
+			if unrun := resp.Header.Get("Request-Not-Run") != "" || a.status == 421; unrun != (known == attempt.NotRun) || unrun != (o.Ending == rules.TurnedAway) {
+				t.Fatalf("%+v: %v", a, known)
+			}
+		default:
+			if known == attempt.NotRun {
+				t.Fatalf("%d: nothing of %q says that it did not run", o.Ending, raw)
+			}
+		}
+	})
+}
+
+// visitor is a client's connection that sends bytes, in parts, and ends once nothing is asked any more.
+type visitor struct {
+	mu    sync.Mutex
+	turn  sync.Cond
+	raw   []byte
+	part  int
+	until time.Time
+	over  chan bool
+	once  sync.Once
+}
+
+func (v *visitor) Read(b []byte) (int, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for len(v.raw) == 0 || len(b) == 1 { // the server's look for whether the client is still there reads one byte
+		if len(b) != 1 {
+			return 0, io.EOF
+		}
+		if !v.until.IsZero() && !v.until.After(time.Now()) {
+			return 0, os.ErrDeadlineExceeded
+		}
+		v.turn.Wait()
+	}
+	n := copy(b, v.raw[:min(len(v.raw), v.part)])
+	v.raw = v.raw[n:]
+	return n, nil
+}
+
+func (v *visitor) SetReadDeadline(t time.Time) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.until = t
+	v.turn.Broadcast()
+	return nil
+}
+
+func (v *visitor) Close() error {
+	v.once.Do(func() { close(v.over) })
+	return nil
+}
+
+func (v *visitor) Write(b []byte) (int, error)      { return len(b), nil }
+func (v *visitor) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (v *visitor) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (v *visitor) SetDeadline(t time.Time) error    { return v.SetReadDeadline(t) }
+func (v *visitor) SetWriteDeadline(time.Time) error { return nil }
+
+// door is a listener that lets visitors in by hand.
+type door struct{ visitors chan net.Conn }
+
+func (d door) Accept() (net.Conn, error) {
+	c, ok := <-d.visitors
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (d door) Close() error   { return nil }
+func (d door) Addr() net.Addr { return &net.TCPAddr{} }
+
+var lengthLine, codingLine = regexp.MustCompile(`(?im)^content-length:`), regexp.MustCompile(`(?im)^transfer-encoding:`)
+
+// FuzzClientRequests: whatever bytes a client sends, hosts get what was read and nothing else: each request once, in their
+// order, with its method, target, id and body; and nothing from where the bytes can be read in two ways.
+func FuzzClientRequests(f *testing.F) {
+	const host = "Host: root.example\r\n"
+	for _, x := range []string{
+		"GET /a HTTP/1.1\r\n" + host + "Attempt-Id: 1\r\n\r\nPOST //b?c HTTP/1.1\r\n" + host + "Attempt-Id: 2\r\nContent-Length: 3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\nTrailer: X\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\nGET /b HTTP/1.1\r\n" + host + "\r\n",
+		"POST /a HTTP/1.1\r\n" + host + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n" + host + "\r\n",
+		"HEAD /a%2fb;c=%zz? HTTP/1.1\r\n" + host + "Connection: Attempt-Id, close\r\nAttempt-Id: 1\r\n\r\n", "OPTIONS * HTTP/1.1\r\n" + host + "\r\n",
+		"POST /a HTTP/1.0\r\n" + host + "Connection: keep-alive\r\nContent-Length: 1\r\n\r\n1GET http://root.example/b HTTP/1.1\r\nHost: x\r\n\r\n",
+		"PUT /a HTTP/1.1\r\n" + host + "Expect: 100-continue\r\nContent-Length: 2\r\nAttempt-Id: 1\r\nAttempt-Id: 2\r\n\r\nhi", "GET /a HTTP/1.1\nHost: root.example\n\n",
+	} {
+		f.Add([]byte(x), 4096)
+		f.Add([]byte(x), 5)
+	}
+	h := stand(f, func(_ int, r *http.Request, _ string) (string, bool) {
+		whole := good(r, "x")
+		if r.Method == "HEAD" {
+			whole = good(r, "")
+		}
+		return whole, true
+	})
+	w, _ := routed(f, h)
+	d := door{make(chan net.Conn)}
+	go w.clients(d)
+	f.Fuzz(func(t *testing.T, raw []byte, part int) {
+		if len(raw) > 16<<10 {
+			return
+		}
+		h.mu.Lock()
+		h.came = nil
+		h.mu.Unlock()
+		v := &visitor{raw: raw, part: max(1, part), over: make(chan bool)}
+		v.turn.L = &v.mu
+		d.visitors <- v
+		select {
+		case <-v.over:
+		case <-time.After(20 * time.Second):
+			t.Fatal("no end")
+		}
+		// as another reads the same bytes
+		source := bytes.NewReader(raw)
+		in := bufio.NewReader(source)
+		at := func() int { return len(raw) - source.Len() - in.Buffered() }
+		var read []string
+		for last := ""; ; {
+			if last == http.MethodPost { // the library's server passes over empty lines there, for old clients
+				next, _ := in.Peek(4)
+				in.Discard(len(next) - len(bytes.TrimLeft(next, "\r\n")))
+			}
+			from := at()
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				break
+			}
+			head := raw[from:at()]
+			last = r.Method
+			lengths, codings := len(lengthLine.FindAll(head, -1)), len(codingLine.FindAll(head, -1))
+			if lengths > 1 || codings > 1 || lengths > 0 && codings > 0 {
+				break
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				break
+			}
+			read = append(read, fmt.Sprintf("%s %s %q %q", r.Method, r.RequestURI, r.Header["Attempt-Id"], body))
+		}
+		for _, x := range h.arrivals() {
+			is := fmt.Sprintf("%s %s %q %q", x.method, x.target, x.header["Attempt-Id"], x.body)
+			for len(read) > 0 && read[0] != is {
+				read = read[1:]
+			}
+			if len(read) == 0 {
+				t.Fatalf("a host got %s, which was not read in %q", is, raw)
+			}
+			read = read[1:]
+		}
+	})
+}
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -28,7 +28,8 @@
 // counts are the counters of a process, by what became of requests and of hand-offs.
 type counts struct {
 	taken, answered, again, gone, panics atomic.Int64
-	withheld                             atomic.Int64 // hand-offs that were wanted and must not be
+	withheld                             atomic.Int64     // hand-offs that were wanted and must not be
+	odd                                  [16]atomic.Int64 // what came in place of answers, by attempt.Event
 	faults                               [32]atomic.Int64
 	endings                              [16]atomic.Int64
 	rings                                [3]atomic.Int64 // hand-offs to this zone, its region, beyond
@@ -43,6 +44,11 @@
 	if n := c.withheld.Load(); n > 0 {
 		fmt.Fprintf(&b, " withheld=%d", n)
 	}
+	for _, e := range attempt.Events() {
+		if n := c.odd[e].Load(); n > 0 {
+			fmt.Fprintf(&b, " odd.%s=%d", strings.ReplaceAll(e.String(), " ", "_"), n)
+		}
+	}
 	for _, k := range faults.All() {
 		if n := c.faults[k].Load(); n > 0 {
 			fmt.Fprintf(&b, " %s=%d", k, n)
--- a/internal/harbour/fairway/speech.go
+++ b/internal/harbour/fairway/speech.go
@@ -30,6 +30,8 @@
 	mu       sync.Mutex // over what follows: the reducer, the hand-off and the client's goroutine have it
 	attempts attempt.Request
 	conns    []any // that it was written on; as many as hand-offs at most
+	first    [1]any
+	odd      attempt.Event // what came in place of an answer to the present attempt, 0 for none
 }
 
 // begin begins an attempt where that may be.
@@ -37,6 +39,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts, ok = c.attempts.Begin()
+	c.odd = 0
 	return ok
 }
 
@@ -47,6 +50,14 @@
 	c.attempts, _ = c.attempts.On(e)
 }
 
+// none tells that what came is no answer to the present attempt.
+func (c *cargo) none(e attempt.Event) {
+	c.on(e)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.odd = e
+}
+
 // Spent tells whether it was written on this connection before.
 func (c *cargo) Spent(conn any) bool {
 	c.mu.Lock()
@@ -59,6 +70,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.attempts, ok = c.attempts.On(attempt.Writing); ok {
+		if c.conns == nil {
+			c.conns = c.first[:0]
+		}
 		c.conns = append(c.conns, conn)
 	}
 	return ok
@@ -114,19 +128,19 @@
 
 // end ends the present attempt, and tells the rules no more of it than is known: they send again, and refuse, what surely
 // has not run.
-func (c *cargo) end(e rules.Ending) rules.Ending {
+func (c *cargo) end(e rules.Ending) (told rules.Ending, odd attempt.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts, _ = c.attempts.On(ends[e])
 	switch known := c.attempts.Last().Knowledge; {
 	case known == attempt.NotRun && (e == rules.Reset || e == rules.TimedOut || e == rules.Spoilt):
-		return rules.NoConnect
+		e = rules.NoConnect
 	case known == attempt.NotRun && e == rules.Recalled:
-		return rules.Unsent
+		e = rules.Unsent
 	case known != attempt.NotRun && (e == rules.NoConnect || e == rules.Unsent || e == rules.TurnedAway):
-		return rules.Reset
+		e = rules.Reset
 	}
-	return e
+	return e, c.odd
 }
 
 // stream is an answer of which only the beginning has been read. Whoever takes it up reads the rest and says when it is done.
@@ -204,7 +218,7 @@
 	if !strings.HasPrefix(raw, "//") {
 		return &url.URL{Opaque: raw}, true
 	}
-	path, query, more := strings.Cut(raw, "?") // the library would put a scheme before it, and a host reads the path's beginning as its name
+	path, query, more := strings.Cut(raw, "?") // the library puts a scheme before it where it is opaque
 	plain, err := url.PathUnescape(path)
 	u = &url.URL{Path: plain, RawPath: path, RawQuery: query, ForceQuery: more && query == ""}
 	return u, err == nil && u.RequestURI() == raw
@@ -219,6 +233,7 @@
 func (s speech) Answer(r *router.Request, resp *http.Response) (router.Outcome, error) {
 	c := r.Cargo.(*cargo)
 	if !c.written() {
+		c.none(attempt.WrongID)
 		return router.Outcome{}, attempt.ErrOther
 	}
 	h := resp.Header
@@ -227,12 +242,12 @@
 		Sealed: h.Get("Server-Seal") != "", Encoded: h.Get("Content-Encoding") != "",
 		Bounded: bodiless || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0})
 	if err != nil { // what else it says, and whether it ends, is no matter
-		c.on(what)
+		c.none(what)
 		return router.Outcome{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.largest+1))
 	if err != nil {
-		c.on(attempt.Cut)
+		c.none(attempt.Cut)
 		return router.Outcome{}, err
 	}
 	a := &reply{status: resp.StatusCode, header: passed(h), body: body, bodiless: bodiless,
@@ -249,7 +264,7 @@
 	}
 	if int64(len(body)) > s.largest {
 		if o.Ending != rules.Fulfilled {
-			c.on(attempt.Extra)
+			c.none(attempt.Extra)
 			return router.Outcome{}, errLong
 		}
 		t := &stream{reply: a, length: resp.ContentLength, rest: resp.Body, done: make(chan error, 1)}
@@ -258,7 +273,7 @@
 			err = <-t.done
 		}
 		if err != nil {
-			c.on(attempt.Cut)
+			c.none(attempt.Cut)
 			return router.Outcome{}, err
 		}
 	}
--- /dev/null
+++ b/internal/harbour/lines/lines_test.go
@@ -0,0 +1,111 @@
+package lines
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// hears is a connection of which all that comes is known; what is written on it is dropped.
+type hears struct{ in io.Reader }
+
+func (c hears) Read(b []byte) (int, error)       { return c.in.Read(b) }
+func (c hears) Write(b []byte) (int, error)      { return len(b), nil }
+func (c hears) Close() error                     { return nil }
+func (c hears) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (c hears) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (c hears) SetDeadline(time.Time) error      { return nil }
+func (c hears) SetReadDeadline(time.Time) error  { return nil }
+func (c hears) SetWriteDeadline(time.Time) error { return nil }
+
+type word struct {
+	Text   string
+	Number uint64
+}
+
+// run hears bytes to their end.
+func run(raw []byte) (all []word, err error) {
+	l := Open[word](hears{bytes.NewReader(raw)}, Quick)
+	err = l.Run(func(w word) { all = append(all, w) })
+	return all, err
+}
+
+// What is framed is heard as it was said, short or long; what is none ends the line, and nothing of it is heard.
+func TestFrames(t *testing.T) {
+	said := []word{{"a", 1}, {strings.Repeat("long ", 1000), 2}, {"", 1 << 63}}
+	raw := append([]byte{}, magic...)
+	for _, w := range said {
+		b, _ := json.Marshal(w)
+		raw = append(append(raw, frame(b)...), 0, 0, 0, 0) // and a beat
+	}
+	all, err := run(raw)
+	qt.Check(t, err, qt.Equals, io.EOF)
+	qt.Check(t, all, qt.DeepEquals, said)
+	for n := range raw { // cut anywhere: what was whole is heard
+		all, _ := run(raw[:n])
+		qt.Check(t, len(all) <= len(said) && (len(all) == 0 || all[len(all)-1] == said[len(all)-1]), qt.IsTrue)
+	}
+	foreign := Foreign.Load()
+	for _, bad := range []string{"GET / HTTP/1.1\r\n\r\n", "pfl1\xff\xff\xff\xff", "pfl1\x00\x80\x00\x01", "pfl1\x00\x00\x00\x02{]", "pfl1\x80\x00\x00\x02{}"} {
+		all, err := run([]byte(bad))
+		qt.Check(t, len(all), qt.Equals, 0)
+		qt.Check(t, err, qt.Not(qt.IsNil), qt.Commentf("%q", bad))
+	}
+	qt.Check(t, Foreign.Load()-foreign, qt.Equals, int64(5))
+}
+
+// FuzzFrames: whatever comes, only whole frames of JSON are heard, as another decoder reads them.
+func FuzzFrames(f *testing.F) {
+	b, _ := json.Marshal(word{strings.Repeat("x", 600), 7})
+	f.Add(append(append([]byte("pfl1"), frame([]byte(`{"Text":"a"}`))...), frame(b)...))
+	f.Add([]byte("pfl1\x00\x00\x00\x00\x80\x00\x00\x03\x01\x02\x03"))
+	f.Add([]byte("pfl1\x00\x00\x00\x04null\x00\x00\x00\x02{}"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if len(raw) > 64<<10 {
+			return
+		}
+		all, _ := run(raw)
+		var want []word
+		if rest, ok := bytes.CutPrefix(raw, magic); ok {
+			for len(rest) >= 4 {
+				n := binary.BigEndian.Uint32(rest)
+				packed := n>>31 == 1
+				if n &^= 1 << 31; int(n) > len(rest)-4 {
+					break
+				}
+				b := rest[4 : 4+n]
+				rest = rest[4+n:]
+				if n == 0 {
+					continue
+				}
+				if packed {
+					var err error
+					if b, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), largest+1)); err != nil || len(b) > largest {
+						break
+					}
+				}
+				var w word
+				if json.Unmarshal(b, &w) != nil {
+					break
+				}
+				want = append(want, w)
+			}
+		}
+		if len(all) != len(want) {
+			t.Fatalf("%d heard, %d said", len(all), len(want))
+		}
+		for i := range all {
+			if all[i] != want[i] {
+				t.Fatalf("%+v heard, %+v said", all[i], want[i])
+			}
+		}
+	})
+}
--- a/internal/parts/framing/stream.go
+++ b/internal/parts/framing/stream.go
@@ -22,6 +22,7 @@
 type Stream struct {
 	heads []Fields
 	is    Fields
+	begun bool   // a line of the present head has come
 	line  []byte // the beginning of the present line
 	body  int64  // bytes of a body, or of a chunk and its end, that are still to come
 	where place
@@ -45,8 +46,13 @@
 	for len(b) > 0 && s.where != lost {
 		if s.where == inBody || s.where == inChunk {
 			n := min(s.body, int64(len(b)))
-			if b, s.body = b[n:], s.body-n; s.body == 0 {
-				s.where = map[place]place{inBody: inHead, inChunk: inSize}[s.where]
+			if b, s.body = b[n:], s.body-n; s.body > 0 {
+				return
+			}
+			if s.where == inChunk {
+				s.where = inSize
+			} else {
+				s.where = inHead
 			}
 			continue
 		}
@@ -82,14 +88,16 @@
 		if len(line) == 0 {
 			s.where = inHead
 		}
+	case len(line) == 0 && !s.begun: // empty lines before a request are none of it: the library passes over them behind a POST
 	case len(line) > 0 && states(line, length):
+		s.begun = true
 		s.is.Lengths++
 		n, err := strconv.ParseUint(string(bytes.Trim(line[len(length):], " \t")), 10, 62)
 		if s.body = int64(n); err != nil {
 			s.is.Lost = true
 		}
 	case len(line) > 0:
-		if states(line, coding) {
+		if s.begun = true; states(line, coding) {
 			s.is.Codings++
 		}
 	default: // the head's end
@@ -102,7 +110,7 @@
 		case s.body > 0:
 			s.where = inBody
 		}
-		s.is = Fields{}
+		s.is, s.begun = Fields{}, false
 	}
 }
 
