--- a/internal/lab/basin/refusing_test.go
+++ b/internal/lab/basin/refusing_test.go
@@ -133,7 +133,7 @@
 }
 
 // copied is what a disk holds at this moment.
-func copied(d *Disk) *Disk {
+func diskCopied(d *Disk) *Disk {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x := NewDisk()
@@ -174,7 +174,7 @@
 	f.next(0)
 	c.Assert(book.Write([]manifest.Item{item("last", 999)}, nil, false), qt.IsNil, qt.Commentf("%s %d", kind, seed))
 	want["last"] = 999
-	left := copied(d) // as a loss of power at this moment leaves it
+	left := diskCopied(d) // as a loss of power at this moment leaves it
 	left.PowerLoss(true)
 	c.Assert(book.Close(), qt.IsNil)
 	c.Check(f.opened(0) <= 2, qt.IsTrue, qt.Commentf("%s %d: %d files are open after %d refusals", kind, seed, f.opened(0), f.refused))
--- a/internal/lab/basin/spoilt_test.go
+++ b/internal/lab/basin/spoilt_test.go
@@ -45,7 +45,7 @@
 		write(12, 48, 60<<10)
 	}
 	c.Assert(book.Close(), qt.IsNil)
-	book, items, cells, whole, err := logbook.Open(copied(d).Handle())
+	book, items, cells, whole, err := logbook.Open(diskCopied(d).Handle())
 	c.Assert(err, qt.IsNil)
 	c.Assert(whole, qt.IsTrue)
 	book.Close()
@@ -71,9 +71,9 @@
 					if x == 0 || x == f.data[at] && fd.Type == storage.TypeJournal && at == len(f.data)-1 {
 						continue
 					}
-					spoilt := copied(d)
+					spoilt := diskCopied(d)
 					spoilt.files[fd].data[at] ^= x
-					refusing := &faulty{Storage: copied(spoilt).Handle(), refuse: at / 4 % 9}
+					refusing := &faulty{Storage: diskCopied(spoilt).Handle(), refuse: at / 4 % 9}
 					starts := []storage.Storage{spoilt.Handle()}
 					if x == 0x5a && at%4 == 0 {
 						starts = append(starts, spoilt.Handle(), refusing, refusing)
