--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"portflow/internal/harbour/convoy"
+	"portflow/internal/harbour/lanes"
 	"portflow/internal/harbour/lines"
 	"portflow/internal/harbour/pilotage"
 	"portflow/internal/harbour/signals"
@@ -207,7 +208,7 @@
 		k.line.Close(errors.New("news does not follow"))
 		return
 	}
-	f.publish(f.board.Take(n.Notes, n.Snapshot))
+	f.publish(f.board.TakeAt(mark(n), n.Notes, n.Snapshot))
 	k.line.Send(signals.Word{Ack: n.To})
 	f.mu.Unlock()
 	if n.Snapshot {
@@ -216,6 +217,19 @@
 	}
 }
 
+// numbered is news that says where its last change stands among those that the core decided.
+type numbered interface {
+	Mark() (epoch, number uint64)
+}
+
+// mark is where a batch of news stands; zero where the control process numbers no changes.
+func mark(news any) (m lanes.Mark) {
+	if n, ok := news.(numbered); ok {
+		m.Epoch, m.Number = n.Mark()
+	}
+	return m
+}
+
 // tellSelf tells control how this router is.
 func (f *Fairway) tellSelf() {
 	f.mu.Lock()
--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -29,8 +29,21 @@
 	Asides  map[string]lookout.Judgement // hosts that are set aside, or on their way back
 	lapsed  map[string]bool              // of them, those that the rules were told are on their way back
 	fronts  map[string]signals.Front
+	at      Mark // as of which the items are
 }
 
+// Mark is a place in the order of the decided changes: the epoch of the core, then the number of the change. The zero mark
+// is of control processes that number none.
+type Mark struct{ Epoch, Number uint64 }
+
+// Before tells whether m comes before o.
+func (m Mark) Before(o Mark) bool {
+	return m.Epoch < o.Epoch || m.Epoch == o.Epoch && m.Number < o.Number
+}
+
+// At is the mark as of which the board's items are.
+func (b *Board) At() Mark { return b.at }
+
 // NewBoard makes an empty one.
 func NewBoard(name string, self Place, regions map[string]string) *Board {
 	return &Board{self: self, name: name, regions: regions, Set: manifest.NewSet(), Known: map[string]berths.Host{},
@@ -43,30 +56,69 @@
 	Services      map[string]bool // whose hosts, or the choice among them, changed
 }
 
-// Take takes news in. After a snapshot, hosts and routers that it doesn't name are silent or gone: they ended while this
-// router followed nobody.
-func (b *Board) Take(notes []signals.Note, snapshot bool) Changes {
-	c := Changes{Services: map[string]bool{}}
-	all := func() {
+// touch notes what an item that changed, came or went changes.
+func (c *Changes) touch(b *Board, k manifest.Key) {
+	switch k.Kind {
+	case manifest.Routes, manifest.Services, manifest.Shares, manifest.Limits:
+		c.Chart = true
+	case manifest.Evacuations:
 		for _, h := range b.Known {
 			c.Services[h.Service] = true
 		}
+	case manifest.Rollouts, manifest.Settled:
+		c.Services[k.Name] = true
+	}
+}
+
+// items takes a batch's items in, in their order. A snapshot takes the place of all that the board has, so that what was
+// dropped and forgotten while this router was away goes; changes take the place of what stood. What is of an earlier mark
+// than the board's is passed over: the board has it, or what came after. Items without a mark are merged one by one.
+func (b *Board) items(c *Changes, notes []signals.Note, snapshot bool, at Mark) {
+	var all []manifest.Item
+	for _, n := range notes {
+		if n.Item != nil {
+			all = append(all, *n.Item)
+		}
 	}
+	switch {
+	case at == Mark{}:
+		for _, i := range all {
+			if b.Set.Merge(i) {
+				c.touch(b, i.Key())
+			}
+		}
+	case at.Before(b.at):
+	case snapshot:
+		changed, gone := b.Set.Become(all)
+		for _, i := range changed {
+			c.touch(b, i.Key())
+		}
+		for _, k := range gone {
+			c.touch(b, k)
+		}
+		b.at = at
+	default:
+		b.Set.Apply(all)
+		for _, i := range all {
+			c.touch(b, i.Key())
+		}
+		b.at = at
+	}
+}
+
+// Take takes news without a mark in.
+func (b *Board) Take(notes []signals.Note, snapshot bool) Changes {
+	return b.TakeAt(Mark{}, notes, snapshot)
+}
+
+// TakeAt takes news in; at is where its last change stands. After a snapshot, hosts and routers that it doesn't name are
+// silent or gone: they ended while this router followed nobody.
+func (b *Board) TakeAt(at Mark, notes []signals.Note, snapshot bool) Changes {
+	c := Changes{Services: map[string]bool{}}
+	b.items(&c, notes, snapshot, at)
 	named := map[string]bool{}
 	for _, n := range notes {
 		switch {
-		case n.Item != nil:
-			if !b.Set.Merge(*n.Item) {
-				continue
-			}
-			switch n.Item.Kind {
-			case manifest.Routes, manifest.Services, manifest.Shares, manifest.Limits:
-				c.Chart = true
-			case manifest.Evacuations:
-				all()
-			case manifest.Rollouts, manifest.Settled:
-				c.Services[n.Item.Name] = true
-			}
 		case n.Host != nil:
 			h := *n.Host
 			named[h.ID] = true
--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/json"
 	"hash/fnv"
 	"slices"
@@ -87,52 +86,38 @@
 	dropped int
 }
 
-// MostDropped is how many dropped items stay known: under a megabyte of memory and of disk. Beyond it those of the lowest
-// versions are forgotten, then by name, so that all holders forget the same. Operators repeat a call for seconds, and
-// versions rise: one that comes so late as to bring an item back is behind ten thousand later drops.
-const MostDropped = 10000
-
 // NewSet makes an empty set.
 func NewSet() *Set { return &Set{items: map[Key]Item{}} }
 
 // Merge takes an item in if it is newer than what stands, and tells whether it was.
 func (s *Set) Merge(i Item) bool {
-	k := i.Key()
-	old, there := s.items[k]
+	old, there := s.items[i.Key()]
 	if there && !i.Newer(old) {
 		return false
 	}
-	p := k.part()
-	if there {
-		s.sums[p] ^= old.sum()
-	}
-	s.sums[p] ^= i.sum()
-	s.items[k] = i
-	if there && old.Dropped {
-		s.dropped--
-	}
+	s.put(i)
+	s.forget()
+	return true
+}
+
+// put has an item stand in the place of its key.
+func (s *Set) put(i Item) {
+	s.remove(i.Key())
+	s.sums[i.Key().part()] ^= i.sum()
+	s.items[i.Key()] = i
 	if i.Dropped {
-		if s.dropped++; s.dropped > MostDropped {
-			s.forget()
-		}
+		s.dropped++
 	}
-	return true
 }
 
-// forget forgets the tenth of the dropped items that is oldest: looking for one each time would cost as much.
-func (s *Set) forget() {
-	var all []Item
-	for _, i := range s.items {
-		if i.Dropped {
-			all = append(all, i)
-		}
+func (s *Set) remove(k Key) {
+	old, there := s.items[k]
+	if !there {
+		return
 	}
-	slices.SortFunc(all, func(a, b Item) int {
-		return cmp.Or(cmp.Compare(a.Version, b.Version), strings.Compare(a.Kind, b.Kind), strings.Compare(a.Name, b.Name))
-	})
-	for _, i := range all[:MostDropped/10] {
-		s.sums[i.Key().part()] ^= i.sum()
-		delete(s.items, i.Key())
+	s.sums[k.part()] ^= old.sum()
+	delete(s.items, k)
+	if old.Dropped {
 		s.dropped--
 	}
 }
