--- a/cmd/pilot/main.go
+++ b/cmd/pilot/main.go
@@ -147,48 +147,8 @@
 					}},
 				{Name: "modify", Usage: "send a change", Arguments: one("file"), Action: call("configuration.modify", "", file)},
 			}},
-			{Name: "snapshot", Usage: "save all items that stand to a file, as a change that sets them", Arguments: one("file"),
-				Action: func(ctx context.Context, c *cli.Command) error {
-					raw, err := client(c).Call(ctx, "configuration.read", "", nil)
-					if err != nil {
-						return err
-					}
-					if c.StringArg("file") == "" {
-						return errors.New("file: missing")
-					}
-					return os.WriteFile(c.StringArg("file"), append(append([]byte(`{"set-items":`), raw...), "}\n"...), 0o644)
-				}},
-			{Name: "restore", Usage: "make what stands into what a snapshot holds, by items of higher versions", Arguments: one("file"),
-				Flags: []cli.Flag{&cli.BoolFlag{Name: "dry", Usage: "print the change, and don't send it"}},
-				Action: func(ctx context.Context, c *cli.Command) error {
-					raw, err := file(c)
-					if err != nil {
-						return err
-					}
-					standing, err := client(c).Call(ctx, "configuration.read", "", nil)
-					if err != nil {
-						return err
-					}
-					seen, err := survey(ctx, client(c))
-					if err != nil {
-						return err
-					}
-					change, items, err := pilot.Restore(raw, standing, seen.Highest)
-					if err != nil {
-						return err
-					}
-					if c.Bool("dry") {
-						_, err = fmt.Fprintln(out, string(change))
-						return err
-					}
-					if items > 0 {
-						if _, err = client(c).Call(ctx, "configuration.modify", "", change); err != nil {
-							return err
-						}
-					}
-					_, err = fmt.Fprintf(out, "%d items changed\n", items)
-					return err
-				}},
+			snapshotCommand(client, out, one("file")),
+			restoreCommand(client, out, one("file"), file),
 			{Name: "share", Usage: "callers' shares of services", Commands: []*cli.Command{
 				{Name: "set", Usage: "set one, with a version above all that stand", Arguments: one("name"),
 					Flags: []cli.Flag{
--- /dev/null
+++ b/internal/harbour/soundings/soundings_test.go
@@ -0,0 +1,342 @@
+package soundings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/faults"
+	"portflow/internal/harbour/manifest"
+)
+
+func items(n int) []manifest.Item {
+	set := manifest.NewSet()
+	for k := range n {
+		i := manifest.Item{Kind: manifest.Routes, Name: fmt.Sprint("route-", k), Version: uint64(k * k), Body: fmt.Appendf(nil, `{"name":"route-%d","path-prefix":"/p%d/"}`, k, k)}
+		switch k % 5 {
+		case 1:
+			i.Dropped, i.Body = true, nil
+		case 2:
+			i.Kind = manifest.Shares
+		}
+		set.Merge(i)
+	}
+	return set.All()
+}
+
+func head(c testing.TB, all []manifest.Item, number uint64) Head {
+	h, err := NewHead(all, 3, number)
+	qt.Assert(c, err, qt.IsNil)
+	return h
+}
+
+// chunks are all of a cut.
+func chunks(all []manifest.Item, h Head) (raws [][]byte) {
+	for from, done := 0, false; !done; {
+		var raw []byte
+		raw, from, done = Chunk(all, h, from)
+		raws = append(raws, raw)
+	}
+	return raws
+}
+
+// What is laid out is read as it was, whatever its size, in bounded chunks, and the head says of what it is.
+func TestRound(t *testing.T) {
+	for _, n := range []int{0, 1, 2, 700, 5000} {
+		c := qt.New(t)
+		all := items(n)
+		h := head(c, all, 41)
+		var g Gather
+		got := []manifest.Item{}
+		for _, raw := range chunks(all, h) {
+			c.Check(len(raw) <= MostChunk, qt.IsTrue)
+			c.Check(g.Done(), qt.IsFalse)
+			news, err := g.Take(raw)
+			c.Assert(err, qt.IsNil)
+			got = append(got, news...)
+		}
+		c.Check(g.Done(), qt.IsTrue)
+		c.Check(got, qt.DeepEquals, all)
+		same, _ := g.Head()
+		c.Check(same, qt.Equals, h)
+		c.Check(same.Epoch, qt.Equals, uint64(3))
+		c.Check(h.Before(head(c, all, 42)), qt.IsTrue)
+	}
+}
+
+// Drawn transfers: chunks that come twice, too early, spoilt or of another cut change nothing; whoever goes on from what it has
+// ends with all, and nothing is called done before.
+func TestBrokenTransfers(t *testing.T) {
+	all, other := items(3000), items(2999)
+	h, x := head(t, all, 7), head(t, other, 8)
+	good, foreign := chunks(all, h), chunks(other, x)
+	begins := map[int]int{} // by where a chunk begins: which it is
+	for from, at := 0, 0; from < len(all); at++ {
+		begins[from] = at
+		_, from, _ = Chunk(all, h, from)
+	}
+	for seed := range uint64(100) {
+		c := qt.New(t)
+		draw := rand.New(rand.NewPCG(seed, 5))
+		var g Gather
+		var got []manifest.Item
+		for step := 0; !g.Done() && step < 1000; step++ {
+			raw := good[begins[g.Have()]] // the one that follows
+			switch draw.IntN(6) {
+			case 0:
+				raw = good[draw.IntN(len(good))]
+			case 1:
+				raw = bytes.Clone(raw)
+				raw[draw.IntN(len(raw))] ^= byte(1 + draw.IntN(255))
+			case 2:
+				raw = raw[:draw.IntN(len(raw))]
+			case 3:
+				if _, begun := g.Head(); begun {
+					raw = foreign[draw.IntN(len(foreign))]
+				}
+			}
+			news, err := g.Take(raw)
+			if err != nil {
+				c.Assert(news, qt.HasLen, 0)
+			}
+			got = append(got, news...)
+			c.Assert(g.Have(), qt.Equals, len(got))
+		}
+		again, err := NewHead(got, h.Epoch, h.Number)
+		c.Assert(err, qt.IsNil)
+		c.Assert(again, qt.Equals, h)
+	}
+}
+
+// Chunks that are each good, but not one cut's, are told by the sum over all, the order and the count.
+func TestNotOneCut(t *testing.T) {
+	c := qt.New(t)
+	all := items(3000)
+	h := head(c, all, 7)
+	good := chunks(all, h)
+	c.Assert(len(good) > 2, qt.IsTrue)
+	changed := append([]manifest.Item(nil), all...)
+	changed[len(changed)-1].Version++
+	for name, x := range map[string]struct {
+		raws [][]byte
+		says string
+	}{
+		"an item of another number": {append(append([][]byte(nil), good[:len(good)-1]...), chunks(changed, h)[len(good)-1]), "the sum over all items.*"},
+		"out of order": {[][]byte{func() []byte {
+			raw, _, _ := Chunk([]manifest.Item{all[1], all[0]}, h, 0)
+			return raw
+		}()}, ".*out of order"},
+		"across":    {[][]byte{good[0], func() []byte { raw, _, _ := Chunk(all, h, 9); return raw }()}, ".*does not follow.*"},
+		"too early": {good[1:], ".*does not follow.*"},
+		"other":     {[][]byte{good[0], chunks(all, head(c, all, 8))[1]}, ".*another snapshot.*"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var g Gather
+			var err error
+			for _, raw := range x.raws {
+				if _, err = g.Take(raw); err != nil {
+					break
+				}
+			}
+			qt.Check(t, err, qt.ErrorMatches, x.says)
+			qt.Check(t, g.Done(), qt.IsFalse)
+		})
+	}
+}
+
+// What can't be laid out within the bounds is refused with its name, before any chunk.
+func TestBounds(t *testing.T) {
+	c := qt.New(t)
+	_, err := NewHead([]manifest.Item{{Kind: "routes", Name: "long", Body: make([]byte, longestItem)}}, 1, 1)
+	c.Check(err, qt.ErrorMatches, "routes long: .* bytes, of at most .*")
+	_, err = NewHead([]manifest.Item{{Kind: "routes", Name: "b"}, {Kind: "routes", Name: "a"}}, 1, 1)
+	c.Check(err, qt.ErrorMatches, "routes a: out of order")
+	_, err = NewHead([]manifest.Item{{Kind: "routes", Name: "b"}, {Kind: "routes", Name: "b"}}, 1, 1)
+	c.Check(err, qt.ErrorMatches, "routes b: out of order")
+	var many []manifest.Item
+	for n := range 80 {
+		many = append(many, manifest.Item{Kind: "routes", Name: fmt.Sprintf("%03d", n), Body: make([]byte, longestItem-100)})
+	}
+	_, err = NewHead(many, 1, 1)
+	c.Check(err, qt.ErrorMatches, "more than .* bytes of items")
+}
+
+// Any bytes: no crash, no more memory than the bounds say, and what is taken is laid out as it came.
+func FuzzTake(f *testing.F) {
+	for _, n := range []int{0, 1, 9} {
+		all := items(n)
+		for _, raw := range chunks(all, head(f, all, 4)) {
+			f.Add(raw, uint16(8), byte(1))
+		}
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, at uint16, x byte) {
+		for range 2 { // as it is, and with a right sum of the chunk
+			var g Gather
+			got, err := g.Take(raw)
+			if h, begun := g.Head(); err == nil && begun && g.Done() {
+				again, err := NewHead(got, h.Epoch, h.Number)
+				if err != nil || again != h {
+					t.Fatalf("taken %v, laid out %v: %v", h, again, err)
+				}
+			}
+			if len(raw) < 10 {
+				return
+			}
+			raw = bytes.Clone(raw)
+			raw[int(at)%(len(raw)-4)] ^= x
+			raw = appendSum(raw[:len(raw)-4])
+		}
+	})
+}
+
+// At 3,200 routes and 33,000 shares a transfer costs neither side more than a chunk at once, beside the items themselves.
+func TestAtSize(t *testing.T) {
+	c := qt.New(t)
+	set := manifest.NewSet()
+	for n := range 36200 {
+		i := manifest.Item{Kind: manifest.Shares, Name: fmt.Sprint("tenant-", n), Version: uint64(n)}
+		i.Body, _ = json.Marshal(map[string]any{"name": i.Name, "service": fmt.Sprint("service-", n%220), "caller-header": "X-Agency", "caller": fmt.Sprint("agency-", n), "per-s": 2.5, "burst": 5})
+		if n < 3200 {
+			i.Kind = manifest.Routes
+			i.Body, _ = json.Marshal(map[string]any{"name": i.Name, "host-name": fmt.Sprintf("h%d.example", n%400), "path-prefix": fmt.Sprintf("/p%d/", n), "route-kind": "safe_method",
+				"timeout-s": 1.5, "target-s": 0.6, "priority-level": 2, "service": fmt.Sprint("service-", n%220), "maximum-attempts": 2, "home-regions": []string{}})
+		}
+		set.Merge(i)
+	}
+	all := set.All()
+	began := time.Now()
+	h := head(c, all, 10000)
+	took := time.Since(began)
+	var g Gather
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	before, peak, made := m.HeapAlloc, uint64(0), m.TotalAlloc
+	bytes, most, n := 0, 0, 0
+	began = time.Now()
+	for from, done := 0, false; !done; n++ {
+		var raw []byte
+		raw, from, done = Chunk(all, h, from)
+		_, err := g.Take(raw)
+		c.Assert(err, qt.IsNil)
+		bytes, most = bytes+len(raw), max(most, len(raw))
+		if n%10 == 0 {
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			peak = max(peak, m.HeapAlloc-min(before, m.HeapAlloc))
+		}
+	}
+	c.Check(g.Done(), qt.IsTrue)
+	runtime.ReadMemStats(&m)
+	each := (m.TotalAlloc - made) / uint64(n) // made and given up, by both sides
+	c.Logf("%d items: head %v, %d chunks in %v, %d bytes in all, %d the longest, %d KB held between them, %d KB made for each", len(all), took, n, time.Since(began), bytes, most, peak>>10, each>>10)
+	c.Check(each < 3<<20, qt.IsTrue)
+	c.Check(peak < 2<<20, qt.IsTrue, qt.Commentf("%d bytes", peak))
+	c.Check(most < 64<<10, qt.IsTrue)
+	runtime.KeepAlive(all)
+	runtime.KeepAlive(set)
+}
+
+// A cut is answered from to its end though the set changes; one that is gone is asked of any holder whose set is the same, else
+// the asker starts again. No more than two cuts are kept, none longer than 30 s after it was asked for.
+func TestShelf(t *testing.T) {
+	c := qt.New(t)
+	var s Shelf
+	all, number := items(3000), uint64(5)
+	present := func() ([]manifest.Item, uint64, uint64) { return all, 3, number }
+	first, err := s.Answer(0, Ask{}, present)
+	c.Assert(err, qt.IsNil)
+	old := all
+	all, number = items(2000), 6
+	var g Gather
+	got, err := g.Take(first.Chunk)
+	c.Assert(err, qt.IsNil)
+	for p := first; !p.Done; {
+		p, err = s.Answer(int64(time.Second), Ask{Snapshot: first.Snapshot, From: p.Next}, present)
+		c.Assert(err, qt.IsNil)
+		news, err := g.Take(p.Chunk)
+		c.Assert(err, qt.IsNil)
+		got = append(got, news...)
+	}
+	c.Check(g.Done(), qt.IsTrue)
+	c.Check(got, qt.DeepEquals, old)
+
+	_, err = s.Answer(int64(40*time.Second), Ask{Snapshot: first.Snapshot, From: 100}, present)
+	c.Check(faults.Of(err), qt.Equals, faults.Missing)
+	all, number = old, 5
+	_, err = s.Answer(int64(40*time.Second), Ask{Snapshot: first.Snapshot, From: 100}, present)
+	c.Check(err, qt.IsNil)
+	_, err = s.Answer(int64(40*time.Second), Ask{From: 3001}, present)
+	c.Check(faults.Of(err), qt.Equals, faults.Invalid)
+	for number = range 9 {
+		_, err = s.Answer(int64(41*time.Second), Ask{}, present)
+		c.Assert(err, qt.IsNil)
+		c.Check(len(s.cuts) <= mostCuts, qt.IsTrue)
+	}
+}
+
+// A restore's pieces come in whatever order and again; each answer says where to go on, the items are given once, and one that
+// came into force is answered so again. Another at the same time is refused until the first has been silent.
+func TestDock(t *testing.T) {
+	c := qt.New(t)
+	all, other := items(3000), items(10)
+	h, x := head(c, all, 7), head(c, other, 8)
+	raws := chunks(all, h)
+	var d Dock
+	l, _, _, err := d.Take(1, raws[1])
+	c.Assert(err, qt.IsNil)
+	c.Check(l.Have, qt.Equals, 0)
+	l, _, _, err = d.Take(1, raws[0])
+	c.Assert(err, qt.IsNil)
+	had := l.Have
+	l, _, _, _ = d.Take(2, raws[2])
+	c.Check(l, qt.Equals, Landed{Snapshot: h.String(), Have: had})
+	_, _, _, err = d.Take(3, chunks(other, x)[0])
+	c.Check(faults.Of(err), qt.Equals, faults.UnderWay)
+	_, _, _, err = d.Take(3, raws[1][:40])
+	c.Check(faults.Of(err), qt.Equals, faults.Invalid)
+	var got []manifest.Item
+	for _, raw := range raws[1:] {
+		c.Assert(got, qt.HasLen, 0)
+		if l, got, _, err = d.Take(4, raw); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Check(got, qt.DeepEquals, all)
+	c.Check(l, qt.Equals, Landed{Snapshot: h.String(), Have: len(all)})
+	l, got, _, err = d.Take(5, raws[len(raws)-1]) // the core has not said yet
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.HasLen, 0)
+	c.Check(l.Done, qt.IsFalse)
+	c.Check(l.Have, qt.Equals, len(all))
+	d.Ended(x, true) // of another
+	d.Ended(h, true)
+	l, got, _, err = d.Take(5, raws[len(raws)-1])
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.HasLen, 0)
+	c.Check(l, qt.Equals, Landed{Snapshot: h.String(), Have: len(all), Done: true})
+	d.Ended(h, false)
+	l, _, _, _ = d.Take(6, raws[len(raws)-1]) // it did not come into force: all again
+	c.Check(l.Have, qt.Equals, 0)
+	d.Take(6, raws[0])
+	l, got, _, err = d.Take(6+int64(idle)+1, chunks(other, x)[0]) // the first was given up
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.HasLen, len(other))
+	c.Check(l.Snapshot, qt.Equals, x.String())
+}
+
+func TestValid(t *testing.T) {
+	c := qt.New(t)
+	c.Check(Valid(manifest.Item{Kind: manifest.Routes, Name: "r", Dropped: true}), qt.IsNil)
+	c.Check(Valid(manifest.Item{Kind: manifest.Core, Name: "10.1.0.1", Body: []byte(`{"name":"a"}`)}), qt.IsNil)
+	c.Check(Valid(manifest.Item{Kind: manifest.Routes, Name: "r", Body: []byte(`{"name":"r","path-prefix":"x"}`)}), qt.ErrorMatches, `(?s)routes r: .*path-prefix.*`)
+	c.Check(errors.Is(Valid(manifest.Item{Kind: strings.Repeat(" ", 0), Name: "r"}), nil), qt.IsFalse)
+}
