--- a/internal/lab/basin/spoilt_test.go
+++ b/internal/lab/basin/spoilt_test.go
@@ -129,3 +129,28 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(whole, qt.IsTrue)
 }
+
+// An image of the disk from before is consistent, and the disk can't tell that it is old: it gives the number and the id that
+// were written then, by which the others find it out.
+func TestImageFromBefore(t *testing.T) {
+	c := qt.New(t)
+	d := NewDisk()
+	book, _, _, _, err := logbook.Open(d.Handle())
+	c.Assert(err, qt.IsNil)
+	var image *Disk
+	for n := range 10 {
+		c.Assert(book.Write([]manifest.Item{item("r", uint64(n))}, map[string][]byte{"number": []byte(fmt.Sprint(n)), "id": []byte("a")}, n == 0), qt.IsNil)
+		if n == 4 {
+			image = copied(d)
+		}
+	}
+	c.Assert(book.Close(), qt.IsNil)
+	for disk, number := range map[*Disk]string{image: "4", d: "9"} {
+		book, items, cells, whole, err := logbook.Open(disk.Handle())
+		c.Assert(err, qt.IsNil)
+		c.Check(whole, qt.IsTrue)
+		c.Check(items, qt.HasLen, 1)
+		c.Check(string(cells["number"])+string(cells["id"]), qt.Equals, number+"a")
+		c.Assert(book.Close(), qt.IsNil)
+	}
+}
