--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"portflow/internal/harbour/convoy"
+	"portflow/internal/harbour/lanes"
 	"portflow/internal/harbour/lines"
 	"portflow/internal/harbour/pilotage"
 	"portflow/internal/harbour/signals"
@@ -207,7 +208,7 @@
 		k.line.Close(errors.New("news does not follow"))
 		return
 	}
-	f.publish(f.board.Take(n.Notes, n.Snapshot))
+	f.publish(f.board.TakeAt(lanes.Mark{Epoch: n.Epoch, Number: n.Number}, n.Notes, n.Snapshot))
 	k.line.Send(signals.Word{Ack: n.To})
 	f.mu.Unlock()
 	if n.Snapshot {
--- a/internal/harbour/lines/lines.go
+++ b/internal/harbour/lines/lines.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	largest = 8 << 20 // bytes of a frame, inflated
-	waiting = 1024    // frames that may wait to be written
-	deflate = 512     // frames from so many bytes on are deflated
+	largest = 24 << 20 // bytes of a frame, inflated: a snapshot of 36,200 items and 4,200 hosts has 7.7 MB
+	waiting = 1024     // frames that may wait to be written
+	deflate = 512      // frames from so many bytes on are deflated
 )
 
 // Pace is how often a side beats that has nothing to say, and after how long the other side is taken for lost.
--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -23,7 +23,7 @@
 	End      Kind = "end"      // of a rollout
 	Settle   Kind = "settle"   // a service's first version
 	Join     Kind = "join"     // members in, and others out
-	Restore  Kind = "restore"  // items from a snapshot, each as it stands there unless a newer one stands
+	Restore  Kind = "restore"  // a snapshot takes the place of all that stands but the members, under a new epoch
 )
 
 // Order is one. Times are nanoseconds.
@@ -87,17 +87,47 @@
 		}
 		return []manifest.Item{next.Item()}, nil
 	case Restore:
-		var news []manifest.Item
-		for _, i := range o.Items {
-			if old, there := s.Get(i.Key()); i.Kind != manifest.Core && (!there || i.Version > old.Version) {
-				news = append(news, i)
-			}
-		}
-		return news, nil
+		return restore(s, o.Items), nil
 	}
 	return nil, faults.New(faults.Malformed, "no such order: %q", o.Kind)
 }
 
+// Whole is the mark of a value that takes the place of all that stands, whatever its versions.
+var Whole = manifest.Key{Kind: manifest.Core, Name: "whole"}
+
+// IsWhole tells whether a value does.
+func IsWhole(value []manifest.Item) bool { return len(value) > 0 && value[0].Key() == Whole }
+
+// restore is the value that makes what stands into a snapshot: the members stay, their epoch rises, so that routers take
+// lower versions too.
+func restore(s *manifest.Set, items []manifest.Item) []manifest.Item {
+	list := muster.Of(s)
+	list.Epoch++
+	value := []manifest.Item{{Kind: Whole.Kind, Name: Whole.Name, Version: list.Epoch}, list.Item()}
+	same, stands := 0, 0
+	for _, i := range items {
+		if i.Kind == manifest.Core {
+			continue
+		}
+		if old, there := s.Get(i.Key()); there && old.Same(i) {
+			same++
+		}
+		value = append(value, i)
+	}
+	for _, i := range s.All() {
+		if i.Kind != manifest.Core {
+			stands++
+		}
+	}
+	if same == stands && len(value) == same+2 {
+		return nil
+	}
+	return value
+}
+
+// Most is how much a change may hold, bytes: it goes between control processes in one frame.
+const Most = 8 << 20
+
 // key is what an order changes whose outcome rests on what stands.
 func (o Order) key() (manifest.Key, bool) {
 	switch o.Kind {
@@ -130,7 +160,11 @@
 // rival of one of the versions that are still known is refused, with all that came with it.
 func modify(s *manifest.Set, change []manifest.Item) ([]manifest.Item, error) {
 	var rest []manifest.Item
+	size := 0
 	for _, i := range change {
+		if size += len(i.Body) + len(i.Name) + 64; size > Most {
+			return nil, faults.New(faults.Oversized, "the change has %d items; from %s %s on it is over %d bytes", len(change), i.Kind, i.Name, Most)
+		}
 		old, there := s.Get(i.Key())
 		if there && old.Version == i.Version && !old.Same(i) {
 			return nil, conflict(i, old)
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -71,7 +71,9 @@
 	tag    uint64
 	order  orders.Order
 	came   int64
-	handed int64  // when it was handed over, 0 for not
+	handed int64  // when it was handed over, 0 for not, or for to be handed over anew
+	given  bool   // it was handed over once: a copy of it may be about
+	again  int64  // not to be handed over before
 	to     string // whom
 	by     string // the IP number of the process that handed it over here, empty for this one
 	theirs uint64 // its tag there
@@ -132,8 +134,10 @@
 
 	peers  map[string]Peer
 	silent map[string]int64
-	listed int64 // when the next list may be proposed
-	apart  int64 // since when a peer has had more, 0 for none
+	said   map[string]int64 // when a member last said anything of the agreement
+	passed map[string]bool  // members that were handed an order and said nothing: passed over until they do
+	listed int64            // when the next list may be proposed
+	apart  int64            // since when a peer has had more, 0 for none
 	fetch  struct {
 		from   string
 		at     int64
@@ -158,7 +162,7 @@
 	self.ID = disk.ID
 	return &Node{Set: set, self: self, life: life, perZone: max(1, perZone), disk: disk, list: muster.Of(set), seen: disk.Promised.N, began: now,
 		kept: Message{Number: disk.At, Ballot: disk.Vote}, unsaved: map[manifest.Key]*manifest.Item{},
-		reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
+		reads: map[uint64]*read{}, peers: map[string]Peer{}, said: map[string]int64{}, passed: map[string]bool{}, silent: map[string]int64{}, last: 1 << 32}
 }
 
 // List is the membership as of what is applied here.
@@ -211,6 +215,8 @@
 	x.out = &Effects{Send: map[string][]Message{}, Synced: map[string][]Message{}}
 	switch {
 	case e.Message != nil:
+		x.said[e.From] = e.Now
+		delete(x.passed, e.From)
 		x.receive(e, *e.Message)
 	case e.Peer != nil:
 		_, heard := x.peers[e.From]
@@ -222,6 +228,8 @@
 		x.behind(e.Now)
 	case e.Lost:
 		delete(x.peers, e.From)
+		delete(x.said, e.From)
+		delete(x.passed, e.From)
 		x.silent[e.From] = e.Now
 		x.lostHand(e.From)
 		if x.fetch.from == e.From {
@@ -592,7 +600,8 @@
 	at := map[manifest.Key]int{}
 	var left []*pending
 	for _, p := range x.wait {
-		if left = append(left, p); !p.local || len(value) >= mostItems || p.order.Kind == orders.Join && listIn(value).Epoch != 0 {
+		alone := p.order.Kind == orders.Restore && len(value) > 0 || orders.IsWhole(value)
+		if left = append(left, p); !p.local || alone || len(value) >= mostItems || p.order.Kind == orders.Join && listIn(value).Epoch != 0 {
 			continue
 		}
 		if p.order.Kind == orders.Join && !(x.fresh && x.takes(p.order)) {
@@ -622,7 +631,7 @@
 				continue
 			}
 			left = left[:len(left)-1]
-			if k != faults.Conflict && p.handed != 0 { // its copy may still be taken, once what it lacks is there
+			if k != faults.Conflict && p.given { // its copy may still be taken, once what it lacks is there
 				x.end(p, Result{Kind: faults.Unready, Reason: "not clear yet: " + err.Error()})
 				continue
 			}
@@ -633,6 +642,10 @@
 			x.end(p, Result{Number: x.disk.Applied})
 			continue
 		}
+		if orders.IsWhole(items) {
+			value, mine = items, append(mine, p.tag)
+			continue
+		}
 		if next == nil {
 			next = x.Set.Clone()
 		}
@@ -699,6 +712,18 @@
 
 // apply is the one place where a decided change comes into the set.
 func (x *Node) apply(now int64, number uint64, items []manifest.Item) {
+	if orders.IsWhole(items) {
+		changed, gone := x.Set.Become(items[1:])
+		for _, i := range changed {
+			x.save(i)
+		}
+		for _, k := range gone {
+			x.drop(k)
+		}
+		x.out.Cut = true
+		items = nil // it is kept for nobody: who is behind takes a cut
+		x.ring, x.ringed = nil, 0
+	}
 	for _, i := range items {
 		if x.Set.Merge(i) {
 			x.save(i)
@@ -707,7 +732,9 @@
 	for _, k := range x.Set.Forgotten() {
 		x.drop(k)
 	}
-	x.ring, x.ringed = append(x.ring, kept{number, items}), x.ringed+len(items)
+	if items != nil {
+		x.ring, x.ringed = append(x.ring, kept{number, items}), x.ringed+len(items)
+	}
 	for len(x.ring) > keptChanges || x.ringed > keptItems && len(x.ring) > 0 {
 		x.ringed -= len(x.ring[0].items)
 		x.ring = x.ring[1:]
@@ -761,17 +788,18 @@
 		if m.IP == x.self.IP && x.Member() {
 			return m.IP
 		}
-		if p, heard := x.peers[m.IP]; heard && p.Whole && p.Member.ID == m.ID {
+		if p, heard := x.peers[m.IP]; heard && p.Whole && p.Member.ID == m.ID && !x.passed[m.IP] {
 			return m.IP
 		}
 	}
 	return ""
 }
 
+// lostHand has orders that were handed to a member which isn't heard any more handed to the next.
 func (x *Node) lostHand(ip string) {
 	for _, p := range x.wait {
 		if p.to == ip {
-			p.local = p.local || x.Member()
+			p.handed, p.to = 0, ""
 		}
 	}
 }
@@ -780,8 +808,8 @@
 func (x *Node) handed(e Event, m Message) {
 	for n, p := range x.wait {
 		if p.tag == m.Tag && p.to == e.From && m.Result != nil {
-			if m.Result.Kind == faults.Unready {
-				p.local = p.local || x.Member()
+			if m.Result.Kind == faults.Unready { // it was bound to what stands no more, or that one can't propose
+				p.handed, p.to, p.again = 0, "", e.Now+turn
 				return
 			}
 			x.wait = slices.Delete(x.wait, n, n+1)
@@ -803,23 +831,7 @@
 	if !x.whole || x.disk.Applied == 0 {
 		return
 	}
-	first, local := x.first(), false
-	for _, p := range x.wait {
-		if !p.local {
-			switch {
-			case first == x.self.IP:
-				p.local = true
-			case p.handed == 0 && first != "":
-				x.Counts.Handed++
-				p.handed, p.to = e.Now, first
-				o := orders.Bind(x.Set, p.order)
-				x.say(first, Message{Kind: Hand, Tag: p.tag, Order: &o})
-			case e.Now-max(p.handed, p.came) > handAgain:
-				p.local = x.Member()
-			}
-		}
-		local = local || p.local
-	}
+	local := x.hand(e)
 	if x.phase != Idle || e.Now < x.retry || !x.Member() || x.muted {
 		return
 	}
@@ -839,6 +851,35 @@
 	x.prepare(e)
 }
 
+// hand hands orders over to the member that proposes for all, and tells whether there are some that this process is to
+// propose itself: it is that member, or nobody is. That several propose at once beats them all, so an order stays handed as long
+// as the one that has it says anything; one that says nothing is passed over.
+func (x *Node) hand(e Event) (local bool) {
+	for _, p := range x.wait {
+		if p.handed != 0 && e.Now-p.handed > handAgain {
+			if x.said[p.to] < p.handed {
+				x.passed[p.to] = true
+				p.handed, p.to = 0, ""
+			} else if e.Now-p.handed > 2*handAgain { // it may have lost it
+				p.handed, p.to = 0, ""
+			}
+		}
+		first := x.first()
+		switch {
+		case p.local:
+		case first == x.self.IP || first == "" && e.Now-p.came > handAgain && x.Member():
+			p.local = true
+		case p.handed == 0 && first != "" && e.Now >= p.again:
+			x.Counts.Handed++
+			p.handed, p.to, p.given = e.Now, first, true
+			o := orders.Bind(x.Set, p.order)
+			x.say(first, Message{Kind: Hand, Tag: p.tag, Order: &o})
+		}
+		local = local || p.local
+	}
+	return local
+}
+
 // before is how many members that are heard come before this one.
 func (x *Node) before() (n int) {
 	for _, m := range x.list.Members {
@@ -1181,7 +1222,7 @@
 	for _, k := range gone {
 		x.drop(k)
 	}
-	x.out.Cut = true
+	x.out.Cut = len(gone) > 0
 	x.ring, x.ringed = nil, 0
 	x.applied(e.Now, m.Number)
 }
