--- a/internal/harbour/manifest/parts.go
+++ b/internal/harbour/manifest/parts.go
@@ -1,6 +1,10 @@
 package manifest
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // Differ tells in which parts another holder's sums are others; one that has none of ours differs in all that hold anything.
 func (s *Set) Differ(theirs []uint64) (parts []int) {
@@ -43,5 +47,6 @@
 	for k := range had {
 		gone = append(gone, k)
 	}
+	slices.SortFunc(gone, func(a, b Key) int { return cmp.Or(strings.Compare(a.Kind, b.Kind), strings.Compare(a.Name, b.Name)) })
 	return news, gone
 }
--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -229,9 +229,7 @@
 }
 
 func begin(s *manifest.Set, o Order) ([]manifest.Item, error) {
-	if _, ok := s.Get(manifest.Key{Kind: manifest.Services, Name: o.Of}); !ok {
-		return nil, faults.New(faults.Invalid, "service: %s does not stand", o.Of)
-	}
+	service, ok := s.Get(manifest.Key{Kind: manifest.Services, Name: o.Of})
 	old, _ := s.Get(manifest.Key{Kind: manifest.Rollouts, Name: o.Of})
 	was := pilotage.Read(old)
 	first, _ := s.Get(manifest.Key{Kind: manifest.Settled, Name: o.Of})
@@ -239,10 +237,12 @@
 	switch {
 	case was.State == pilotage.Running && was.Target == o.Target: // the same once more
 		return nil, nil
+	case was.State > pilotage.Running && was.Target == o.Target && was.Term == o.Term && o.Now-was.Began < was.Term+o.Again: // a late copy of the last one
+		return nil, nil
+	case !ok || service.Dropped:
+		return nil, faults.New(faults.Invalid, "service: %s does not stand", o.Of)
 	case was.State == pilotage.Running:
 		return nil, faults.New(faults.UnderWay, "%s is being moved to %s", o.Of, was.Target)
-	case was.Target == o.Target && was.Term == o.Term && o.Now-was.Began < was.Term+o.Again: // a late copy of the last one
-		return nil, nil
 	}
 	return []manifest.Item{pilotage.Rollout{Service: o.Of, Order: was.Order + 1, From: settled, Base: was.Build(), Target: o.Target,
 		Began: o.Now, Term: o.Term, State: pilotage.Running}.Item()}, nil
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -33,6 +33,7 @@
 	fetchAgain  = int64(500e6)
 	fetchSoon   = int64(250e6) // a peer that has more is asked
 	beginAgain  = int64(250e6) // a start looks again for how far the core is
+	foundWaits  = int64(400e6)
 	listAgain   = int64(400e6) // between proposals of a list
 	silentFor   = int64(3e9)   // a member that has a successor in its zone goes
 	orderWaits  = int64(2500e6)
@@ -74,6 +75,7 @@
 	handed int64  // when it was handed over, 0 for not, or for to be handed over anew
 	given  bool   // it was handed over once: a copy of it may be about
 	again  int64  // not to be handed over before
+	at     uint64 // the number at which it was last voted on
 	to     string // whom
 	by     string // the IP number of the process that handed it over here, empty for this one
 	theirs uint64 // its tag there
@@ -145,6 +147,7 @@
 		parts  []int
 		items  []manifest.Item
 	}
+	writes   bool                            // at the end of this step
 	unsaved  map[manifest.Key]*manifest.Item // applied, and not yet in a write; nil for what has gone
 	ring     []kept
 	ringed   int
@@ -245,6 +248,9 @@
 		x.tick(e)
 	}
 	x.pump(e)
+	if x.writes {
+		x.flush()
+	}
 	out := *x.out
 	x.out = nil
 	return out
@@ -252,11 +258,7 @@
 
 // met says to one who has only just come to be heard what it is asked now, and not with the next repeat.
 func (x *Node) met(e Event) {
-	if x.phase != Idle {
-		if _, said := x.yes[e.From]; !said && slices.Contains(x.voters(), e.From) {
-			x.say(e.From, x.proposal())
-		}
-	}
+	x.repeat(e.From)
 	for _, tag := range x.asking() {
 		r := x.reads[tag]
 		if _, member := x.list.At(e.From); member && !r.known {
@@ -288,9 +290,12 @@
 
 // write has the record written, and with it what has come into the set since the last write. A change whose vote is on this
 // disk need not be written when it is applied: it goes along with the next vote, so that an order costs a disk one sync.
-func (x *Node) write() {
+func (x *Node) write() { x.writes = true }
+
+// flush is the step's one write.
+func (x *Node) flush() {
 	d := x.disk
-	x.out.Disk = &d
+	x.out.Disk, x.writes = &d, false
 	for _, k := range x.unsavedKeys() {
 		if i, there := x.unsaved[k]; there && i != nil {
 			x.out.Items = append(x.out.Items, *i)
@@ -394,9 +399,9 @@
 		x.say(e.From, x.confirmed(m.Tag))
 	case Confirmed:
 		if r := x.reads[m.Tag]; r != nil {
-			r.yes[e.From] = m.ID
 			r.votes[e.From] = m
-			if !r.known {
+			if !r.known && x.list.Has(e.From, m.ID) { // who only comes in may have voted, and counts for nothing yet
+				r.yes[e.From] = m.ID
 				r.target = max(r.target, m.Number)
 				r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch
 			}
@@ -502,9 +507,7 @@
 		for _, b := range m.Batches {
 			x.old = append(x.old, b...)
 		}
-		if x.enough(x.yes, nil) {
-			x.accept(e)
-		}
+		x.promised(e)
 	case m.Kind == Voted && x.phase == Accepting:
 		if x.yes[e.From] = m.ID; x.enough(x.yes, x.value) {
 			x.decide(e)
@@ -512,6 +515,22 @@
 	}
 }
 
+// promised goes on once more than half have promised; for the first list it waits a moment for the founders that are heard, as
+// one of a bare majority bears no loss.
+func (x *Node) promised(e Event) {
+	if x.phase != Preparing || !x.enough(x.yes, nil) {
+		return
+	}
+	if x.disk.Applied == 0 && e.Now-x.since < foundWaits {
+		for _, ip := range x.disk.Founders {
+			if _, heard := x.peers[ip]; heard && x.yes[ip] == "" || ip == x.self.IP && x.yes[ip] == "" {
+				return
+			}
+		}
+	}
+	x.accept(e)
+}
+
 // idle ends a proposal without an end.
 func (x *Node) idle(e Event, beaten bool) {
 	if x.phase != Idle && beaten {
@@ -541,6 +560,7 @@
 		value = x.found()
 	default:
 		x.fresh = true
+		x.nothing(e)
 		value, mine = x.build(e.Now)
 	}
 	if len(value) == 0 {
@@ -552,12 +572,28 @@
 	x.vote(e, value, mine)
 }
 
+// nothing ends reads that waited for a vote which more than half, that promised since the read came, don't have: it was not
+// decided, and can't be any more.
+func (x *Node) nothing(e Event) {
+	for _, tag := range x.asking() {
+		if r := x.reads[tag]; r.known && r.epoch == x.list.Epoch && r.target == x.disk.Applied+1 && x.since >= r.came {
+			r.target = x.disk.Applied
+			x.readOn(e.Now, tag, r)
+		}
+	}
+}
+
 // vote asks for votes on a value; with a ballot this is done once a number.
 func (x *Node) vote(e Event, value []manifest.Item, mine []uint64) {
 	x.Counts.Proposed++
 	x.phase, x.number, x.value, x.mine, x.yes = Accepting, x.disk.Applied+1, value, mine, map[string]string{}
 	x.no = map[string]bool{}
 	x.since, x.sent, x.sticky = e.Now, e.Now, true
+	for _, p := range x.wait {
+		if slices.Contains(mine, p.tag) {
+			p.at = x.number
+		}
+	}
 	x.propose()
 }
 
@@ -626,6 +662,9 @@
 		switch {
 		case err != nil:
 			k := faults.Of(err)
+			if k != faults.Conflict && p.at == x.disk.Applied+1 {
+				continue // a vote on it may still be taken over: it isn't refused before that number is decided
+			}
 			if k != faults.Conflict && !x.fresh { // it may be wrong only by what this process doesn't know yet
 				x.sticky = false
 				continue
@@ -900,6 +939,7 @@
 			x.propose()
 		}
 	}
+	x.promised(e)
 	x.behind(e.Now)
 	for _, tag := range x.asking() {
 		if e.Now-x.reads[tag].came > orderWaits {
@@ -1159,6 +1199,7 @@
 			}
 		}
 		x.say(to, Message{Kind: Changes, Number: m.Applied, Batches: batches})
+		x.repeat(to)
 		return
 	}
 	x.Counts.Cuts++
@@ -1173,6 +1214,14 @@
 	}
 	chunk.Last = true
 	x.say(to, chunk)
+	x.repeat(to)
+}
+
+// repeat says the present proposal to one that was behind, right after what it lacked.
+func (x *Node) repeat(to string) {
+	if _, said := x.yes[to]; x.phase != Idle && !said && slices.Contains(x.voters(), to) {
+		x.say(to, x.proposal())
+	}
 }
 
 // follow applies changes that follow on what is had.
