lab harbour: hollow routers and hosts before real control processes on loopback

Nothing of ours ran at 510 routers and 4,200 hosts.

Change: internal/lab/hollow starts real control processes (this program anew, one processor each) and puts hollow routers before them: real lines, acknowledgements, line beats and shuffles, no traffic, some hundreds in one process; and hosts that only beat. It counts frames, bytes and notes by kind and by zone, region and beyond, processor time by getrusage, memory, descriptors and disk, and plays a start of all, changes, drains, changes as fast as they are taken, half of the routers restarted, a control process killed, and a region cut off. All processes end with it.

--- /dev/null
+++ b/internal/lab/hollow/hollow_test.go
@@ -0,0 +1,184 @@
+package hollow
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/bridge"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/signals"
+)
+
+func packed(raw []byte) []byte {
+	var b bytes.Buffer
+	w, _ := flate.NewWriter(&b, flate.BestSpeed)
+	w.Write(raw)
+	w.Close()
+	return b.Bytes()
+}
+
+// A hollow router reads of each word what control's own encoding says, deflated or not, and of a long one its beginning.
+func TestReadHead(t *testing.T) {
+	c := qt.New(t)
+	notes := []signals.Note{{Host: &berths.Host{ID: "h"}}, {Front: &signals.Front{Name: "r"}}, {Front: &signals.Front{Name: "q"}},
+		{Item: &manifest.Item{Kind: "routes", Name: "probe", Version: 3}}}
+	var long []signals.Note
+	for n := range 20000 {
+		long = append(long, signals.Note{Host: &berths.Host{ID: fmt.Sprintf("host-%d-%d", n, n*7919), Service: fmt.Sprint(n * n)}})
+	}
+	for _, x := range []struct {
+		word signals.Word
+		want head
+	}{
+		{signals.Word{Hello: &signals.Hello{Name: "m"}}, head{Kind: Greeting}},
+		{signals.Word{Status: &signals.Status{Whole: true, Majority: true}}, head{Kind: Status, Whole: true, Majority: true}},
+		{signals.Word{Status: &signals.Status{}}, head{Kind: Status}},
+		{signals.Word{Tons: &signals.Tons{}}, head{Kind: Tons}},
+		{signals.Word{Stored: 3}, head{Kind: Other}},
+		{signals.Word{News: &signals.News{Life: "l", From: 3, To: 9, Notes: notes}}, head{Kind: Batch, Life: "l", From: 3, To: 9, Hosts: 1, Fronts: 2, Items: 1}},
+		{signals.Word{News: &signals.News{Life: "l", To: 9}}, head{Kind: Batch, Life: "l", To: 9}},
+		{signals.Word{News: &signals.News{Life: "l", To: 9, Snapshot: true, Notes: long}}, head{Kind: Snapshot, Life: "l", To: 9}},
+	} {
+		raw, err := json.Marshal(x.word)
+		c.Assert(err, qt.IsNil)
+		for _, deflated := range []bool{false, true} {
+			if deflated {
+				raw = packed(raw)
+			}
+			h, err := readHead(raw, deflated)
+			c.Assert(err, qt.IsNil)
+			if h.Body = nil; h.Kind == Snapshot {
+				h.Hosts = 0
+			}
+			c.Check(h, qt.DeepEquals, x.want)
+		}
+	}
+}
+
+func FuzzReadHead(f *testing.F) {
+	f.Add([]byte(`{"n":{"l":"x","t":3,"s":true,"n":[]}}`), false)
+	f.Add(packed([]byte(`{"n":{"l":"x","f":2,"t":3}}`)), true)
+	f.Add([]byte(`{"s":{"w":true}}`), false)
+	f.Fuzz(func(t *testing.T, raw []byte, deflated bool) { readHead(raw, deflated) })
+}
+
+// The plan of the target has a control process in each region before any has two, and no machine's address twice.
+func TestPlan(t *testing.T) {
+	c := qt.New(t)
+	p := Target()
+	c.Assert(p.check(), qt.IsNil)
+	c.Check(p.homes(), qt.DeepEquals, []int{0, 3, 6, 9, 1, 4, 7})
+	c.Check(ring(0, 0), qt.Equals, 0)
+	c.Check(ring(0, 2), qt.Equals, 1)
+	c.Check(ring(2, 3), qt.Equals, 2)
+	for _, spoil := range []func(*Plan){func(p *Plan) { p.Routers = mostRouters + 1 }, func(p *Plan) { p.Hosts = mostHosts + 1 }, func(p *Plan) { p.Core = 12 },
+		func(p *Plan) { p.Calm = time.Hour }, func(p *Plan) { p.Services = 0 }, func(p *Plan) { p.Real = mostReal + 1 }} {
+		p := Target()
+		spoil(&p)
+		c.Check(p.check(), qt.IsNotNil)
+	}
+	seen := map[string]bool{}
+	for z := range p.Zones {
+		for _, n := range slices.Concat([]int{0}, seq(100, 1099), seq(2000, 2000+mostRouters/p.Zones), seq(4000, 4000+mostReal)) {
+			c.Assert(seen[address(z, n)], qt.IsFalse)
+			seen[address(z, n)] = true
+		}
+	}
+}
+
+func seq(a, b int) (all []int) {
+	for n := a; n <= b; n++ {
+		all = append(all, n)
+	}
+	return all
+}
+
+// core is what a control process knows of so many routers and hosts, with so many routes.
+func core(routers, hosts, routes int) *bridge.State {
+	var items []manifest.Item
+	for n := range routes {
+		items = append(items, manifest.Item{Kind: manifest.Routes, Name: fmt.Sprintf("route-%04d", n), Version: 1, Body: []byte(`{"name":"route","path-prefix":"/r","service":"s"}`)})
+	}
+	s := bridge.NewState(signals.Hello{Name: "m", IP: "10.0.0.1", Zone: "a", Control: true}, 1, items, true, int64(beat))
+	for n := range hosts {
+		h, _ := s.Register.Beat(1, berths.Host{ID: fmt.Sprintf("host-%05d", n), Service: "s", Zone: "a", Address: "10.0.1.1:80", Version: "v", Slots: 6, Sequence: 1})
+		s.TellHost(h, true)
+	}
+	for n := range routers {
+		s.Claim(1, signals.Front{Name: fmt.Sprintf("router-%04d", n), Zone: "a", IP: "10.0.2.1", Address: "10.0.2.1:80", Ready: true, Owner: "m"})
+	}
+	return s
+}
+
+// said is how many notes and bytes a follower is told for what a call changes.
+func said(s *bridge.State, control bool, change func()) (notes, size int) {
+	at := s.Ledger.Last()
+	change()
+	all, _ := s.Ledger.After(at)
+	batch := bridge.Fit(all, control)
+	raw, _ := json.Marshal(signals.Word{News: &signals.News{Life: "l", From: at, To: s.Ledger.Last(), Notes: batch}})
+	return len(batch), len(raw)
+}
+
+// What one change costs each follower doesn't grow with routers, hosts or items, and a beat that changes nothing says nothing;
+// a snapshot grows with all three, by so many bytes each. docs/CAPACITY.md reckons with these.
+func TestCostOfChange(t *testing.T) {
+	c := qt.New(t)
+	type cost struct{ Beat, Drain, Router, Item, Snapshot int }
+	costs := map[[3]int]cost{}
+	for _, size := range [][3]int{{10, 100, 100}, {510, 100, 100}, {10, 4200, 100}, {10, 100, 3200}} {
+		s := core(size[0], size[1], size[2])
+		h := s.Register.Host("host-00007")
+		beat := func(state berths.State) func() {
+			return func() {
+				h.Sequence, h.State = h.Sequence+1, state
+				if x, changed := s.Register.Beat(2, h); changed {
+					s.TellHost(x, true)
+				}
+			}
+		}
+		var x cost
+		notes, size0 := said(s, false, beat(berths.Ready))
+		c.Check(notes, qt.Equals, 0)
+		x.Beat = size0
+		notes, x.Drain = said(s, false, beat(berths.Draining))
+		c.Check(notes, qt.Equals, 1)
+		notes, x.Router = said(s, false, func() { s.Claim(3, s.Fronts["router-0003"]) })
+		c.Check(notes, qt.Equals, 1)
+		notes, x.Item = said(s, false, func() {
+			s.Publish(s.Merge([]manifest.Item{{Kind: manifest.Routes, Name: "route-0003", Version: 2, Body: []byte(`{"name":"route"}`)}}))
+		})
+		c.Check(notes, qt.Equals, 1)
+		raw, err := json.Marshal(s.Snapshot(false))
+		c.Assert(err, qt.IsNil)
+		x.Snapshot = len(raw)
+		costs[size] = x
+		t.Logf("%v: %+v", size, x)
+	}
+	base := costs[[3]int{10, 100, 100}]
+	for size, x := range costs {
+		for _, pair := range [][2]int{{x.Drain, base.Drain}, {x.Router, base.Router}, {x.Item, base.Item}, {x.Beat, base.Beat}} {
+			c.Check(pair[0]-pair[1] < 12, qt.IsTrue, qt.Commentf("%v: %d bytes, %d at the least", size, pair[0], pair[1])) // digits of the numbers
+		}
+	}
+	per := func(size [3]int, n int) int { return (costs[size].Snapshot - base.Snapshot) / n }
+	c.Check(per([3]int{510, 100, 100}, 500) < 140, qt.IsTrue)
+	c.Check(per([3]int{10, 4200, 100}, 4100) < 120, qt.IsTrue)
+	c.Check(per([3]int{10, 100, 3200}, 3100) < 120, qt.IsTrue)
+}
+
+// Spreads are told in milliseconds, with those that never came beside them.
+func TestSpread(t *testing.T) {
+	c := qt.New(t)
+	s := spread([]time.Duration{3e6, 1e6, 2e6}, 1)
+	c.Check(s, qt.Equals, Spread{N: 3, P50: 2, P99: 2, Worst: 3, Never: 1})
+	c.Check(spread(nil, 2), qt.Equals, Spread{Never: 2})
+}
