--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -85,6 +85,7 @@
 	items   map[Key]Item
 	sums    [Parts]uint64
 	dropped int
+	members map[string]string // as Members tells them, nil where they are to be read anew
 }
 
 // MostDropped is how many dropped items stay known: under a megabyte of memory and of disk. Beyond it those of the lowest
@@ -108,6 +109,9 @@
 	}
 	s.sums[p] ^= i.sum()
 	s.items[k] = i
+	if k.Kind == Core {
+		s.members = nil
+	}
 	if there && old.Dropped {
 		s.dropped--
 	}
--- a/internal/harbour/manifest/manifest_test.go
+++ b/internal/harbour/manifest/manifest_test.go
@@ -268,3 +268,28 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(items, qt.HasLen, 6)
 }
+
+// Who is of the core is asked for at each beat of a host of another zone: it costs what the core has, and not what all items
+// are, and follows each change of the core at once.
+func TestMembersCost(t *testing.T) {
+	c := qt.New(t)
+	s := NewSet()
+	for n := range 7 {
+		s.Merge(Item{Kind: Core, Name: fmt.Sprint("10.0.0.", n), Version: 1, Body: []byte(`{"name":"m","zone":"a"}`)})
+	}
+	for n := range 4000 {
+		s.Merge(Item{Kind: Routes, Name: fmt.Sprint("route-", n), Version: 1, Body: []byte(`{"name":"r"}`)})
+	}
+	c.Assert(s.Members(), qt.HasLen, 7)
+	c.Check(testing.AllocsPerRun(100, func() { s.Members() }) <= 4, qt.IsTrue) // 7 bodies that are read make some 150
+	s.Members()["10.0.0.0"] = "spoilt"
+	c.Check(s.Members()["10.0.0.0"], qt.Equals, "a")
+	s.Merge(Item{Kind: Core, Name: "10.0.0.0", Version: 2, Body: []byte(`{"name":"m","zone":"b"}`)})
+	c.Check(s.Members()["10.0.0.0"], qt.Equals, "b")
+	copied := s.Clone()
+	copied.Merge(Item{Kind: Core, Name: "10.0.0.9", Version: 1, Body: []byte(`{"zone":"c"}`)})
+	c.Check(copied.Members(), qt.HasLen, 8)
+	c.Check(s.Members(), qt.HasLen, 7)
+	s.Merge(Item{Kind: Core, Name: "10.0.0.1", Version: 2, Dropped: true})
+	c.Check(s.Members(), qt.HasLen, 6)
+}
