lab slopes: plots and powers of plays; a hollow router that returns follows by changes

`lab slopes` prints each figure with its power and draws it with its line to the target and its bound. `harbour.read` and `configuration.read` are timed.

--- a/cmd/lab/hollow.go
+++ b/cmd/lab/hollow.go
@@ -52,5 +52,28 @@
 	f.Uint64Var(&p.Seed, "seed", p.Seed, "seed of all chance")
 	f.BoolVar(&asJSON, "json", false, "print the result as one JSON object in the last line")
 	one := &cobra.Command{Use: child, Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return hollow.Child(os.Stdin, os.Stdout) }}
-	return []*cobra.Command{c, one}
+	slopes := &cobra.Command{Use: "slopes DIR FILE...", Short: "plots and slopes of plays of harbour --json, in the order of their routers", Args: cobra.MinimumNArgs(3),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var all []hollow.Result
+			for _, name := range args[1:] {
+				raw, err := os.ReadFile(name)
+				if err != nil {
+					return err
+				}
+				var r hollow.Result
+				if err := json.Unmarshal(raw, &r); err != nil {
+					return fmt.Errorf("%s: %w", name, err)
+				}
+				all = append(all, r)
+			}
+			for _, f := range hollow.Figures {
+				fmt.Printf("%-52s", f.Name)
+				for _, r := range all {
+					fmt.Printf(" %10.3f", f.Of(r))
+				}
+				fmt.Printf("  power %.2f\n", hollow.Slope(all, f))
+			}
+			return hollow.Plot(args[0], all)
+		}}
+	return []*cobra.Command{c, one, slopes}
 }
--- /dev/null
+++ b/internal/lab/hollow/bench_test.go
@@ -0,0 +1,84 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"portflow/internal/harbour/berths"
+	"portflow/internal/harbour/lanes"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/signals"
+)
+
+// sizes are those of docs/CAPACITY.md: routers, hosts.
+var sizes = [][2]int{{13, 107}, {92, 757}, {300, 2470}, {510, 4200}, {1000, 8235}}
+
+// What a control process works out for each router that it can't give changes alone, before it is deflated.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, x := range sizes {
+		s := core(x[0], x[1], 3200)
+		b.Run(fmt.Sprintf("%d-%d", x[0], x[1]), func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				raw, err := json.Marshal(signals.Word{News: &signals.News{Life: "l", To: 1, Snapshot: true, Notes: s.Snapshot(false)}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(raw)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// What each router works out anew after each change of the configuration, and a control process twice before it takes one.
+func BenchmarkDraw(b *testing.B) {
+	for _, x := range [][2]int{{3200, 0}, {3200, 33000}} {
+		s := manifest.NewSet()
+		for n := range 220 {
+			s.Merge(manifest.Item{Kind: manifest.Services, Name: fmt.Sprint("service-", n), Version: 1,
+				Body: fmt.Appendf(nil, `{"cold-per-s":20,"cold-start-s":3,"connection-limit":140,"health-path":"/health","name":"service-%d"}`, n)})
+		}
+		for n := range x[0] {
+			s.Merge(manifest.Item{Kind: manifest.Routes, Name: fmt.Sprint("route-", n), Version: 1,
+				Body: fmt.Appendf(nil, `{"host-name":"desk-%d.example","name":"route-%d","path-prefix":"/r%d","priority-level":1,"service":"service-%d","timeout-s":2}`, n%40, n, n, n%220)})
+		}
+		for n := range x[1] {
+			s.Merge(manifest.Item{Kind: manifest.Shares, Name: fmt.Sprint("share-", n), Version: 1,
+				Body: fmt.Appendf(nil, `{"burst":10,"caller":"tenant-%d","caller-header":"X-Tenant","name":"share-%d","per-s":1,"service":"service-%d"}`, n, n, n%220)})
+		}
+		b.Run(fmt.Sprintf("%d-routes-%d-shares", x[0], x[1]), func(b *testing.B) {
+			for b.Loop() {
+				manifest.Draw(s)
+			}
+			raw, _ := s.Write()
+			b.ReportMetric(float64(len(raw)), "read-bytes")
+		})
+	}
+}
+
+// What a router works out for each host that it uses, after each change of the roster.
+func BenchmarkPart(b *testing.B) {
+	for _, x := range sizes {
+		roster, regions := lanes.Roster{}, map[string]string{}
+		for z := range 11 {
+			regions[zoneName(z)] = regionName(z)
+		}
+		for n := range x[0] {
+			z := zoneName(n % 11)
+			roster[z] = append(roster[z], lanes.Router{Name: fmt.Sprintf("router-%04d", n), Weight: 1})
+		}
+		for _, of := range []struct {
+			name string
+			zone int
+		}{{"own-zone", 0}, {"beyond", 5}} {
+			h := berths.Host{ID: "host-00001", Zone: zoneName(of.zone), Slots: 6}
+			b.Run(fmt.Sprintf("%d-routers-%s", x[0], of.name), func(b *testing.B) {
+				for b.Loop() {
+					lanes.Part(h, "router-0000", lanes.Place{Zone: zoneName(0), Region: regionName(0)}, regions, roster, lanes.Terms{Overrun: 1.5, Slack: 5, ColdPerS: 20})
+				}
+			})
+		}
+	}
+}
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -5,6 +5,9 @@
 	"compress/flate"
 	"encoding/json"
 	"fmt"
+	"math"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -182,3 +185,20 @@
 	c.Check(s, qt.Equals, Spread{N: 3, P50: 2, P99: 2, Worst: 3, Never: 1})
 	c.Check(spread(nil, 2), qt.Equals, Spread{Never: 2})
 }
+
+// A figure that grows with the square of the routers has the power 2, and plots of it are written; one play has no slope.
+func TestSlopes(t *testing.T) {
+	c := qt.New(t)
+	var all []Result
+	for _, n := range []int{10, 100, 300} {
+		r := Result{Plan: Plan{Routers: n}, Control: []Rate{{CPU: float64(n*n) / 1e6, Peak: 50}, {CPU: 0, Peak: float64(n)}}, Parts: map[string]Part{}}
+		all = append(all, r)
+	}
+	c.Check(math.Abs(Slope(all, Figures[0])-2) < 1e-9, qt.IsTrue)
+	c.Check(Figures[1].Of(all[2]), qt.Equals, 300.0)
+	dir := t.TempDir()
+	c.Assert(Plot(dir, all), qt.IsNil)
+	_, err := os.Stat(filepath.Join(dir, "cores-of-the-busiest-control-process--calm.svg"))
+	c.Check(err, qt.IsNil)
+	c.Check(Plot(dir, all[:1]), qt.ErrorMatches, ".*two plays.*")
+}
--- a/internal/lab/hollow/play.go
+++ b/internal/lab/hollow/play.go
@@ -17,6 +17,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"portflow/internal/harbour/signals"
 )
 
 // Spread is how long something took, milliseconds: over all routers and changes.
@@ -39,6 +41,12 @@
 	return s
 }
 
+// Answer is one of an operator's calls.
+type Answer struct {
+	MS    float64 `json:"ms"`
+	Bytes int     `json:"bytes"`
+}
+
 // Rate is what one process spent in the calm, a second.
 type Rate struct {
 	Name        string  `json:"name"`
@@ -96,6 +104,8 @@
 	BurstPerS float64         `json:"burst_per_s"`
 	BurstAck  Spread          `json:"burst_ack"`
 	Shuffles  float64         `json:"shuffle_bytes_router_s"`
+	Read      Answer          `json:"harbour_read"` // the longest of three
+	Config    Answer          `json:"configuration_read"`
 	Why       []string        `json:"why,omitempty"` // what did not go through
 }
 
@@ -211,6 +221,7 @@
 	if err := g.calm(ctx, &r); err != nil {
 		return r, err
 	}
+	r.Read, r.Config = g.read(ctx, "harbour.read"), g.read(ctx, "configuration.read")
 	g.change(ctx, &r)
 	g.drain(ctx, &r)
 	if p.Burst > 0 {
@@ -267,7 +278,7 @@
 func (g *rig) restart(ctx context.Context, all []*router) error {
 	for _, x := range all {
 		life, cancel := context.WithCancel(ctx)
-		x.cancel, x.follower.Life, x.follower.Have = cancel, "", 0
+		x.cancel, x.follower = cancel, signals.Follower{}
 		x.ready.Store(0)
 		for try := 0; ; try++ { // the old life's socket closes in a moment
 			err := x.run(life)
@@ -454,6 +465,17 @@
 	return nil
 }
 
+// read calls for all that is known, three times.
+func (g *rig) read(ctx context.Context, call string) (a Answer) {
+	for range 3 {
+		at := time.Now()
+		if _, raw, err := post(ctx, g.homes()[0], call, nil, 10*time.Second); err == nil {
+			a.MS, a.Bytes = max(a.MS, float64(time.Since(at))/1e6), len(raw)
+		}
+	}
+	return a
+}
+
 func (g *rig) shuffled() (n int64) {
 	for _, x := range g.routers {
 		n += x.convoy.Sent.Load()
--- a/internal/lab/hollow/table.go
+++ b/internal/lab/hollow/table.go
@@ -35,6 +35,7 @@
 		}
 	}
 	fmt.Fprintf(w, "burst %.1f a second; shuffles %.0f bytes a second a router\n", r.BurstPerS, r.Shuffles)
+	fmt.Fprintf(w, "harbour.read %d bytes in %.0f ms, configuration.read %d bytes in %.0f ms\n", r.Read.Bytes, r.Read.MS, r.Config.Bytes, r.Config.MS)
 	for _, text := range r.Why {
 		fmt.Fprintln(w, text)
 	}
