The hollow rig's tests go by the agreement's state

Change: the state stands on a node of the agreement; formatting of two merged files. Figures: go vet and the packages' tests pass.

--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -29,7 +29,7 @@
 	Asides  map[string]lookout.Judgement // hosts that are set aside, or on their way back
 	lapsed  map[string]bool              // of them, those that the rules were told are on their way back
 	fronts  map[string]signals.Front
-	at      Mark // as of which the items are
+	at      Mark                       // as of which the items are
 	of      map[string]map[string]bool // by service: ids of the hosts that are known
 }
 
--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -111,7 +111,7 @@
 	items   map[Key]Item
 	sums    [Parts]uint64
 	dropped int
-	forgot  []Key // since it was last asked for
+	forgot  []Key             // since it was last asked for
 	members map[string]string // as Members tells them, nil where they are to be read anew
 }
 
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -17,6 +17,8 @@
 	"portflow/internal/harbour/berths"
 	"portflow/internal/harbour/bridge"
 	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/muster"
+	"portflow/internal/harbour/quorum"
 	"portflow/internal/harbour/signals"
 )
 
@@ -106,11 +108,12 @@
 
 // core is what a control process knows of so many routers and hosts, with so many routes.
 func core(routers, hosts, routes int) *bridge.State {
-	var items []manifest.Item
+	items := manifest.NewSet()
 	for n := range routes {
-		items = append(items, manifest.Item{Kind: manifest.Routes, Name: fmt.Sprintf("route-%04d", n), Version: 1, Body: []byte(`{"name":"route","path-prefix":"/r","service":"s"}`)})
+		items.Merge(manifest.Item{Kind: manifest.Routes, Name: fmt.Sprintf("route-%04d", n), Version: 1, Body: []byte(`{"name":"route","path-prefix":"/r","service":"s"}`)})
 	}
-	s := bridge.NewState(signals.Hello{Name: "m", IP: "10.0.0.1", Zone: "a", Control: true}, 1, items, true, int64(beat))
+	self := muster.Member{IP: "10.0.0.1", ID: "d", Name: "m", Zone: "a"}
+	s := bridge.NewState(signals.Hello{Name: "m", IP: self.IP, Zone: "a", Control: true}, quorum.New(self, "life", 1, quorum.Disk{ID: "d"}, items, 1), int64(beat))
 	for n := range hosts {
 		h, _ := s.Register.Beat(1, berths.Host{ID: fmt.Sprintf("host-%05d", n), Service: "s", Zone: "a", Address: "10.0.1.1:80", Version: "v", Slots: 6, Sequence: 1})
 		s.TellHost(h, true)
@@ -157,7 +160,9 @@
 		notes, x.Router = said(s, false, func() { s.Claim(3, s.Fronts["router-0003"]) })
 		c.Check(notes, qt.Equals, 1)
 		notes, x.Item = said(s, false, func() {
-			s.Publish(s.Merge([]manifest.Item{{Kind: manifest.Routes, Name: "route-0003", Version: 2, Body: []byte(`{"name":"route"}`)}}))
+			i := manifest.Item{Kind: manifest.Routes, Name: "route-0003", Version: 2, Body: []byte(`{"name":"route"}`)}
+			c.Assert(s.Set.Merge(i), qt.IsTrue)
+			s.Publish([]manifest.Item{i})
 		})
 		c.Check(notes, qt.Equals, 1)
 		raw, err := json.Marshal(s.Snapshot(false))
