Emulator: a machine that loses its power tells nobody

Cause: seen in the first run of TestCoreMargin: a member without power was missed after 0.21 s, with "broken pipe" in the log, and not after the 1.5 s that a silent machine takes. The dying side failed the half of the connection that is the other's to write to, so that its next write told it. Ruled out: the order of the kill and the loss of power (the same both ways round). Change: the half is dead for its reader alone; the writer gives up after Silent, as over a cut, and gets a reset once the power is back. TestPowerLossIsSilent fails without it.

--- a/internal/lab/basin/sea.go
+++ b/internal/lab/basin/sea.go
@@ -285,6 +285,7 @@
 	pieces   []piece
 	size     int
 	err      error // of the reader
+	dead     bool  // the reader's machine lost power: the writer isn't told
 	deadline time.Time
 	alarm    *time.Timer
 }
@@ -317,7 +318,7 @@
 
 // there tells whether something can be read now; the half is locked.
 func (h *half) there() bool {
-	return h.err != nil || len(h.pieces) > 0 && !h.pieces[0].at.IsZero() && !h.pieces[0].at.After(time.Now())
+	return h.err != nil || h.dead || len(h.pieces) > 0 && !h.pieces[0].at.IsZero() && !h.pieces[0].at.After(time.Now())
 }
 
 func (h *half) read(b []byte) (int, error) {
@@ -328,6 +329,8 @@
 		switch {
 		case h.err != nil:
 			return 0, h.err
+		case h.dead:
+			return 0, net.ErrClosed
 		case h.there():
 			p := &h.pieces[0]
 			if p.end {
@@ -428,6 +431,12 @@
 	parted, deaf, frozen := c.sea.parted(from, to), c.sea.parted(to, from), c.sea.frozen[from]
 	c.sea.Bytes[[2]string{from, to}] += int64(len(p.data))
 	c.sea.mu.Unlock()
+	if !parted && c.out.dead { // its power is back, and it knows nothing of the connection
+		c.after(func() {
+			c.in.fail(syscall.ECONNRESET)
+			c.out.fail(syscall.ECONNRESET)
+		})
+	}
 	if !parted && deaf {
 		time.AfterFunc(c.sea.Silent, func() { c.unheard() })
 	}
@@ -555,7 +564,10 @@
 		c.mu.Lock()
 		c.gone = true
 		c.mu.Unlock()
-		c.in.fail(net.ErrClosed)
+		c.in.mu.Lock()
+		c.in.dead = true
+		c.in.turn.Broadcast()
+		c.in.mu.Unlock()
 		c.end()
 	})
 }
--- /dev/null
+++ b/internal/lab/basin/sea_test.go
@@ -0,0 +1,51 @@
+package basin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A machine that loses its power tells nobody: the other side's writes are taken until it gives up, also where the process
+// is ended afterwards. Once the power is back, what comes on an old connection is refused at once.
+func TestPowerLossIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		open := func() (s *Sea, dead *Process, here net.Conn) {
+			s = NewSea(func(a, b string) time.Duration { return time.Millisecond }, 1)
+			dead = s.Process("10.1.0.1")
+			l, err := dead.Listen("10.1.0.1:80")
+			c.Assert(err, qt.IsNil)
+			go l.Accept()
+			here, err = s.Process("10.2.0.1").Dial(context.Background(), "tcp", "10.1.0.1:80")
+			c.Assert(err, qt.IsNil)
+			time.Sleep(10 * time.Millisecond)
+			return s, dead, here
+		}
+		s, dead, here := open()
+		s.Down("10.1.0.1", true)
+		dead.Kill()
+		began := time.Now()
+		_, err := here.Write([]byte("x"))
+		c.Check(err, qt.IsNil)
+		_, err = here.Read(make([]byte, 1))
+		c.Check(err != nil, qt.IsTrue)
+		c.Check(time.Since(began) >= s.Silent, qt.IsTrue, qt.Commentf("told after %v: %v", time.Since(began), err))
+
+		s, dead, here = open()
+		s.Down("10.1.0.1", true)
+		dead.Kill()
+		s.Down("10.1.0.1", false)
+		began = time.Now()
+		here.Write([]byte("x"))
+		_, err = here.Read(make([]byte, 1))
+		c.Check(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+		c.Check(time.Since(began) < 10*time.Millisecond, qt.IsTrue)
+	})
+}
