Leaving and the margin, measured: voted out on SIGTERM only where that gains a loss to bear

Weighed: each SIGTERM votes its process out; none does; only where the core then bears more. With all of them voted out, a stop of the whole core leaves a list of three, and two of just those must come back; with none, an even number of members gives a loss away during each restart. By a vote an even number becomes an odd one, which costs two epochs and gains one loss; an odd one gains nothing. Change: tests of leaving at 3 to 7 members, at the one that proposes and at another, two at once, all at once, cut off; of the margin after each kind of loss.

--- a/internal/lab/basin/core_test.go
+++ b/internal/lab/basin/core_test.go
@@ -411,3 +411,154 @@
 		})
 	}
 }
+
+// A control process that is told to end: it is voted out where the core then bears a loss more, so an even number becomes an
+// odd one; else it stays counted. Either way orders go on, and it comes back by itself.
+func TestCoreLeaving(t *testing.T) {
+	for zones := 3; zones <= 7; zones++ {
+		for _, at := range []int{0, 2} { // who proposes for the others, and another
+			cored(t, zones, uint64(50+zones), func(c *qt.C, h *Harbour) {
+				out := zones > 3 && zones%2 == 0
+				p := h.pulse()
+				time.Sleep(3 * time.Second)
+				calm, began := p.gap(time.Now().Add(-3*time.Second)), time.Now()
+				h.Masters[at].Leave()
+				left := time.Since(began)
+				time.Sleep(5 * time.Second)
+				gap := p.gap(began)
+				s := h.core(1)
+				c.Check(s.Members, qt.HasLen, zones-lo.Ternary(out, 1, 0))
+				c.Check(s.Bears, qt.Equals, lo.Ternary(out, (zones-1)/2, zones-1-zones/2-1))
+				c.Check(left < 3*time.Second, qt.IsTrue, qt.Commentf("%v", left))
+				c.Check(gap < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", gap))
+				back := time.Now()
+				h.Masters[at].mustStart()
+				joined := until(c, 8*time.Second, "it is back", func() bool { s := h.core(1); return len(s.Members) == zones && s.Bears == zones-zones/2-1 })
+				time.Sleep(2 * time.Second)
+				gapBack := p.gap(back)
+
+				h.Masters[at].Kill() // the same without a word
+				killed := time.Now()
+				time.Sleep(5 * time.Second)
+				gapKilled := p.gap(killed)
+				h.Masters[at].mustStart()
+				time.Sleep(5 * time.Second)
+				p.end()
+				c.Logf("%d members, at %d: voted out %v in %v; without a confirmed order: calm %v, leaving %v, coming back %v (after %v), killed %v; %d orders",
+					zones, at, out, left.Round(time.Millisecond), calm.Round(time.Millisecond), gap.Round(time.Millisecond), gapBack.Round(time.Millisecond),
+					joined.Round(time.Millisecond), gapKilled.Round(time.Millisecond), len(p.at))
+				until(c, 5*time.Second, "one core", func() bool { return h.one(zones) })
+				for i := range h.Masters {
+					p.holds(c, i)
+				}
+			})
+		}
+	}
+}
+
+// Two are told to end at once: they go one after the other, and the second only if that gains something. All at once: at
+// most one is voted out, and when all are started again there is one core with all that was confirmed, also if one stays away.
+func TestCoreLeavingTogether(t *testing.T) {
+	for seed := range uint64(4) {
+		for _, many := range []int{2, 6} {
+			cored(t, 6, 70+seed, func(c *qt.C, h *Harbour) {
+				p := h.pulse()
+				time.Sleep(time.Second)
+				var all sync.WaitGroup
+				for i := range many {
+					all.Go(func() {
+						time.Sleep(time.Duration(i) * time.Duration(seed) * 7 * time.Millisecond)
+						h.Masters[i].Leave()
+					})
+				}
+				all.Wait()
+				time.Sleep(3 * time.Second)
+				if many == 2 {
+					s := h.core(4)
+					c.Check(s.Members, qt.HasLen, 5)
+					c.Check(s.Bears, qt.Equals, 1)
+					c.Check(s.Current, qt.IsTrue)
+				}
+				p.end()
+				away := 1 + int(seed)
+				for i, m := range h.Masters {
+					if i != away && m.cancel == nil {
+						m.mustStart()
+					}
+				}
+				until(c, 10*time.Second, "one core without one", func() bool { s := h.core((away + 1) % 6); return s.Standing == "in touch" && s.Current && s.Bears >= 1 })
+				for i, m := range h.Masters {
+					if m.cancel != nil {
+						p.holds(c, i)
+					}
+				}
+				if h.Masters[away].cancel == nil {
+					h.Masters[away].mustStart()
+				}
+				until(c, 10*time.Second, "one core", func() bool { return h.one(6) })
+			})
+		}
+	}
+}
+
+// One that hears nobody is told to end: it ends within half of its grace, counted still.
+func TestCoreLeavingCutOff(t *testing.T) {
+	cored(t, 6, 77, func(c *qt.C, h *Harbour) {
+		for i := 1; i < 6; i++ {
+			h.Sea.Cut(h.Masters[0].Boot.IP, h.Masters[i].Boot.IP, true)
+		}
+		began := time.Now()
+		h.Masters[0].Leave() // before it knows
+		c.Check(time.Since(began) <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		time.Sleep(4 * time.Second)
+		s := h.core(3)
+		c.Check(s.Members, qt.HasLen, 6)
+		c.Check(s.Bears, qt.Equals, 1)
+	})
+}
+
+// The time from a loss until the core bears as much as before it, as it is and as a process counts it.
+func TestCoreMargin(t *testing.T) {
+	for name, x := range map[string]struct {
+		harm func(h *Harbour) // at process 3
+		back func(h *Harbour)
+	}{
+		"killed, and started after 1 s": {func(h *Harbour) { h.Masters[3].Kill() }, func(h *Harbour) { time.Sleep(time.Second); h.Masters[3].mustStart() }},
+		"without power, and started after 10 s": {func(h *Harbour) { h.Sea.Down(h.Masters[3].Boot.IP, true); h.Masters[3].Kill() }, func(h *Harbour) {
+			time.Sleep(10 * time.Second)
+			h.Sea.Down(h.Masters[3].Boot.IP, false)
+			h.Masters[3].mustStart()
+		}},
+		"wiped, and started at once":           {func(h *Harbour) { h.Masters[3].Kill(); h.Masters[3].Disk.Wipe() }, func(h *Harbour) { h.Masters[3].mustStart() }},
+		"replaced by a new machine at once":    {func(h *Harbour) { h.Sea.Down(h.Masters[3].Boot.IP, true); h.Masters[3].Replace() }, func(h *Harbour) { h.Masters[3].mustStart() }},
+		"replaced by a new machine after 10 s": {func(h *Harbour) { h.Sea.Down(h.Masters[3].Boot.IP, true); h.Masters[3].Replace() }, func(h *Harbour) { time.Sleep(10 * time.Second); h.Masters[3].mustStart() }},
+		"lost for good, and removed by order": {func(h *Harbour) { h.Sea.Down(h.Masters[3].Boot.IP, true); h.Masters[3].Kill() }, func(h *Harbour) {
+			time.Sleep(10 * time.Second)
+			h.change(0, "remove", h.Masters[3].Boot.Name, "", false, false)
+		}},
+		"frozen for 8 s": {func(h *Harbour) { h.Sea.Freeze(h.Masters[3].Boot.IP, true) }, func(h *Harbour) { time.Sleep(8 * time.Second); h.Sea.Freeze(h.Masters[3].Boot.IP, false) }},
+	} {
+		cored(t, 6, 80, func(c *qt.C, h *Harbour) {
+			p := h.pulse()
+			time.Sleep(time.Second)
+			began := time.Now()
+			x.harm(h)
+			h.all.Go(func() { x.back(h) })
+			seen := until(c, 5*time.Second, name+": the loss is seen", func() bool { s := h.core(1); return s.Margin.Since > 0 || s.Margin.Last > 0 })
+			until(c, 30*time.Second, name+": the margin is back", func() bool { s := h.core(1); return s.Bears == 2 && s.Margin.Last > 0 })
+			restored := time.Since(began)
+			time.Sleep(4 * time.Second)
+			s := h.core(1)
+			p.end()
+			c.Check(s.Margin.Since, qt.Equals, 0.0)
+			c.Check(s.Margin.Last > 0 && s.Margin.Last <= restored.Seconds()+0.2, qt.IsTrue, qt.Commentf("%+v", s.Margin))
+			c.Logf("%s: seen after %v, margin back after %v (counted: %.2f s), %d members at the end; longest without a confirmed order %v", name,
+				seen.Round(10*time.Millisecond), restored.Round(10*time.Millisecond), s.Margin.Last, len(s.Members), p.gap(began).Round(10*time.Millisecond))
+			for i, m := range h.Masters {
+				if m.cancel != nil {
+					p.holds(c, i)
+				}
+			}
+		})
+	}
+}
