A control process's first log line looks at its state under the lock

Cause: seen by the race detector in TestCoreRemovedAndAdded, TestCoreLeaving, TestCoreMargin and TestCoreSecondLoss, which start processes while others hold lines: Start logged the node's state after its goroutines had begun, without the lock. As old as the line; the tests of before start all at once. Change: the line is logged with the lock held.

--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -143,6 +143,8 @@
 		close(m.keeper.stop)
 		book.Close()
 	}()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	klog.InfoS("harbourmaster serves", "node", b.Name, "zone", b.Zone, "items", len(items), "new_disk", made, "spoilt", book.Repaired,
 		"core", m.state.Node.String(), "start_ms", time.Since(began).Milliseconds())
 	return m, nil
