Routers go by a recovered core, also those that had more

Also a process that took the recovered state over closed its followers' lines only where an item had gone, not where one had become older.

--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -58,6 +58,7 @@
 	since    int64
 	past     lanes.Past
 	short    lanes.Short
+	number   uint64 // of the core's last change that it was told, of any control process
 
 	view     atomic.Pointer[view]
 	cutOff   atomic.Int64 // since when no control process in touch is heard, 0 for not
--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"portflow/internal/harbour/convoy"
+	"portflow/internal/harbour/lanes"
 	"portflow/internal/harbour/lines"
 	"portflow/internal/harbour/pilotage"
 	"portflow/internal/harbour/signals"
@@ -207,7 +208,15 @@
 		k.line.Close(errors.New("news does not follow"))
 		return
 	}
-	f.publish(f.board.Take(n.Notes, n.Snapshot))
+	var renewed lanes.Changes
+	if n.Snapshot && n.Number >= f.number {
+		renewed = f.board.Renew(n.Notes)
+	}
+	f.number = max(f.number, n.Number)
+	c := f.board.Take(n.Notes, n.Snapshot)
+	c.Chart = c.Chart || renewed.Chart
+	maps.Copy(c.Services, renewed.Services)
+	f.publish(c)
 	k.line.Send(signals.Word{Ack: n.To})
 	f.mu.Unlock()
 	if n.Snapshot {
--- a/internal/harbour/harbourmaster/core.go
+++ b/internal/harbour/harbourmaster/core.go
@@ -72,7 +72,7 @@
 // step steps the agreement, and does what comes of it. The caller holds the lock.
 func (m *Master) step(e quorum.Event) {
 	e.Now, e.Chance = m.clock(), m.draw.Next()
-	epoch := m.state.Node.List().Epoch
+	epoch, number := m.state.Node.List().Epoch, m.state.Node.Applied()
 	out := m.state.Node.Step(e)
 	if out.Disk != nil && !m.dirty {
 		synced := out.Synced
@@ -97,7 +97,8 @@
 		}
 	}
 	m.state.Publish(out.News)
-	if out.Cut && len(out.Left) > 0 { // what isn't there any more can't be told as a change: who follows takes a snapshot
+	recovered := number > 0 && m.state.Node.Applied() >= number+quorum.Jump
+	if out.Cut && len(out.Left) > 0 || recovered { // what isn't there any more can't be told as a change: who follows takes a snapshot
 		m.life += "+"
 		for f := range m.hung {
 			f.line.Close(errors.New("the set was taken over"))
--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -43,6 +43,30 @@
 	Services      map[string]bool // whose hosts, or the choice among them, changed
 }
 
+// Renew has the items of a snapshot stand alone, whatever their versions and what stood beside them: of a core that is as far
+// as what stood here, or further. After an operator has recovered a core there may be less than before.
+func (b *Board) Renew(notes []signals.Note) Changes {
+	var items []manifest.Item
+	for _, n := range notes {
+		if n.Item != nil {
+			items = append(items, *n.Item)
+		}
+	}
+	parts := make([]int, manifest.Parts)
+	for p := range parts {
+		parts[p] = p
+	}
+	c := Changes{Services: map[string]bool{}}
+	if news, gone := b.Set.Replace(parts, items); len(news)+len(gone) == 0 {
+		return c
+	}
+	c.Chart = true
+	for _, h := range b.Known {
+		c.Services[h.Service] = true
+	}
+	return c
+}
+
 // Take takes news in. After a snapshot, hosts and routers that it doesn't name are silent or gone: they ended while this
 // router followed nobody.
 func (b *Board) Take(notes []signals.Note, snapshot bool) Changes {
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -966,6 +966,9 @@
 // them is drawn: of two that were made so at once, one is the later by both, and the other gives way as soon as they meet.
 const recoveredNumber, recoveredEpoch, recoveredDraw = 48, 32, 1 << 31
 
+// Jump is by how much at least a number goes up where one core gives way to another that an operator made.
+const Jump = 1 << 16
+
 // force makes this process the whole core: a number and an epoch that fence all that was before.
 func (x *Node) force(now int64, chance float64) {
 	if x.disk.Applied == 0 || x.list.Epoch == 0 { // it has nothing to go on from
