--- a/internal/harbour/harbourmaster/core.go
+++ b/internal/harbour/harbourmaster/core.go
@@ -72,7 +72,7 @@
 // step steps the agreement, and does what comes of it. The caller holds the lock.
 func (m *Master) step(e quorum.Event) {
 	e.Now, e.Chance = m.clock(), m.draw.Next()
-	epoch := m.state.Node.List().Epoch
+	epoch, number := m.state.Node.List().Epoch, m.state.Node.Applied()
 	out := m.state.Node.Step(e)
 	if out.Disk != nil && !m.dirty {
 		synced := out.Synced
@@ -97,7 +97,8 @@
 		}
 	}
 	m.state.Publish(out.News)
-	if out.Cut { // what isn't there any more can't be told as a change: who follows takes a snapshot
+	recovered := number > 0 && m.state.Node.Applied() >= number+quorum.Jump
+	if out.Cut || recovered { // what isn't there any more can't be told as a change: who follows takes a snapshot
 		m.life += "+"
 		for f := range m.hung {
 			f.line.Close(errors.New("the set was taken over"))
@@ -110,6 +111,9 @@
 		m.wake()
 	}
 	m.change()
+	if e.Lost || e.Peer != nil || m.state.Node.List().Epoch != epoch { // a loss may be over before the next look
+		m.keepMargin()
+	}
 	if m.state.Node.Busy() && !m.armed {
 		m.armed = true
 		time.AfterFunc(soon, func() {
@@ -181,7 +185,11 @@
 	ctx, cancel := context.WithTimeout(ctx, answerIn)
 	defer cancel()
 	m.mu.Lock()
-	if err := m.ready(); err != nil {
+	err := m.ready()
+	if e.Order != nil && e.Order.Kind == orders.Join { // also one that leaves asks for it
+		err = m.inTouch()
+	}
+	if err != nil {
 		m.mu.Unlock()
 		return err
 	}
@@ -322,7 +330,7 @@
 	case e.line != l:
 	case w.Status != nil:
 		m.state.Heard(e.ip, *w.Status)
-		m.step(quorum.Event{From: e.ip, Peer: &quorum.Peer{Member: e.member, Epoch: w.Status.Epoch, Applied: w.Status.Number, Whole: w.Status.Whole}})
+		m.step(quorum.Event{From: e.ip, Peer: &quorum.Peer{Member: e.member, Epoch: w.Status.Epoch, Applied: w.Status.Number, Whole: w.Status.Whole && !w.Status.Leaving}})
 	case w.News != nil:
 		if e.follower.Take(w.News.Life, w.News.From, w.News.To, w.News.Snapshot) {
 			for _, n := range w.News.Notes {
@@ -342,6 +350,13 @@
 
 // ready tells whether this process may take orders; the caller holds the lock.
 func (m *Master) ready() error {
+	if m.leaving {
+		return faults.New(faults.Unready, "this process ends")
+	}
+	return m.inTouch()
+}
+
+func (m *Master) inTouch() error {
 	if s := m.state.Standing(); s != bridge.InTouch {
 		return faults.New(faults.Unready, "this process is %v: %v, down %v", s, m.state.Node, m.state.Node.Down())
 	}
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -62,6 +62,9 @@
 	settling map[string]bool // services whose first version this process asks for now
 	armed    bool            // a tick of the agreement comes soon
 	dirty    bool            // the disk has missed something
+	leaving  bool            // it ends
+	margin   muster.Margin   // of losses that the core bears, as it is seen here
+	recovery string          // what an operator confirmed when this process was made the whole core
 	draw     chance.Source
 	stands   bridge.Standing
 	dealer   *tonnage.Dealer // of callers' shares
@@ -143,6 +146,8 @@
 		close(m.keeper.stop)
 		book.Close()
 	}()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	klog.InfoS("harbourmaster serves", "node", b.Name, "zone", b.Zone, "items", len(items), "new_disk", made, "spoilt", book.Repaired,
 		"core", m.state.Node.String(), "start_ms", time.Since(began).Milliseconds())
 	return m, nil
@@ -200,6 +205,7 @@
 		}
 		m.step(quorum.Event{Tick: true})
 		m.heal()
+		m.keepMargin()
 		m.deal(n)
 		m.judge()
 		m.change()
