A lost disk's member is replaced whatever its zone has; a refusal is passed on of the only copy

Change: who is in the list with another disk always comes in, in its place; a refusal other than a conflict is passed on only where the order was handed over once.

--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -73,7 +73,7 @@
 	order  orders.Order
 	came   int64
 	handed int64  // when it was handed over, 0 for not, or for to be handed over anew
-	given  bool   // it was handed over once: a copy of it may be about
+	given  int    // how often it was handed over: copies of it may be about
 	again  int64  // not to be handed over before
 	at     uint64 // the number at which it was last voted on
 	to     string // whom
@@ -670,7 +670,7 @@
 				continue
 			}
 			left = left[:len(left)-1]
-			if k != faults.Conflict && p.given { // its copy may still be taken, once what it lacks is there
+			if k != faults.Conflict && p.given > 0 { // its copy may still be taken, once what it lacks is there
 				x.end(p, Result{Kind: faults.Unready, Reason: "not clear yet: " + err.Error()})
 				continue
 			}
@@ -851,8 +851,12 @@
 				p.handed, p.to, p.again = 0, "", e.Now+turn
 				return
 			}
+			r := *m.Result
+			if r.Kind != faults.None && r.Kind != faults.Conflict && p.given > 1 { // another has a copy, and may still take it
+				r = Result{Kind: faults.Unready, Reason: "not clear yet: " + r.Reason}
+			}
 			x.wait = slices.Delete(x.wait, n, n+1)
-			x.end(p, *m.Result)
+			x.end(p, r)
 			return
 		}
 	}
@@ -910,7 +914,7 @@
 			p.local = true
 		case p.handed == 0 && first != "" && e.Now >= p.again:
 			x.Counts.Handed++
-			p.handed, p.to, p.given = e.Now, first, true
+			p.handed, p.to, p.given = e.Now, first, p.given+1
 			o := orders.Bind(x.Set, p.order)
 			x.say(first, Message{Kind: Hand, Tag: p.tag, Order: &o})
 		}
@@ -998,7 +1002,7 @@
 	var in []muster.Member
 	for _, ip := range slices.Sorted(maps.Keys(x.peers)) {
 		if p := x.peers[ip]; p.Whole && !x.list.Has(ip, p.Member.ID) && !x.list.Holds(p.Member.ID) && p.Applied+mostBehind >= x.disk.Applied && p.Member.ID != "" &&
-			x.live(p.Member.Zone, in) < x.perZone {
+			(slices.Contains(x.Down(), ip) || x.live(p.Member.Zone, in) < x.perZone) { // in the place of its lost disk always
 			in = append(in, p.Member)
 		}
 	}
