--- a/internal/harbour/quorum/drawn_test.go
+++ b/internal/harbour/quorum/drawn_test.go
@@ -100,6 +100,12 @@
 		g.calls = append(g.calls, c)
 	}
 	m.calls[c.tag] = c
+	if w.log("%.3f %s is asked %d", float64(w.now)/1e9, m.ip, c.tag); g != nil {
+		w.log("  order %d %v", g.n, g.order)
+		for _, i := range g.order.Items {
+			w.log("    %s", show(i))
+		}
+	}
 	life := m.life
 	if w.wrong.local && g == nil {
 		w.inbox(m, life, func() { w.answered(m, Answer{c.tag, Result{Number: m.node.Applied()}}) })
@@ -173,7 +179,7 @@
 	case orders.Modify:
 		for _, i := range o.Items {
 			if !stands(s, i) {
-				w.fail("call %d is confirmed at number %d, where %v stands and not %v", c.tag, c.result.Number, s.items[i.Key()], i)
+				w.fail("call %d is confirmed at number %d, where %s stands and not %s", c.tag, c.result.Number, show(s.items[i.Key()]), show(i))
 			}
 		}
 	case orders.Begin:
@@ -206,7 +212,7 @@
 			case orders.Modify:
 				for _, i := range g.order.Items {
 					if !i.Dropped && s.items[i.Key()].Same(i) {
-						w.fail("call of order %d was refused (%s), and %v of it stands at number %d", g.n, no, i, n+1)
+						w.fail("call of order %d was refused (%s), and %s of it stands at number %d", g.n, no, show(i), n+1)
 					}
 				}
 			case orders.Begin:
--- a/internal/harbour/quorum/world_test.go
+++ b/internal/harbour/quorum/world_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"portflow/internal/harbour/faults"
 	"portflow/internal/harbour/manifest"
@@ -597,11 +598,14 @@
 func (w *world) follows(was, is state, n uint64) {
 	for k, i := range was.items {
 		if j, there := is.items[k]; !there || j.Version < i.Version || j.Version == i.Version && !j.Same(i) {
-			w.fail("at number %d %v follows on %v", n, j, i)
+			w.fail("at number %d %s follows on %s", n, show(j), show(i))
 		}
 	}
 	// a call stands as a whole
 	for k, i := range is.items {
+		if !was.items[k].Same(i) {
+			w.log("%.3f number %d: %s", float64(w.now)/1e9, n, show(i))
+		}
 		if i.Dropped || was.items[k].Same(i) { // drops of many calls are alike
 			continue
 		}
@@ -611,7 +615,7 @@
 			}
 			for _, x := range g.order.Items {
 				if !stands(is, x) {
-					w.fail("at number %d %v came into force, and %v of the same call did not", n, i, x)
+					w.fail("at number %d %s came into force, and %s of the same call did not", n, show(i), show(x))
 				}
 			}
 		}
@@ -657,3 +661,11 @@
 	}
 	return true
 }
+
+func show(i manifest.Item) string {
+	body := string(i.Body)
+	if at := strings.Index(body, `,"host-name`); at > 0 {
+		body = body[:at]
+	}
+	return fmt.Sprintf("%s %s version %d dropped %v %s", i.Kind, i.Name, i.Version, i.Dropped, body)
+}
