--- a/internal/harbour/quorum/drawn_test.go
+++ b/internal/harbour/quorum/drawn_test.go
@@ -14,6 +14,7 @@
 
 	"portflow/internal/harbour/faults"
 	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/muster"
 	"portflow/internal/harbour/orders"
 )
 
@@ -308,6 +309,7 @@
 		w.tally["replaced"]++
 		w.off(m, true)
 		m.away = true
+		w.lost = append(w.lost, loss{muster.Member{IP: m.ip, ID: m.disk.ID}, w.now})
 		next := w.machine(int(m.zone[1] - '0'))
 		w.after(w.between(0, 4*second), func() { w.on(next) })
 		if w.draw.IntN(2) == 0 {
@@ -325,6 +327,7 @@
 	if w.wrong.keepID {
 		id = m.disk.ID
 	}
+	w.lost = append(w.lost, loss{muster.Member{IP: m.ip, ID: m.disk.ID}, w.now})
 	m.disk, m.items, m.applied = Disk{ID: id}, map[manifest.Key]manifest.Item{}, 0
 }
 
--- a/internal/harbour/quorum/world_test.go
+++ b/internal/harbour/quorum/world_test.go
@@ -154,12 +154,19 @@
 	version  uint64
 	harmless bool
 	tally    tally
+	lost     []loss
 	soft     tally // faults that end no day
 	sent     map[Kind]int
 	trace    uint64
 	log      func(string, ...any)
 }
 
+// loss is a disk that is gone.
+type loss struct {
+	muster.Member
+	at int64
+}
+
 // broken is a fault that was found.
 type broken struct{ what string }
 
@@ -649,6 +656,20 @@
 	for _, more := range w.ahead {
 		lists = append(lists, more...)
 	}
+	// who comes in may have been proposed by one that hasn't heard of its loss yet
+	come := slices.DeleteFunc(slices.Clone(w.lost), func(x loss) bool { return w.now-x.at > 5*second })
+	for _, o := range w.machines {
+		if !o.away {
+			come = append(come, loss{muster.Member{IP: o.ip, ID: o.disk.ID}, 0})
+		}
+	}
+	all := muster.List{Members: slices.Clone(lists[0].Members)}
+	for _, x := range come {
+		if !slices.ContainsFunc(all.Members, func(y muster.Member) bool { return y.IP == x.IP }) {
+			all.Members = append(all.Members, x.Member)
+		}
+	}
+	lists = append(lists, all)
 	for n := len(w.states); n > 1; n-- {
 		if slices.ContainsFunc(w.machines, func(o *machine) bool {
 			return o != m && !o.away && o.disk.Applied >= uint64(n) && lists[0].Has(o.ip, o.disk.ID)
