--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -38,6 +38,7 @@
 	Sea     sea.Sea
 	Disk    storage.Storage
 	Seed    uint64
+	Clock   router.Clock // nanoseconds since 1970, never back; none for this machine's, anchored once
 }
 
 // Master is a control process that runs.
@@ -50,8 +51,9 @@
 	state    *bridge.State
 	news     chan struct{} // closed and made anew when there is news
 	ends     map[string]*end
-	waits    map[uint64]chan quorum.Result // orders and reads that are under way, by tag
-	hung     map[*follower]bool            // who follows here
+	waits    map[uint64]chan quorum.Result        // orders and reads that are under way, by tag
+	hung     map[*follower]bool                   // who follows here
+	back     map[string]*lines.Line[signals.Word] // by IP number, lines that other control processes dialled
 	lastTag  uint64
 	rounds   map[string]bool // rollouts whose end this process asks for now
 	settling map[string]bool // services whose first version this process asks for now
@@ -79,6 +81,8 @@
 	member   muster.Member
 	line     *lines.Line[signals.Word]
 	follower signals.Follower
+	again    func()        // ends the dial that is under way
+	poke     chan struct{} // has it dialled at once
 }
 
 // Start brings a control process up; it serves until the context ends.
@@ -91,9 +95,12 @@
 	b := o.Boot
 	ctx, cancel := context.WithCancel(parent)
 	m := &Master{Options: o, ctx: ctx, cancel: cancel, news: make(chan struct{}), ends: map[string]*end{},
-		waits: map[uint64]chan quorum.Result{}, hung: map[*follower]bool{}, rounds: map[string]bool{}, settling: map[string]bool{},
+		waits: map[uint64]chan quorum.Result{}, hung: map[*follower]bool{}, back: map[string]*lines.Line[signals.Word]{}, rounds: map[string]bool{}, settling: map[string]bool{},
 		dealer: tonnage.NewDealer(), watch: lookout.NewWatch(), draw: chance.Source{Seed: o.Seed},
-		clock: router.NewClock(), life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
+		clock: o.Clock, life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
+	if m.clock == nil {
+		m.clock = router.NewClock() // a step of the time of day changes nothing
+	}
 	disk, set, gone, made := m.load(items, cells, whole, book.Repaired)
 	member := muster.Member{IP: b.IP, ID: disk.ID, Name: b.Name, Zone: b.Zone}
 	m.state = bridge.NewState(signals.Hello{Name: b.Name, IP: b.IP, Zone: b.Zone, Control: true, ID: disk.ID},
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -75,6 +75,7 @@
 	by     string // the IP number of the process that handed it over here, empty for this one
 	theirs uint64 // its tag there
 	local  bool   // it is proposed here
+	own    bool   // it is the node's own: nobody waits for its end
 }
 
 type read struct {
@@ -82,6 +83,7 @@
 	came   int64
 	asked  int64
 	yes    map[string]string
+	votes  map[string]Message // those that told of a vote on the number after what is applied here
 	target uint64
 	known  bool // the target is
 }
@@ -99,8 +101,9 @@
 	perZone int
 	disk    Disk
 	list    muster.List
-	whole   bool // since this life began, it has had all that was decided when it asked
-	muted   bool // its disk holds less than what it knows: it says nothing that must be on disk
+	whole   bool   // since this life began, it has had all that was decided when it asked
+	kept    Ballot // of the vote that is on disk
+	muted   bool   // its disk holds less than what it knows: it says nothing that must be on disk
 	began   int64
 
 	phase   Phase
@@ -153,7 +156,7 @@
 func New(self muster.Member, life string, perZone int, disk Disk, set *manifest.Set, now int64) *Node {
 	self.ID = disk.ID
 	return &Node{Set: set, self: self, life: life, perZone: max(1, perZone), disk: disk, list: muster.Of(set), seen: disk.Promised.N, began: now,
-		reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
+		kept: disk.Vote, reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
 }
 
 // List is the membership as of what is applied here.
@@ -244,7 +247,8 @@
 			x.say(e.From, x.proposal())
 		}
 	}
-	for tag, r := range x.reads {
+	for _, tag := range x.asking() {
+		r := x.reads[tag]
 		if _, member := x.list.At(e.From); member && !r.known {
 			x.say(e.From, Message{Kind: Confirm, Tag: tag})
 		}
@@ -354,14 +358,22 @@
 	case Commit:
 		x.committed(e, m)
 	case Confirm:
-		x.say(e.From, Message{Kind: Confirmed, Tag: m.Tag, Number: max(x.disk.Applied, x.disk.At)})
+		x.say(e.From, x.confirmed(m.Tag))
 	case Confirmed:
-		if r := x.reads[m.Tag]; r != nil && !r.known {
+		if r := x.reads[m.Tag]; r != nil {
 			r.yes[e.From] = m.ID
-			r.target = max(r.target, m.Number)
-			r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch
+			r.votes[e.From] = m
+			if !r.known {
+				r.target = max(r.target, m.Number)
+				r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch
+			}
+			x.chosen(e, r)
 			x.readOn(e.Now, m.Tag, r)
 		}
+	case Kept:
+		if e.From == x.self.IP && m.Number == x.disk.At && m.Ballot == x.disk.Vote {
+			x.kept = m.Ballot
+		}
 	case Fetch:
 		x.give(e.From, m)
 	case Changes:
@@ -400,6 +412,7 @@
 		x.disk.Vote, x.disk.At, x.disk.Value = m.Ballot, m.Number, m.Value
 		x.voted = e.Now
 		x.sayOn(e.From, Message{Kind: Voted, Number: m.Number, Ballot: m.Ballot})
+		x.sayOn(x.self.IP, Message{Kind: Kept, Number: m.Number, Ballot: m.Ballot})
 		return
 	}
 	r := Message{Kind: Promise, Number: m.Number, Ballot: m.Ballot}
@@ -423,7 +436,10 @@
 		return
 	case m.Kind == Ahead:
 		if m.Applied > x.disk.Applied {
-			x.idle(e, false)
+			if x.phase != Idle && m.Number == x.number && m.Ballot == x.ballot {
+				x.idle(e, false)
+				x.retry = e.Now + fetchSoon // at the latest; what is fetched ends it
+			}
 			x.ask(e.Now, e.From)
 		}
 		return
@@ -497,6 +513,7 @@
 	if len(value) == 0 {
 		x.phase, x.sticky = Idle, true
 		x.restarts = 0
+		x.voted = e.Now // what may be voted for here alone is looked at again in a while
 		return
 	}
 	x.vote(e, value, mine)
@@ -571,6 +588,10 @@
 				continue
 			}
 			left = left[:len(left)-1]
+			if k != faults.Conflict && p.handed != 0 { // its copy may still be taken, once what it lacks is there
+				x.end(p, Result{Kind: faults.Unready, Reason: "not clear yet: " + err.Error()})
+				continue
+			}
 			x.end(p, Result{Kind: k, Reason: err.Error(), Number: x.disk.Applied})
 			continue
 		case len(items) == 0:
@@ -602,7 +623,9 @@
 		x.say(p.by, Message{Kind: Handed, Tag: p.theirs, Result: &r})
 		return
 	}
-	x.answer(p.tag, r)
+	if !p.own {
+		x.answer(p.tag, r)
+	}
 }
 
 // decide is where a number is decided by this process's proposal.
@@ -611,7 +634,7 @@
 	x.phase, x.value, x.mine, x.restarts = Idle, nil, nil, 0
 	x.apply(e.Now, number, value)
 	x.sticky = sticky
-	for ip := range x.peers {
+	for _, ip := range slices.Sorted(maps.Keys(x.peers)) {
 		x.say(ip, Message{Kind: Commit, Number: number, Ballot: ballot})
 	}
 	x.wait = slices.DeleteFunc(x.wait, func(p *pending) bool {
@@ -665,12 +688,13 @@
 		x.disk.Vote, x.disk.At, x.disk.Value = Ballot{}, 0, nil
 	}
 	x.list = muster.Of(x.Set)
+	x.retry = 0
 	x.out.Changed = true
 	if !saved {
 		x.write()
 	}
-	for tag, r := range x.reads {
-		x.readOn(now, tag, r)
+	for _, tag := range x.asking() {
+		x.readOn(now, tag, x.reads[tag])
 	}
 	if !x.whole && x.reads[0] == nil {
 		x.read(now, 0)
@@ -680,14 +704,14 @@
 // order takes an order up.
 func (x *Node) order(now int64, p *pending) {
 	p.came = now
+	if p.own = p.by == "" && p.tag == 0; p.by != "" || p.own {
+		x.last++
+		p.tag = x.last
+	}
 	if len(x.wait) >= mostWaiting {
 		x.end(p, Result{Kind: faults.Unready, Reason: "too many orders wait"})
 		return
 	}
-	if p.by != "" || p.tag == 0 {
-		x.last++
-		p.tag = x.last
-	}
 	if p.by != "" && !x.Member() {
 		x.end(p, Result{Kind: faults.Unready, Reason: "no member of the core"})
 		return
@@ -801,6 +825,12 @@
 		}
 	}
 	x.behind(e.Now)
+	for _, tag := range x.asking() {
+		if e.Now-x.reads[tag].came > orderWaits {
+			delete(x.reads, tag)
+			x.answer(tag, Result{Kind: faults.Unready, Reason: "not enough of the core tells how far it is"})
+		}
+	}
 	if x.disk.Applied == 0 {
 		x.begin(e)
 		return
@@ -808,14 +838,13 @@
 	if !x.whole && x.reads[0] == nil {
 		x.read(e.Now, 0)
 	}
-	for tag, r := range x.reads {
+	for _, tag := range x.asking() {
+		r := x.reads[tag]
 		switch {
-		case e.Now-r.came > orderWaits:
-			delete(x.reads, tag)
-			x.answer(tag, Result{Kind: faults.Unready, Reason: "not enough of the core tells how far it is"})
 		case !r.known && e.Now-r.asked > sendAgain:
 			x.inquire(e.Now, tag, r)
-		case r.known && x.phase == Idle && x.Member() && r.target == x.disk.Applied+1 && e.Now-r.asked > stuck/2 && e.Now >= x.retry:
+		case r.known && x.phase == Idle && x.Member() && r.target == x.disk.Applied+1 &&
+			e.Now-r.asked > sendAgain+int64(x.before())*turn && e.Now >= x.retry:
 			x.prepare(e) // a vote that nobody ends
 		}
 	}
@@ -863,11 +892,27 @@
 		}
 	}
 	out := x.list.Join(in, nil).Surplus(silent, x.perZone)
-	if len(in)+len(out) > 0 {
+	if len(out) > 1 {
+		out = out[:1]
+	}
+	if len(in)+len(out) > 0 && x.bears(x.list.Join(in, out)) >= max(0, x.bears(x.list)) {
 		x.order(e.Now, &pending{order: orders.Order{Kind: orders.Join, In: in, Out: out}})
 	}
 }
 
+// bears is how many members of a list may be lost beside those that aren't heard now. A list that bears less than the
+// present one, or nothing, isn't proposed: it couldn't be taken over by more than half of it.
+func (x *Node) bears(l muster.List) int {
+	var down []string
+	for _, m := range l.Members {
+		if p, heard := x.peers[m.IP]; m.IP != x.self.IP && (!heard || p.Member.ID != m.ID) {
+			down = append(down, m.IP)
+		}
+	}
+	n, _ := l.Bears(down)
+	return n
+}
+
 // force makes this process the whole core: a number and an epoch that fence all that was before.
 func (x *Node) force(now int64) {
 	x.idle(Event{Now: now}, false)
@@ -891,14 +936,50 @@
 
 func (x *Node) inquire(now int64, tag uint64, r *read) {
 	r.asked, r.epoch, r.yes, r.target, r.known = now, x.list.Epoch, map[string]string{}, x.disk.Applied, false
+	r.votes = map[string]Message{}
 	for _, m := range x.list.Members {
 		if m.IP != x.self.IP {
 			x.say(m.IP, Message{Kind: Confirm, Tag: tag})
 		}
 	}
-	x.receive(Event{Now: now, From: x.self.IP}, Message{Kind: Confirmed, Tag: tag, ID: x.self.ID, Number: max(x.disk.Applied, x.disk.At)})
+	x.say(x.self.IP, x.confirmed(tag))
 }
 
+// confirmed is how far this process is.
+func (x *Node) confirmed(tag uint64) Message {
+	m := Message{Kind: Confirmed, Tag: tag, Number: max(x.disk.Applied, x.disk.At)}
+	if x.disk.At == x.disk.Applied+1 && x.kept == x.disk.Vote {
+		m.Vote = x.disk.Vote
+	}
+	return m
+}
+
+// chosen finds out whether the vote of this process on the next number is one of those that have decided it already: more
+// than half have it on their disks. After a loss of power of all nobody need propose anything.
+func (x *Node) chosen(e Event, r *read) {
+	number, vote := x.disk.Applied+1, x.disk.Vote
+	if x.disk.At != number || vote == (Ballot{}) || x.disk.Applied == 0 {
+		return
+	}
+	yes := map[string]string{}
+	for ip, m := range r.votes {
+		if m.Number == number && m.Vote == vote {
+			yes[ip] = m.ID
+		}
+	}
+	if x.enough(yes, x.disk.Value) {
+		value := x.disk.Value
+		if x.phase != Idle {
+			x.idle(e, false)
+		}
+		x.sticky = false
+		x.apply(e.Now, number, value)
+	}
+}
+
+// asking are the tags of the reads that wait, in order.
+func (x *Node) asking() []uint64 { return slices.Sorted(maps.Keys(x.reads)) }
+
 // readOn ends a read, or begins it anew where the members have changed meanwhile.
 func (x *Node) readOn(now int64, tag uint64, r *read) {
 	switch {
