--- a/internal/harbour/quorum/drawn_test.go
+++ b/internal/harbour/quorum/drawn_test.go
@@ -30,6 +30,7 @@
 	early    bool        // what rests on the disk is said before it is synced
 	sameLife bool        // two lives of one process use the same ballots
 	local    bool        // a read is answered by what this process happens to have
+	founder  bool        // a wiped disk is one of the founders still
 	disk     func(*Disk) // the record lacks something
 	message  func(w *world, from, to *machine, x *Message) bool
 }
@@ -122,7 +123,7 @@
 		}
 		w.after(orderWaits+600*ms, func() {
 			if !c.done && m.froze < asked {
-				w.fail("%s has held call %d for %.1f s", m.ip, c.tag, float64(w.now-asked)/1e9)
+				w.stuck("%s has held call %d for %.1f s", m.ip, c.tag, float64(w.now-asked)/1e9)
 			}
 		})
 	})
@@ -139,7 +140,7 @@
 	if c == nil || c.done {
 		w.fail("%s answers a call that isn't there: %v", m.ip, a)
 	}
-	c.done, c.result = true, a.Result
+	c.done, c.result, c.ended = true, a.Result, w.now
 	delete(m.calls, a.Tag)
 	w.log("%.3f %s answers %d: %v", float64(w.now)/1e9, m.ip, a.Tag, a.Result)
 	switch a.Result.Kind {
@@ -193,8 +194,33 @@
 	}
 }
 
+// evacuated looks whether a zone stays as somebody was told, until somebody else wants it otherwise.
+func (w *world) evacuated() {
+	var all []*call
+	for _, g := range w.groups {
+		if g.order.Kind == orders.Evacuate {
+			all = append(all, g.calls...)
+		}
+	}
+	for _, c := range all {
+		if !c.done || c.result.Kind != faults.None {
+			continue
+		}
+		for n := c.result.Number; n <= uint64(len(w.states)); n++ {
+			i := w.states[n-1].items[manifest.Key{Kind: manifest.Evacuations, Name: c.order.Of}]
+			begun := strings.Contains(string(i.Body), "true")
+			if begun != c.order.Begun && !slices.ContainsFunc(all, func(d *call) bool {
+				return d.order.Of == c.order.Of && d.order.Begun == begun && (!d.done || d.result.Kind == faults.Unready || d.ended >= c.began)
+			}) {
+				w.fail("call %d, which began at %.3f s, had zone %s evacuated %v at number %d, and at number %d it is otherwise, though all who wanted that had ended", c.tag, float64(c.began)/1e9, c.order.Of, c.order.Begun, c.result.Number, n)
+			}
+		}
+	}
+}
+
 // ends looks over all that was told, once the day is over.
 func (w *world) ends() {
+	w.evacuated()
 	for _, g := range w.groups {
 		definite, no := len(g.calls) > 0, ""
 		for _, c := range g.calls {
@@ -236,7 +262,7 @@
 			}
 		}
 	}
-	what := w.draw.IntN(15)
+	what := w.draw.IntN(17)
 	w.log("%.3f harm %d at %s", float64(w.now)/1e9, what, m.ip)
 	switch what {
 	case 0, 1:
@@ -281,8 +307,8 @@
 		w.part(span, func(a, b *machine) bool { return out && a == m || !out && b == m })
 	case 10:
 		w.tally["slow"]++
-		m.slow = w.between(10*ms, 400*ms)
-		w.after(span, func() { m.slow = 4 * ms })
+		m.slow = w.slow + w.between(10*ms, 400*ms)
+		w.after(span, func() { m.slow = w.slow })
 	case 11:
 		w.tally["hung"]++
 		m.hangs = true
@@ -302,6 +328,28 @@
 		}
 		w.tally["frozen"]++
 		w.freeze(m, span)
+	case 15: // all disks hang for a moment, and some lose their power meanwhile
+		w.tally["stalled"]++
+		span = w.between(20*ms, 500*ms)
+		for _, m := range w.machines {
+			m.hangs = true
+			w.after(span, func() { m.hangs = false; w.syncs(m) })
+			if w.draw.IntN(2) == 0 {
+				w.after(w.between(0, span+50*ms), func() {
+					w.off(m, true)
+					w.after(w.between(0, 200*ms), restart(m))
+				})
+			}
+		}
+	case 16: // some lose their power for a moment, one after the other
+		w.tally["blinks"]++
+		for range w.between(2, 6) {
+			m := w.machines[w.draw.IntN(len(w.machines))]
+			w.after(w.between(0, 2*second), func() {
+				w.off(m, true)
+				w.after(w.between(0, 30*ms), restart(m))
+			})
+		}
 	case 14: // a new machine in the place of one that may come back later
 		if m.away || !w.bears(m) || len(w.machines) > 16 {
 			return
@@ -329,6 +377,9 @@
 	}
 	w.lost = append(w.lost, loss{muster.Member{IP: m.ip, ID: m.disk.ID}, w.now})
 	m.disk, m.items, m.applied = Disk{ID: id}, map[manifest.Key]manifest.Item{}, 0
+	if w.wrong.founder && slices.Contains(w.founders, m.ip) {
+		m.disk.Founders = w.founders
+	}
 }
 
 // part holds all between two machines, one way, where which says so.
@@ -377,18 +428,18 @@
 }
 
 // day plays one seed: a start, harms, calm, and the questions at the end.
-func day(seed uint64, wrong mutant, log func(string, ...any)) (w *world, found string) {
+func day(seed uint64, wrong mutant, log func(string, ...any)) (w *world, found *broken) {
 	w = newWorld(seed, wrong)
 	if log != nil {
 		w.log = log
 	}
 	defer func() {
 		if x := recover(); x != nil {
-			b, ok := x.(broken)
+			b, ok := x.(*broken)
 			if !ok {
 				panic(fmt.Sprintf("seed %d: %v", seed, x))
 			}
-			found = b.what
+			found = b
 		}
 	}()
 	for n, m := range w.machines {
@@ -420,7 +471,7 @@
 	w.after(3*second, asks)
 	w.run(harms + 6500*ms) // all spans have ended by then
 	for _, m := range w.machines {
-		if !m.away {
+		if m.slow = 4 * ms; !m.away {
 			w.on(m)
 		}
 	}
@@ -430,7 +481,7 @@
 	for _, m := range w.machines {
 		w.gather(m)
 	}
-	return w, ""
+	return w, nil
 }
 
 // again sends an order, and once more as long as it isn't confirmed.
@@ -476,7 +527,7 @@
 // calm asks what must be so once nothing has harmed for long.
 func (w *world) calm() {
 	if len(w.states) == 0 {
-		w.fail("the core never began")
+		w.stuck("the core never began")
 	}
 	up := slices.DeleteFunc(slices.Clone(w.machines), func(m *machine) bool { return !m.up })
 	all := func(what string) string {
@@ -489,15 +540,15 @@
 	for _, m := range up {
 		switch {
 		case m.node.Applied() != uint64(len(w.states)):
-			w.fail(all("%s is not at number %d"), m.ip, len(w.states))
+			w.stuck(all("%s is not at number %d"), m.ip, len(w.states))
 		case !m.node.Whole():
-			w.fail(all("%s is not whole"), m.ip)
+			w.stuck(all("%s is not whole"), m.ip)
 		case !m.node.Member():
-			w.fail(all("%s is no member"), m.ip)
+			w.stuck(all("%s is no member"), m.ip)
 		}
 	}
 	if l := w.list(); len(l.Members) != len(up) {
-		w.fail(all("the list has %d members, and %d processes run"), len(l.Members), len(up))
+		w.stuck(all("the list has %d members, and %d processes run"), len(l.Members), len(up))
 	}
 	w.call(up[0], w.groups[0]) // the service stands from here on, as is looked at below
 	w.run(w.now + second)
@@ -510,16 +561,16 @@
 		c, r := w.call(m, g), w.call(m, nil)
 		w.run(w.now + second)
 		if !c.done || c.result.Kind != faults.None {
-			w.fail(all("in the calm %s has not confirmed an order within 1 s: %v"), m.ip, c.result)
+			w.stuck(all("in the calm %s has not confirmed an order within 1 s: %v"), m.ip, c.result)
 		}
 		if !r.done || r.result.Kind != faults.None {
-			w.fail(all("in the calm %s has not answered a read within 1 s: %v"), m.ip, r.result)
+			w.stuck(all("in the calm %s has not answered a read within 1 s: %v"), m.ip, r.result)
 		}
 	}
 }
 
 // play plays many seeds, at most three at a time.
-func play(first uint64, n int, wrong mutant, each func(seed uint64, w *world, found string) bool) {
+func play(first uint64, n int, wrong mutant, each func(seed uint64, w *world, found *broken) bool) {
 	var next atomic.Int64
 	var lock sync.Mutex
 	var all sync.WaitGroup
@@ -548,7 +599,7 @@
 func TestDrawnDays(t *testing.T) {
 	n := cmp.Or(*seeds, 300)
 	if *verbose {
-		if _, found := day(*from, mutant{}, t.Logf); found != "" {
+		if _, found := day(*from, mutant{}, t.Logf); found != nil {
 			t.Error(found)
 		}
 		return
@@ -556,12 +607,12 @@
 	sum, soft := tally{}, tally{}
 	bad := map[uint64]string{}
 	kinds := map[string]int{}
-	play(*from, n, mutant{}, func(seed uint64, w *world, found string) bool {
+	play(*from, n, mutant{}, func(seed uint64, w *world, found *broken) bool {
 		sum.add(w.tally)
 		soft.add(w.soft)
-		if found != "" {
-			bad[seed] = found
-			kinds[shape(found)]++
+		if found != nil {
+			bad[seed] = found.what
+			kinds[shape(found.what)]++
 		}
 		return true
 	})
--- a/internal/harbour/quorum/repeat_test.go
+++ b/internal/harbour/quorum/repeat_test.go
@@ -7,8 +7,8 @@
 	for seed := range uint64(20) {
 		a, first := day(seed, mutant{}, nil)
 		for range 3 {
-			if b, again := day(seed, mutant{}, nil); a.trace != b.trace || first != again {
-				t.Errorf("seed %d: the same day ends at %d and %d, %q and %q", seed, len(a.states), len(b.states), first, again)
+			if b, again := day(seed, mutant{}, nil); a.trace != b.trace || first.String() != again.String() {
+				t.Errorf("seed %d: the same day ends at %d and %d, %q and %q", seed, len(a.states), len(b.states), first.String(), again.String())
 				break
 			}
 		}
--- a/internal/harbour/quorum/world_test.go
+++ b/internal/harbour/quorum/world_test.go
@@ -95,6 +95,7 @@
 	began  int64
 	floor  uint64 // a read: the highest number that had been told to anybody before
 	done   bool
+	ended  int64
 	result Result
 }
 
@@ -155,6 +156,7 @@
 	harmless bool
 	tally    tally
 	lost     []loss
+	slow     int64 // longest sync of a disk that nothing ails
 	soft     tally // faults that end no day
 	sent     map[Kind]int
 	trace    uint64
@@ -167,11 +169,26 @@
 	at int64
 }
 
-// broken is a fault that was found.
-type broken struct{ what string }
+// broken is a fault that was found. It is unsafe, or else something that should have come to its end did not.
+type broken struct {
+	what string
+	safe bool
+}
+
+func (b *broken) String() string {
+	if b == nil {
+		return ""
+	}
+	return b.what
+}
 
 func (w *world) fail(format string, args ...any) {
-	panic(broken{fmt.Sprintf("at %.3f s: ", float64(w.now)/1e9) + fmt.Sprintf(format, args...)})
+	panic(&broken{fmt.Sprintf("at %.3f s: ", float64(w.now)/1e9) + fmt.Sprintf(format, args...), false})
+}
+
+// stuck is for what should have come to its end.
+func (w *world) stuck(format string, args ...any) {
+	panic(&broken{fmt.Sprintf("at %.3f s: ", float64(w.now)/1e9) + fmt.Sprintf(format, args...), true})
 }
 
 func (w *world) after(d int64, do func()) {
@@ -187,7 +204,7 @@
 		w.now = t.at
 		t.do()
 		if len(w.queue) > 20000 {
-			w.fail("a storm: %d messages are under way or due, sent in all %v", len(w.queue), w.sent)
+			w.stuck("a storm: %d messages are under way or due, sent in all %v", len(w.queue), w.sent)
 		}
 	}
 	w.now = until
@@ -197,6 +214,7 @@
 func newWorld(seed uint64, wrong mutant) *world {
 	w := &world{seed: seed, draw: rand.New(rand.NewPCG(seed, 41)), byIP: map[string]*machine{}, lines: map[[2]int]*line{},
 		lists: map[uint64]string{}, ahead: map[uint64][]muster.List{}, wrong: wrong, tally: tally{}, soft: tally{}, sent: map[Kind]int{}, encoded: seed%8 == 3, version: 1, log: func(string, ...any) {}}
+	w.slow = []int64{4 * ms, 4 * ms, 40 * ms, 300 * ms}[w.draw.IntN(4)]
 	size := 3 + w.draw.IntN(7)
 	w.perZone = max(1, size/3)
 	for n := range size {
@@ -215,7 +233,7 @@
 	n := len(w.machines)
 	w.ids++
 	m := &machine{n: n, disk: Disk{ID: fmt.Sprintf("d%d", w.ids)}, ip: fmt.Sprintf("10.0.%d.%d", zone, n), zone: fmt.Sprintf("z%d", zone), name: fmt.Sprintf("c%d", n),
-		offset: w.between(second, 1000*second), rate: 0.98 + 0.04*w.draw.Float64(), slow: 4 * ms, items: map[manifest.Key]manifest.Item{}}
+		offset: w.between(second, 1000*second), rate: 0.98 + 0.04*w.draw.Float64(), slow: w.slow, items: map[manifest.Key]manifest.Item{}}
 	for _, o := range w.machines {
 		l := &line{takes: w.between(ms/5, 2*ms)}
 		if o.zone != m.zone {
@@ -449,7 +467,7 @@
 		}
 	}
 	for _, c := range m.calls {
-		c.done = true // its caller never hears
+		c.done, c.ended = true, w.now // its caller never hears
 		c.result = Result{Kind: faults.Unready, Reason: "no answer"}
 	}
 	m.calls = nil
@@ -636,17 +654,18 @@
 }
 
 // list is the newest list that was decided.
-func (w *world) list() muster.List {
-	if len(w.states) == 0 {
-		l := muster.List{}
-		for _, m := range w.machines {
-			if slices.Contains(w.founders, m.ip) {
-				l.Members = append(l.Members, muster.Member{IP: m.ip, ID: fmt.Sprintf("d%d", m.n+1)})
-			}
-		}
-		return l
+func (w *world) list() muster.List { return w.listAt(len(w.states)) }
+
+// listAt is the list at a number; before the first, the founders.
+func (w *world) listAt(n int) muster.List {
+	if n > 0 {
+		return muster.Read(w.states[n-1].items[muster.Key])
+	}
+	l := muster.List{}
+	for _, m := range w.machines[:len(w.founders)] {
+		l.Members = append(l.Members, muster.Member{IP: m.ip, ID: fmt.Sprintf("d%d", m.n+1)})
 	}
-	return muster.Read(w.states[len(w.states)-1].items[muster.Key])
+	return l
 }
 
 // bears tells whether the core can lose a machine's disk: under the list that holds, under any that may yet be decided, and
@@ -670,13 +689,13 @@
 		}
 	}
 	lists = append(lists, all)
-	for n := len(w.states); n > 1; n-- {
+	for n := len(w.states); n > 0; n-- {
 		if slices.ContainsFunc(w.machines, func(o *machine) bool {
 			return o != m && !o.away && o.disk.Applied >= uint64(n) && lists[0].Has(o.ip, o.disk.ID)
 		}) {
 			break
 		}
-		lists = append(lists, muster.Read(w.states[n-2].items[muster.Key]))
+		lists = append(lists, w.listAt(n-1))
 	}
 	for _, l := range lists {
 		n := 0
