--- /dev/null
+++ b/internal/harbour/muster/muster_test.go
@@ -0,0 +1,184 @@
+package muster
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/manifest"
+)
+
+// list is written as "ip/id/zone ...".
+func list(epoch uint64, members string) (l List) {
+	l.Epoch = epoch
+	for _, m := range strings.Fields(members) {
+		l.Members = append(l.Members, member(m))
+	}
+	return l
+}
+
+func member(s string) Member {
+	f := strings.Split(s, "/")
+	return Member{IP: f[0], ID: f[1], Zone: f[2], Name: "n" + f[0]}
+}
+
+func (l List) written() string {
+	var all []string
+	for _, m := range l.Members {
+		all = append(all, m.IP+"/"+m.ID+"/"+m.Zone)
+	}
+	return fmt.Sprintf("%d %s", l.Epoch, strings.Join(all, " "))
+}
+
+func TestJoin(t *testing.T) {
+	for name, x := range map[string]struct{ was, in, out, next string }{
+		"the first list":                  {"", "2/b/y 1/a/x", "", "1 1/a/x 2/b/y"},
+		"one more, in its place":          {"1/a/x 3/c/z", "2/b/y", "", "8 1/a/x 2/b/y 3/c/z"},
+		"there already":                   {"1/a/x 2/b/y", "2/b/y", "", "7 1/a/x 2/b/y"},
+		"nobody":                          {"1/a/x", "", "", "7 1/a/x"},
+		"a new disk under the same IP":    {"1/a/x 2/b/y", "2/e/y", "", "8 1/a/x 2/e/y"},
+		"the same disk in another zone":   {"1/a/x 2/b/y", "2/b/z", "", "8 1/a/x 2/b/z"},
+		"one for another":                 {"1/a/x 2/b/y 3/c/z", "4/d/z", "3", "8 1/a/x 2/b/y 4/d/z"},
+		"one goes":                        {"1/a/x 2/b/y 3/c/z", "", "2", "8 1/a/x 3/c/z"},
+		"one goes that isn't there":       {"1/a/x 2/b/y", "", "9", "7 1/a/x 2/b/y"},
+		"in and out at once":              {"1/a/x 2/b/y", "2/e/y", "2", "8 1/a/x"},
+		"nobody would be left":            {"1/a/x 2/b/y", "", "1 2", "7 1/a/x 2/b/y"},
+		"all but the one that comes":      {"1/a/x 2/b/y", "3/c/z", "1 2", "8 3/c/z"},
+		"the same one twice":              {"1/a/x", "2/b/y 2/b/y", "", "8 1/a/x 2/b/y"},
+		"two disks of one IP, first wins": {"1/a/x", "2/b/y 2/c/y", "", "8 1/a/x 2/b/y"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			was := list(7, x.was)
+			if x.was == "" {
+				was.Epoch = 0
+			}
+			before := was.written()
+			c.Check(was.Join(list(0, x.in).Members, strings.Fields(x.out)).written(), qt.Equals, x.next)
+			c.Check(was.written(), qt.Equals, before, qt.Commentf("the old list is as it was"))
+		})
+	}
+}
+
+func TestSurplus(t *testing.T) {
+	const six = "1/a/x 2/b/x 3/c/y 4/d/y 5/e/y 6/f/z"
+	for name, x := range map[string]struct {
+		silent  string
+		perZone int
+		out     string
+	}{
+		"nobody is silent":                 {"", 1, ""},
+		"one of three":                     {"4", 2, "4"},
+		"two of three, one must stay":      {"4 5", 2, "4"},
+		"two of three":                     {"4 5", 1, "4 5"},
+		"a whole zone: one stays":          {"3 4 5", 1, "3 4"},
+		"the last of its zone stays":       {"6", 1, ""},
+		"as many as there are to be":       {"1", 2, ""},
+		"in two zones":                     {"1 3 4", 1, "1 3 4"},
+		"a silent one that is no member":   {"9", 1, ""},
+		"a zone with fewer than are to be": {"6", 3, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, strings.Join(list(7, six).Surplus(strings.Fields(x.silent), x.perZone), " "), qt.Equals, x.out)
+		})
+	}
+}
+
+func TestBears(t *testing.T) {
+	for name, x := range map[string]struct {
+		members, down string
+		bears         int
+		zones         string
+	}{
+		"none":                    {"", "", -1, ""},
+		"one":                     {"1/a/x", "", 0, ""},
+		"two":                     {"1/a/x 2/b/y", "", 0, ""},
+		"three zones":             {"1/a/x 2/b/y 3/c/z", "", 1, "x y z"},
+		"three zones, one down":   {"1/a/x 2/b/y 3/c/z", "2", 0, "y"},
+		"three zones, two down":   {"1/a/x 2/b/y 3/c/z", "2 3", -1, ""},
+		"a large zone":            {"1/a/x 2/b/x 3/c/x 4/d/y 5/e/z", "", 2, "y z"},
+		"four bear what three do": {"1/a/x 2/b/y 3/c/z 4/d/z", "", 1, "x y"},
+		"six in three zones":      {"1/a/x 2/b/x 3/c/y 4/d/y 5/e/z 6/f/z", "", 2, "x y z"},
+		"six, one down":           {"1/a/x 2/b/x 3/c/y 4/d/y 5/e/z 6/f/z", "1", 1, "x"},
+		"down, but no member":     {"1/a/x 2/b/y 3/c/z", "9", 1, "x y z"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			n, zones := list(7, x.members).Bears(strings.Fields(x.down))
+			c.Check(n, qt.Equals, x.bears)
+			c.Check(strings.Join(zones, " "), qt.Equals, x.zones)
+		})
+	}
+}
+
+// A quorum counts disks, not IP numbers.
+func TestQuorum(t *testing.T) {
+	for name, x := range map[string]struct {
+		members, yes string
+		quorum       bool
+	}{
+		"nobody of none":              {"", "", false},
+		"somebody of none":            {"", "1/a/", false},
+		"one of one":                  {"1/a/x", "1/a/", true},
+		"one of two":                  {"1/a/x 2/b/y", "1/a/", false},
+		"two of three":                {"1/a/x 2/b/y 3/c/z", "1/a/ 3/c/", true},
+		"two of four":                 {"1/a/x 2/b/y 3/c/z 4/d/z", "1/a/ 3/c/", false},
+		"a wiped one doesn't count":   {"1/a/x 2/b/y 3/c/z", "1/a/ 3/e/", false},
+		"another disk's ID":           {"1/a/x 2/b/y 3/c/z", "1/a/ 2/c/", false},
+		"others don't count":          {"1/a/x 2/b/y 3/c/z", "1/a/ 4/d/ 5/e/ 6/f/", false},
+		"an ID that nobody has given": {"1//x 2/b/y 3/c/z", "1//", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			yes := map[string]string{}
+			for _, m := range list(0, x.yes).Members {
+				yes[m.IP] = m.ID
+			}
+			qt.Check(t, list(7, x.members).Quorum(yes), qt.Equals, x.quorum)
+		})
+	}
+}
+
+// Two quorums of one list have a member in common, whatever the size.
+func TestQuorumsMeet(t *testing.T) {
+	for size := 1; size <= 9; size++ {
+		l := List{Epoch: 1}
+		for n := range size {
+			l.Members = append(l.Members, Member{IP: fmt.Sprint(n), ID: "d"})
+		}
+		for some := range 1 << size {
+			yes, no := map[string]string{}, map[string]string{}
+			for n := range size {
+				if some>>n&1 != 0 {
+					yes[fmt.Sprint(n)] = "d"
+				} else {
+					no[fmt.Sprint(n)] = "d"
+				}
+			}
+			if l.Quorum(yes) && l.Quorum(no) {
+				t.Fatalf("%d members: %v and %v are both more than half", size, yes, no)
+			}
+		}
+	}
+}
+
+// The list as an item is read back alike; what isn't a list, or not of its epoch, is none.
+func TestItem(t *testing.T) {
+	c := qt.New(t)
+	l := list(7, "1/a/x 2/b/y")
+	c.Check(Read(l.Item()), qt.DeepEquals, l)
+	s := manifest.NewSet()
+	c.Check(Of(s), qt.DeepEquals, List{})
+	s.Merge(l.Item())
+	c.Check(Of(s), qt.DeepEquals, l)
+	c.Check(s.Members(), qt.DeepEquals, map[string]string{"1": "x", "2": "y"})
+	s.Merge(l.Join(nil, []string{"1"}).Item())
+	c.Check(Of(s).written(), qt.Equals, "8 2/b/y")
+	c.Check(s.Merge(l.Item()), qt.IsFalse, qt.Commentf("an older epoch comes back"))
+	i := l.Item()
+	i.Version = 8
+	c.Check(Read(i).Members, qt.HasLen, 0)
+	i.Body = []byte(`[`)
+	c.Check(Read(i).Members, qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/harbour/orders/orders_test.go
@@ -0,0 +1,291 @@
+package orders
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/faults"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/muster"
+	"portflow/internal/harbour/pilotage"
+)
+
+const s = int64(1e9)
+
+func service(name string, version uint64) manifest.Item {
+	return manifest.Item{Kind: manifest.Services, Name: name, Version: version, Body: []byte(fmt.Sprintf(`{"health-path":"/","name":"%s"}`, name))}
+}
+
+// route is one on a host of its own; content tells rivals apart.
+func route(name string, version uint64, service, content string) manifest.Item {
+	return manifest.Item{Kind: manifest.Routes, Name: name, Version: version, Body: []byte(fmt.Sprintf(
+		`{"home-regions":["%s"],"host-name":"%s.example","name":"%s","path-prefix":"/","route-kind":"safe_method","service":"%s","timeout-s":1}`, content, name, name, service))}
+}
+
+func drop(kind, name string, version uint64) manifest.Item {
+	return manifest.Item{Kind: kind, Name: name, Version: version, Dropped: true}
+}
+
+func modifies(items ...manifest.Item) Order { return Order{Kind: Modify, Items: items} }
+
+func began(target string, now int64) Order {
+	return Order{Kind: Begin, Of: "desk", Target: target, Term: 10 * s, Again: 5 * s, Now: now}
+}
+
+func ended(number uint64, state pilotage.State) Order {
+	return Order{Kind: End, Of: "desk", Number: number, State: state, Now: 77 * s}
+}
+
+func evacuated(begun bool) Order { return Order{Kind: Evacuate, Of: "z1", Begun: begun} }
+
+func joined(epoch uint64, in string, out ...string) Order {
+	o := Order{Kind: Join, Out: out, Number: epoch}
+	for _, f := range strings.Fields(in) {
+		o.In = append(o.In, muster.Member{IP: f, ID: "d" + f, Zone: "z"})
+	}
+	return o
+}
+
+// bound is an order as it is handed over where only what came before an order stands.
+type bound struct {
+	Order
+	at int // after how many of the orders before
+}
+
+// Orders come one after the other; each tells how many items it sets, or the kind of error and something of its reason.
+func TestOrders(t *testing.T) {
+	base := modifies(service("desk", 1), service("bags", 1))
+	r1, r2 := route("r1", 2, "desk", "a"), route("r2", 2, "desk", "a")
+	type step struct {
+		o    any
+		sets int
+		kind faults.Kind
+		says string
+	}
+	for name, steps := range map[string][]step{
+		"taken, and again": {
+			{modifies(r1, r2), 2, faults.None, ""},
+			{modifies(r1, r2), 0, faults.None, ""},
+			{modifies(r2), 0, faults.None, ""},
+		},
+		"a late copy after later versions": {
+			{modifies(r1), 1, faults.None, ""},
+			{modifies(route("r1", 3, "bags", "b")), 1, faults.None, ""},
+			{modifies(drop(manifest.Routes, "r1", 4)), 1, faults.None, ""},
+			{modifies(r1), 0, faults.None, ""},
+			{modifies(route("r1", 3, "bags", "b")), 0, faults.None, ""},
+		},
+		"a rival of what stands": {
+			{modifies(r1), 1, faults.None, ""},
+			{modifies(route("r1", 2, "desk", "b")), 0, faults.Conflict, "routes r1: home-regions: version 00000002 stands as .*\"a\""},
+			{modifies(route("r1", 2, "bags", "a")), 0, faults.Conflict, "r1: service: version"},
+			{modifies(drop(manifest.Routes, "r1", 2)), 0, faults.Conflict, "r1: dropped: version"},
+		},
+		"a rival of a drop": {
+			{modifies(r1), 1, faults.None, ""},
+			{modifies(drop(manifest.Routes, "r1", 3)), 1, faults.None, ""},
+			{modifies(drop(manifest.Routes, "r1", 3)), 0, faults.None, ""},
+			{modifies(route("r1", 3, "desk", "b")), 0, faults.Conflict, "r1: dropped: version 00000003 stands as dropped"},
+		},
+		"a rival with other items is refused as a whole": {
+			{modifies(r1), 1, faults.None, ""},
+			{modifies(r2, route("r1", 2, "desk", "b")), 0, faults.Conflict, "routes r1"},
+			{modifies(r2), 1, faults.None, ""},
+		},
+		"a rival stays refused once a later version stands": {
+			{modifies(r1), 1, faults.None, ""},
+			{modifies(r2, route("r1", 2, "desk", "b")), 0, faults.Conflict, "routes r1"},
+			{modifies(route("r1", 3, "desk", "c")), 1, faults.None, ""},
+			{modifies(r2, route("r1", 2, "desk", "b")), 0, faults.Conflict, "r1: version 00000002 was taken with another content; version 00000003 stands"},
+			{modifies(r2, r1), 1, faults.None, ""},
+		},
+		"what is behind and was never taken changes nothing, and the rest is taken": {
+			{modifies(route("r1", 5, "desk", "a")), 1, faults.None, ""},
+			{modifies(route("r1", 3, "desk", "z"), r2), 1, faults.None, ""},
+			{modifies(route("r1", 5, "desk", "a")), 0, faults.None, ""},
+		},
+		"an unknown service": {
+			{modifies(route("r1", 2, "nowhere", "a"), r2), 0, faults.Invalid, "route r1: service:? nowhere does not stand"},
+			{modifies(r2), 1, faults.None, ""},
+		},
+		"a service in the same call": {
+			{modifies(route("r1", 2, "gate", "a"), service("gate", 2)), 2, faults.None, ""},
+			{modifies(route("r1", 2, "gate", "a"), service("gate", 2)), 0, faults.None, ""},
+		},
+		"behind, with a service that was dropped since": {
+			{modifies(route("r1", 2, "bags", "a")), 1, faults.None, ""},
+			{modifies(route("r1", 3, "desk", "b"), drop(manifest.Services, "bags", 3)), 2, faults.None, ""},
+			{modifies(route("r1", 2, "bags", "a")), 0, faults.None, ""},
+			{modifies(route("r1", 4, "bags", "c")), 0, faults.Invalid, "service bags does not stand|service: bags does not stand"},
+		},
+		"the place of another route": {
+			{modifies(r1), 1, faults.None, ""},
+			{modifies(manifest.Item{Kind: manifest.Routes, Name: "r3", Version: 2, Body: []byte(strings.Replace(string(r1.Body), `"name":"r1"`, `"name":"r3"`, 1))}), 0, faults.Invalid, "r[13]"},
+		},
+		"an evacuation": {
+			{evacuated(false), 0, faults.None, ""},
+			{evacuated(true), 1, faults.None, ""},
+			{evacuated(true), 0, faults.None, ""},
+			{evacuated(false), 1, faults.None, ""},
+			{evacuated(false), 0, faults.None, ""},
+			{evacuated(true), 1, faults.None, ""},
+		},
+		"an evacuation handed over, and withdrawn meanwhile": {
+			{evacuated(true), 1, faults.None, ""},
+			{evacuated(false), 1, faults.None, ""},
+			{bound{evacuated(true), 0}, 0, faults.Unready, "changed since"},
+			{bound{evacuated(false), 0}, 0, faults.None, ""},
+			{bound{evacuated(true), 2}, 1, faults.None, ""},
+		},
+		"a begin, and again": {
+			{began("v2", 100*s), 1, faults.None, ""},
+			{began("v2", 100*s), 0, faults.None, ""},
+			{began("v2", 105*s), 0, faults.None, ""},
+			{ended(1, pilotage.Completed), 1, faults.None, ""},
+			{began("v2", 114*s), 0, faults.None, ""}, // a late copy
+			{began("v2", 115*s), 1, faults.None, ""}, // anew
+		},
+		"a begin to another target": {
+			{began("v2", 100*s), 1, faults.None, ""},
+			{began("v3", 101*s), 0, faults.UnderWay, "desk is being moved to v2"},
+			{ended(1, pilotage.RolledBack), 1, faults.None, ""},
+			{began("v3", 102*s), 1, faults.None, ""},
+		},
+		"a begin of another term once the first has ended": {
+			{began("v2", 100*s), 1, faults.None, ""},
+			{ended(1, pilotage.RolledBack), 1, faults.None, ""},
+			{Order{Kind: Begin, Of: "desk", Target: "v2", Term: 20 * s, Again: 5 * s, Now: 101 * s}, 1, faults.None, ""},
+		},
+		"a begin handed over, and another since": {
+			{began("v2", 100*s), 1, faults.None, ""},
+			{ended(1, pilotage.Completed), 1, faults.None, ""},
+			{bound{began("v3", 100*s), 0}, 0, faults.Unready, "changed since"},
+			{bound{began("v2", 100*s), 0}, 0, faults.None, ""},
+		},
+		"a begin of what doesn't stand": {
+			{Order{Kind: Begin, Of: "nowhere", Target: "v2"}, 0, faults.Invalid, "service: nowhere does not stand"},
+		},
+		"a begin of what was dropped": {
+			{modifies(drop(manifest.Services, "desk", 4)), 1, faults.None, ""},
+			{began("v2", 100*s), 0, faults.Invalid, "service: desk does not stand"},
+		},
+		"an end, twice, and the wrong ones": {
+			{ended(1, pilotage.Completed), 0, faults.None, ""}, // none runs
+			{began("v2", 100*s), 1, faults.None, ""},
+			{ended(2, pilotage.Completed), 0, faults.None, ""},
+			{ended(0, pilotage.Completed), 0, faults.None, ""},
+			{ended(1, pilotage.None), 0, faults.None, ""},
+			{ended(1, pilotage.Running), 0, faults.None, ""},
+			{ended(1, pilotage.RolledBack+1), 0, faults.None, ""},
+			{ended(1, pilotage.RolledBack), 1, faults.None, ""},
+			{ended(1, pilotage.Completed), 0, faults.None, ""}, // it is decided once
+			{ended(1, pilotage.RolledBack), 0, faults.None, ""},
+		},
+		"a first version": {
+			{Order{Kind: Settle, Of: "desk", Version: "v1"}, 1, faults.None, ""},
+			{Order{Kind: Settle, Of: "desk", Version: "v1"}, 0, faults.None, ""},
+			{Order{Kind: Settle, Of: "desk", Version: "v9"}, 0, faults.None, ""}, // the first holds
+		},
+		"members": {
+			{joined(0, "1 2 3"), 1, faults.None, ""},
+			{joined(0, "1 2 3"), 0, faults.None, ""},
+			{joined(1, "4", "3"), 1, faults.None, ""},
+			{joined(1, "5"), 0, faults.Unready, "epoch 2, not 1"},
+			{joined(2, "", "9"), 0, faults.None, ""},
+			{joined(2, "", "1", "2", "4"), 0, faults.None, ""}, // nobody would be left
+			{joined(0, "5"), 1, faults.None, ""},
+		},
+		"a snapshot": {
+			{modifies(r1), 1, faults.None, ""},
+			{joined(0, "1"), 1, faults.None, ""},
+			{Order{Kind: Restore, Items: []manifest.Item{r1, r2, service("desk", 1), muster.List{Epoch: 9}.Item()}}, 1, faults.None, ""},
+			{Order{Kind: Restore, Items: []manifest.Item{route("r1", 1, "desk", "old"), route("r2", 3, "desk", "b")}}, 1, faults.None, ""},
+			{Order{Kind: Restore, Items: []manifest.Item{route("r2", 3, "desk", "rival")}}, 0, faults.None, ""},
+		},
+		"no such order": {
+			{Order{Kind: "sink"}, 0, faults.Malformed, "sink"},
+			{Order{}, 0, faults.Malformed, ""},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			set := manifest.NewSet()
+			sets := []*manifest.Set{}
+			do := func(o Order) ([]manifest.Item, error) {
+				before := set.Sum()
+				items, err := Apply(set, o)
+				c.Assert(set.Sum(), qt.Equals, before, qt.Commentf("the set is not touched"))
+				return items, err
+			}
+			items, err := do(base)
+			c.Assert(err, qt.IsNil)
+			for _, i := range items {
+				set.Merge(i)
+			}
+			for n, x := range steps {
+				sets = append(sets, set.Clone())
+				o, plain := x.o.(Order)
+				if b, ok := x.o.(bound); !plain && ok {
+					o = Bind(sets[b.at], b.Order)
+				}
+				items, err := do(o)
+				c.Check(faults.Of(err), qt.Equals, x.kind, qt.Commentf("step %d: %v", n, err))
+				if x.says != "" {
+					c.Check(err, qt.ErrorMatches, "(?s).*("+x.says+").*", qt.Commentf("step %d", n))
+				}
+				c.Check(items, qt.HasLen, x.sets, qt.Commentf("step %d: %v", n, items))
+				for _, i := range items {
+					c.Check(set.Merge(i), qt.IsTrue, qt.Commentf("step %d: %v isn't newer than what stands", n, i))
+				}
+				again, err := do(o)
+				if x.kind == faults.None && o.Number == 0 { // it stands
+					c.Check(err, qt.IsNil)
+					c.Check(again, qt.HasLen, 0, qt.Commentf("step %d, again: %v", n, again))
+				}
+			}
+		})
+	}
+}
+
+// A rollout's order goes up by one, from what was settled, and its end is of the same order.
+func TestRollouts(t *testing.T) {
+	c := qt.New(t)
+	set := manifest.NewSet()
+	do := func(o Order) pilotage.Rollout {
+		items, err := Apply(set, o)
+		c.Assert(err, qt.IsNil)
+		for _, i := range items {
+			set.Merge(i)
+		}
+		i, _ := set.Get(manifest.Key{Kind: manifest.Rollouts, Name: "desk"})
+		return pilotage.Read(i)
+	}
+	do(modifies(service("desk", 1)))
+	do(Order{Kind: Settle, Of: "desk", Version: "v1"})
+	for n, x := range []struct {
+		o    Order
+		want pilotage.Rollout
+	}{
+		{began("v2", 1*s), pilotage.Rollout{Order: 1, From: "v1", Target: "v2", Began: 1 * s, State: pilotage.Running}},
+		{ended(1, pilotage.RolledBack), pilotage.Rollout{Order: 1, From: "v1", Target: "v2", Began: 1 * s, State: pilotage.RolledBack, Ended: 77 * s}},
+		{began("v3", 2*s), pilotage.Rollout{Order: 2, From: "v1", Target: "v3", Began: 2 * s, State: pilotage.Running}},
+		{ended(2, pilotage.Completed), pilotage.Rollout{Order: 2, From: "v1", Target: "v3", Began: 2 * s, State: pilotage.Completed, Ended: 77 * s}},
+		{began("v4", 3*s), pilotage.Rollout{Order: 3, From: "v3", Base: 2, Target: "v4", Began: 3 * s, State: pilotage.Running}},
+	} {
+		x.want.Service, x.want.Term = "desk", 10*s
+		c.Check(do(x.o), qt.Equals, x.want, qt.Commentf("step %d", n))
+	}
+}
+
+// Differs names the first field by name.
+func TestDiffers(t *testing.T) {
+	a := manifest.Item{Body: []byte(`{"b":1,"c":[1,2]}`)}
+	for body, field := range map[string]string{`{"b":1,"c":[1,2]}`: "", `{"b":2,"c":[1]}`: "b", `{"b":1,"c":[2,1]}`: "c", `{"b":1}`: "c", `{"a":0,"b":2,"c":[1,2]}`: "a", `{}`: "b"} {
+		qt.Check(t, Differs(a, manifest.Item{Body: []byte(body)}), qt.Equals, field, qt.Commentf(body))
+		qt.Check(t, Differs(manifest.Item{Body: []byte(body)}, a), qt.Equals, field, qt.Commentf(body))
+	}
+	qt.Check(t, Differs(a, manifest.Item{Dropped: true}), qt.Equals, "dropped")
+}
--- a/internal/harbour/quorum/kept_test.go
+++ b/internal/harbour/quorum/kept_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -56,3 +57,40 @@
 	synced(second)
 	c.Check(told().Vote, qt.Equals, b)
 }
+
+// What is forgotten and comes again in one step is on disk afterwards, whichever was first.
+func TestForgottenAndSetAgain(t *testing.T) {
+	c := qt.New(t)
+	x, l := three(second)
+	disk := map[manifest.Key]manifest.Item{}
+	for n := range manifest.MostDropped {
+		i := manifest.Item{Kind: manifest.Routes, Name: fmt.Sprintf("r%d", n), Version: uint64(n + 1), Dropped: true}
+		x.Set.Merge(i)
+		disk[i.Key()] = i
+	}
+	disk[muster.Key] = l.Item()
+	from := l.Members[0]
+	do := func(m Message) {
+		m.ID, m.Epoch, m.Applied = from.ID, 1, 4
+		out := x.Step(Event{Now: 2 * second, From: from.IP, Message: &m})
+		for _, i := range out.Items {
+			disk[i.Key()] = i
+		}
+		for _, k := range out.Gone {
+			delete(disk, k)
+		}
+	}
+	do(Message{Kind: Prepare, Number: 5, Ballot: Ballot{1, "other"}}) // it is behind, and asks
+	do(Message{Kind: Changes, Number: 1, Batches: [][]manifest.Item{
+		{{Kind: manifest.Routes, Name: "s", Version: 1 << 20, Dropped: true}}, // one too many: the oldest are forgotten
+		{item(manifest.Routes, "r0", 1<<20, `{}`)},
+		{item(manifest.Routes, "t", 1<<20, `{}`)},
+	}})
+	c.Assert(x.Applied(), qt.Equals, uint64(4))
+	_, there := x.Set.Get(manifest.Key{Kind: manifest.Routes, Name: "r1"})
+	c.Assert(there, qt.IsFalse)
+	c.Check(len(disk), qt.Equals, x.Set.Len())
+	for _, i := range x.Set.All() {
+		c.Check(disk[i.Key()].Same(i), qt.IsTrue, qt.Commentf("%s %s is not on disk", i.Kind, i.Name))
+	}
+}
