--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -16,6 +16,7 @@
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/orders"
 	"portflow/internal/harbour/rpc"
+	"portflow/internal/harbour/soundings"
 )
 
 const (
@@ -41,6 +42,8 @@
 		{Name: "rollouts.begin", Most: small, Do: m.begin},
 		{Name: "rollouts.read", Most: small, Do: m.rollout},
 		{Name: "harbour.read", Most: small, Do: m.survey},
+		{Name: soundings.SnapshotCall, Most: small, Do: m.snapshot},
+		{Name: soundings.RestoreCall, Most: large, Do: m.restore},
 	}
 }
 
--- a/internal/harbour/harbourmaster/core.go
+++ b/internal/harbour/harbourmaster/core.go
@@ -97,7 +97,7 @@
 		}
 	}
 	m.state.Publish(out.News)
-	if out.Cut && len(out.Left) > 0 { // what isn't there any more can't be told as a change: who follows takes a snapshot
+	if out.Cut { // what isn't there any more can't be told as a change: who follows takes a snapshot
 		m.life += "+"
 		for f := range m.hung {
 			f.line.Close(errors.New("the set was taken over"))
--- a/internal/harbour/manifest/parts.go
+++ b/internal/harbour/manifest/parts.go
@@ -1,6 +1,10 @@
 package manifest
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // Differ tells in which parts another holder's sums are others; one that has none of ours differs in all that hold anything.
 func (s *Set) Differ(theirs []uint64) (parts []int) {
@@ -30,7 +34,7 @@
 	for k, i := range s.items {
 		if slices.Contains(parts, k.part()) {
 			had[k] = i
-			s.remove(i)
+			s.remove(k)
 		}
 	}
 	for _, i := range items {
@@ -38,18 +42,11 @@
 			news = append(news, i)
 		}
 		delete(had, i.Key())
-		s.Merge(i)
+		s.put(i)
 	}
 	for k := range had {
 		gone = append(gone, k)
 	}
+	slices.SortFunc(gone, func(a, b Key) int { return cmp.Or(strings.Compare(a.Kind, b.Kind), strings.Compare(a.Name, b.Name)) })
 	return news, gone
 }
-
-func (s *Set) remove(i Item) {
-	s.sums[i.Key().part()] ^= i.sum()
-	delete(s.items, i.Key())
-	if i.Dropped {
-		s.dropped--
-	}
-}
