Figures of control before and after the agreement, and what a change costs of a core

Cause: the measurements that the issues on the agreement ask for were not run. In a first run of the catching up the missed changes had the version of what was loaded and were refused (409), so that a process at 1,000 and 3,200 routes had missed nothing: its rows are dropped and made anew. Not run: 33,000 shares in the emulator, 1,000 missed at 3,200 routes on 2 Mbit/s.

--- a/internal/lab/basin/measure_test.go
+++ b/internal/lab/basin/measure_test.go
@@ -20,6 +20,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"portflow/internal/harbour/lines"
+	"portflow/internal/harbour/manifest"
 )
 
 // The measurements of control: its write path, its members and how one that is behind catches up. They go by what can be
@@ -133,6 +134,7 @@
 func (b *bench) load(n int) {
 	var part []Route
 	for i := range n {
+		b.turns[fmt.Sprintf("load-%05d", i)] = 1
 		part = append(part, Route{Name: fmt.Sprintf("load-%05d", i), Prefix: fmt.Sprintf("/load/%05d/", i), Service: "desk", Version: "00000001"})
 		if len(part) == 400 || i == n-1 {
 			b.must(b.h.Configure(false, part...))
@@ -314,7 +316,7 @@
 		name string
 		f    func(*testing.T)
 	}{{"ack", measureAck}, {"cost", measureCost}, {"reads", measureReads}, {"races", measureRaces}, {"start", measureStart}, {"loss", measureLoss},
-		{"cutoff", measureCutOff}, {"join", measureJoin}, {"behind", measureBehind}, {"restart", measureRestart}, {"day", measureDay}} {
+		{"cutoff", measureCutOff}, {"join", measureJoin}, {"behind", measureBehind}, {"restart", measureRestart}, {"size", measureSize}, {"day", measureDay}} {
 		t.Run(x.name, x.f)
 	}
 }
@@ -871,7 +873,7 @@
 	}{
 		{10, 0, 10, 0, 0}, {10, 0, 100, 0, 0}, {10, 0, 1000, 0, 0},
 		{10, 0, 10, 40, 0}, {10, 0, 100, 40, 0}, {10, 0, 1000, 40, 0}, {10, 0, 10000, 40, 0},
-		{1000, 0, 1000, 40, 0}, {3200, 0, 1000, 40, 0}, {3200, 0, 1000, 40, 250e3}, {3200, 10000, 100, 40, 0}, {3200, 10000, 1000, 40, 250e3},
+		{1000, 0, 1000, 40, 0}, {3200, 0, 1000, 40, 0}, {3200, 0, 1000, 40, 250e3}, {3200, 10000, 100, 40, 250e3}, {3200, 10000, 1000, 40, 250e3},
 	} {
 		t.Run(fmt.Sprintf("%d+%d missed %d at %.0f link %.0f", x.routes, x.shares, x.missed, x.perS, x.link), func(t *testing.T) {
 			measured(t, sized(6, 0, 0, 1), func(b *bench) {
@@ -883,7 +885,7 @@
 				time.Sleep(4 * time.Second)
 				for i := range x.missed {
 					o := b.insist(0, "configuration.modify", "", b.next(fmt.Sprintf("load-%05d", i%max(x.routes, 10))))
-					b.c.Assert(o.status == 200 || o.status == 409, qt.IsTrue)
+					b.c.Assert(o.status, qt.Equals, 200)
 				}
 				if x.link > 0 {
 					b.narrow(m.Boot.IP, x.link)
@@ -977,6 +979,45 @@
 	}
 }
 
+// measureSize is what a change of one route costs of a core by the items that stand: in real time, unlike all else here. Check
+// is done for each order by who proposes it, the chart is drawn by each process for each change.
+func measureSize(t *testing.T) {
+	t.Log("| items | check of one route's change ms | drawing the chart ms | a copy of the set ms |")
+	for _, x := range [][2]int{{10, 0}, {1000, 0}, {3200, 0}, {3200, 10000}, {3200, 33000}} {
+		set := manifest.NewSet()
+		set.Merge(manifest.Item{Kind: manifest.Services, Name: "desk", Version: 1, Body: json.RawMessage(`{"cold-per-s":3,"cold-start-s":3,` +
+			`"connection-limit":140,"health-path":"/health","name":"desk","protocol":"h1","transport-security":false}`)})
+		route := func(i int, version uint64) manifest.Item {
+			return manifest.Item{Kind: manifest.Routes, Name: fmt.Sprintf("load-%05d", i), Version: version, Body: fmt.Appendf(nil,
+				`{"host-name":"desk.example","maximum-attempts":2,"name":"load-%05d","path-prefix":"/load/%05d/%d","priority-level":1,`+
+					`"route-kind":"unsafe_method","service":"desk","target-s":0.8,"timeout-s":2}`, i, i, version)}
+		}
+		for i := range x[0] {
+			set.Merge(route(i, 1))
+		}
+		for i := range x[1] {
+			set.Merge(manifest.Item{Kind: manifest.Shares, Name: fmt.Sprintf("s-%05d", i), Version: 1, Body: fmt.Appendf(nil,
+				`{"burst":1,"caller":"tenant-%05d","caller-header":"X-Agency","name":"s-%05d","per-s":0.01,"service":"desk"}`, i, i)})
+		}
+		timed := func(f func()) string {
+			var took []time.Duration
+			for range 15 {
+				began := time.Now()
+				f()
+				took = append(took, time.Since(began))
+			}
+			slices.Sort(took)
+			return ms(took[len(took)/2])
+		}
+		check := timed(func() {
+			if _, err := set.Check([]manifest.Item{route(7, 2)}); err != nil {
+				t.Fatal(err)
+			}
+		})
+		t.Logf("| %d routes, %d shares | %s | %s | %s |", x[0], x[1], check, timed(func() { manifest.Draw(set) }), timed(func() { set.Clone() }))
+	}
+}
+
 // measureDay is the long run: 1,100 changes and 330 restarts, a part of them with a loss of power and a few with a lost disk.
 // What was confirmed stands at all at the end, and all are whole.
 func measureDay(t *testing.T) {
