--- a/internal/harbour/manifest/change.go
+++ b/internal/harbour/manifest/change.go
@@ -137,10 +137,12 @@
 		news = append(news, i)
 	}
 	c := Draw(next)
-	before := Draw(s)
-	for _, y := range c.Yielding { // what yielded before is not this change's fault
-		if !slices.Contains(before.Yielding, y) {
-			return nil, faults.New(faults.Invalid, "%s", y)
+	if len(c.Yielding) > 0 { // what yielded before is not this change's fault; drawing costs as much as all items
+		before := Draw(s)
+		for _, y := range c.Yielding {
+			if !slices.Contains(before.Yielding, y) {
+				return nil, faults.New(faults.Invalid, "%s", y)
+			}
 		}
 	}
 	// also what is behind must be valid in itself: its routes name services that stand, or are in the change; one that was
