A command never overtakes its band; one of an unknown band is answered

Cause: a route's first request posts its band and then its command. The band went into the urgent queue and the command into the ordinary one. The reducer looks at the urgent queue first, but where both come between that look and its wait, a select with both ready takes either. May, the roster, the wake-ups and the second question in settle had no part in these.

Change: bands go through the ordinary queue, as their commands do, so that the order of posting holds. What guards a service's bands is a lock of its own that the reducer never takes, as a post may wait for room. Take dismisses a command of a band that it doesn't know. Draining the urgent queue before each ordinary event was tried and taken back: it let a later list overtake a hand-off's end, which TestGuard forbids.

--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -230,7 +230,9 @@
 	load     faded.Sum      // answers, and the seconds that they took
 	log      *lookout.Log
 	berths   map[string]*berth
-	bands    map[bandKey]int
+
+	naming sync.Mutex // over the bands; the reducer never takes it, as a band may wait for room in its queue
+	bands  map[bandKey]int
 }
 
 // berth is one host as this router uses it.
@@ -307,8 +309,8 @@
 // band is the number of a route's band in the rules.
 func (s *service) band(r *manifest.Route) int {
 	k := bandKey{r.Safe, r.Timeout, r.Target, r.Rank}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.naming.Lock() // until the band is posted: who finds its number posts a command after it
+	defer s.naming.Unlock()
 	n, ok := s.bands[k]
 	if !ok {
 		if n = len(s.bands); n >= bandsMost {
--- a/internal/parts/router/router.go
+++ b/internal/parts/router/router.go
@@ -87,11 +87,12 @@
 		stopped: make(chan struct{})}
 }
 
-// Post tells an event. The list, news, reports and peers' messages do not queue behind commands.
+// Post tells an event. The list, news, reports and peers' messages do not queue behind commands. A band does: its own
+// commands, posted after it, must not overtake it, and one that waits on another queue may be overtaken.
 func (r *Router) Post(e Event) {
 	queue := r.ordinary
 	switch e.(type) {
-	case List, News, Flagged, Heard, Band, Number:
+	case List, News, Flagged, Heard, Number:
 		queue = r.urgent
 	}
 	select {
--- a/internal/parts/router/router_test.go
+++ b/internal/parts/router/router_test.go
@@ -148,6 +148,51 @@
 	}
 }
 
+// A command whose band is posted just before it must not overtake the band, also where both come between the router's look at
+// its queues and its wait: the clock, which is read there too, posts them at every seventh reading.
+func TestBandBeforeItsCommands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, real, readings, left := &field{}, NewClock(), 0, 300
+		var r *Router
+		var all []*Command
+		r = New(func() int64 {
+			if readings++; readings%7 == 0 && left > 0 {
+				left--
+				c := &Command{Band: 1 + len(all), CutOff: real() + int64(time.Hour), Request: &Request{}, Answer: make(Chan, 1)}
+				all = append(all, c)
+				r.Post(Band{rules.Band{Contract: int64(time.Second), CutOff: int64(time.Hour), Importance: 1}})
+				r.Post(Taken{c})
+			}
+			return real()
+		}, zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		go r.Run(ctx, start(), Out{Hosts: f, Platform: f, Peers: f, List: f})
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if cancel(); left > 0 {
+			t.Error(left, "not posted")
+		}
+		synctest.Wait()
+		for _, c := range all {
+			if len(c.handOffs) == 0 {
+				t.Error("band", c.Band, "overtaken: its command was handed to no host")
+			}
+		}
+	})
+}
+
+// A command of a band that nobody has told is answered, and not kept.
+func TestUnknownBand(t *testing.T) {
+	play(t, func(r *Router, f *field) {
+		c := &Command{Band: 1, CutOff: r.clock() + int64(time.Second), Request: &Request{}, Answer: make(Chan, 1)}
+		r.Post(Taken{c})
+		synctest.Wait()
+		if len(c.Answer.(Chan)) != 1 || (<-c.Answer.(Chan)).Kind != Dismissed || len(r.commands) != 0 {
+			t.Error("held")
+		}
+	})
+}
+
 // Builds follow one another, and ids and addresses come back under other builds: what is held levels off, and a host
 // that returns is a new one, with which nothing of the old one is shared.
 func TestHostsComeAndGo(t *testing.T) {
--- a/rules/door.go
+++ b/rules/door.go
@@ -235,9 +235,13 @@
 	return r
 }
 
-// Take hands in a command.
+// Take hands in a command. One of a band that is not known is dismissed: what nobody looks at again must not be held.
 func (r *Router) Take(now int64, in Command) {
-	if _, held := r.commands[in.ID]; held || in.Band < 0 || in.Band >= len(r.bands) {
+	if _, held := r.commands[in.ID]; held {
+		return
+	}
+	if in.Band < 0 || in.Band >= len(r.bands) {
+		r.out.Dismiss(in.ID, r.advice())
 		return
 	}
 	b := r.bands[in.Band]
@@ -284,6 +288,9 @@
 	}
 }
 
+// advice is after how long a command that is dismissed may come again: about as long as a queue takes to drain.
+func (d *decider) advice() int64 { return min(d.set.MaxAdvice, second/4) }
+
 // forget drops a command once nothing is owed or out.
 func (r *Router) forget(c *command) {
 	if c.over && c.out == 0 {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,7 +49,7 @@
 			if c.answer == scrap {
 				d.out.Scrap(c.id)
 			} else {
-				d.out.Dismiss(c.id, min(d.set.MaxAdvice, second/4)) // about as long as a queue takes to drain
+				d.out.Dismiss(c.id, d.advice())
 			}
 			d.close(c)
 			d.gone = append(d.gone, c)
