--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "lab", Short: "lab tries portflow's designs out", SilenceUsage: true}
-	root.AddCommand(storm(), flows(), shares())
+	root.AddCommand(storm(), flows(), shares(), dayCommands())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
