--- a/cmd/lab/days.go
+++ b/cmd/lab/days.go
@@ -86,44 +86,44 @@
 }
 
 // make draws the days and writes their files into the folder.
-func (d *drawn) make(site string) ([]days.Day, []string, error) {
+func (d *drawn) make(site string) (*days.Drawer, []days.Day, []string, error) {
 	if d.days < 1 || d.days > 1000 {
-		return nil, nil, fmt.Errorf("--days %d: 1 to 1000", d.days)
+		return nil, nil, nil, fmt.Errorf("--days %d: 1 to 1000", d.days)
 	}
 	if d.out == "" {
-		return nil, nil, errors.New("--out: a folder is wanted")
+		return nil, nil, nil, errors.New("--out: a folder is wanted")
 	}
 	dr, err := d.drawer(site)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	var wishes []days.Wish
 	if d.wishes != "" {
 		text, err := os.ReadFile(d.wishes)
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, nil, err
 		}
 		if wishes, err = dr.ReadWishes(string(text)); err != nil {
-			return nil, nil, fmt.Errorf("%s: %w", filepath.Base(d.wishes), err)
+			return nil, nil, nil, fmt.Errorf("%s: %w", filepath.Base(d.wishes), err)
 		}
 	}
 	if err := os.MkdirAll(d.out, 0o755); err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	var made []days.Day
 	var paths []string
 	for i := range d.days {
 		day, err := dr.Draw(d.from+uint64(i), d.mix, wishes)
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, nil, err
 		}
 		path := filepath.Join(d.out, dr.Site.Name+"-"+day.Name+".toml")
 		if err := os.WriteFile(path, []byte(day.TOML()), 0o644); err != nil {
-			return nil, nil, err
+			return nil, nil, nil, err
 		}
 		made, paths = append(made, day), append(paths, path)
 	}
-	return made, paths, nil
+	return dr, made, paths, nil
 }
 
 func dayKinds() *cobra.Command {
@@ -149,7 +149,7 @@
 	var d drawn
 	c := &cobra.Command{Use: "make SITE", Short: "write day files", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			_, paths, err := d.make(args[0])
+			_, _, paths, err := d.make(args[0])
 			for _, p := range paths {
 				fmt.Println(p)
 			}
@@ -172,7 +172,7 @@
 			if why == "" || len(why) >= 120 || strings.Contains(why, "\n") {
 				return errors.New("--why: one plain sentence under 120 characters")
 			}
-			made, paths, err := d.make(args[0])
+			dr, made, paths, err := d.make(args[0])
 			if err != nil {
 				return err
 			}
@@ -204,12 +204,13 @@
 						if noCPU {
 							call = append(call, "--no-cpu")
 						}
-						p, err := playDay(d.bench, call, strings.TrimSuffix(paths[i], ".toml")+".txt")
+						p, printed, err := playDay(d.bench, call, strings.TrimSuffix(paths[i], ".toml")+".txt")
 						mu.Lock()
 						if err != nil {
 							failed = append(failed, fmt.Errorf("%s: %w", made[i].Name, err))
 							fmt.Println("NOT PLAYED", made[i].Name, err)
 						} else {
+							p.Idle = dr.Befell(printed)
 							p.Closing = strings.TrimSpace(made[i].Closing.Kind() + " " + strings.Join(made[i].Closing.How(), " "))
 							all = append(all, p)
 							fmt.Println(p)
@@ -238,28 +239,29 @@
 var entryID = regexp.MustCompile(`(?m)^snapshot ([0-9a-f]{8})$`)
 
 // playDay plays one day, keeps what it prints and reads its journal entry.
-func playDay(bench string, call []string, out string) (days.Played, error) {
+func playDay(bench string, call []string, out string) (p days.Played, text string, err error) {
 	var printed bytes.Buffer
 	cmd := exec.Command(bench, call...)
 	cmd.Stdout, cmd.Stderr = &printed, &printed
 	ran := cmd.Run()
 	if err := os.WriteFile(out, printed.Bytes(), 0o644); err != nil {
-		return days.Played{}, err
+		return p, "", err
 	}
 	id := entryID.FindSubmatch(printed.Bytes())
 	if id == nil {
 		lines := strings.Split(strings.TrimSpace(printed.String()), "\n")
-		return days.Played{}, fmt.Errorf("no journal entry: %w", errors.Join(ran, errors.New(lines[len(lines)-1])))
+		return p, "", fmt.Errorf("no journal entry: %w", errors.Join(ran, errors.New(lines[len(lines)-1])))
 	}
 	found, err := filepath.Glob("journal/*-" + string(id[1]) + ".json")
 	if err != nil || len(found) != 1 {
-		return days.Played{}, fmt.Errorf("journal entry %s: %d files", id[1], len(found))
+		return p, "", fmt.Errorf("journal entry %s: %d files", id[1], len(found))
 	}
-	text, err := os.ReadFile(found[0])
+	entry, err := os.ReadFile(found[0])
 	if err != nil {
-		return days.Played{}, err
+		return p, "", err
 	}
-	return days.ReadEntry(text)
+	p, err = days.ReadEntry(entry)
+	return p, printed.String(), err
 }
 
 func dayTable() *cobra.Command {
--- a/internal/lab/days/days_test.go
+++ b/internal/lab/days/days_test.go
@@ -310,7 +310,17 @@
 	qt.Assert(t, err, qt.IsNil)
 	two.Closing = "wet_all late"
 	qt.Check(t, two.Broke(), qt.IsTrue)
-	qt.Check(t, two.String(), qt.Matches, `pond +2  0\.40  served 0\.500  gate failed own-2-leak-fog, closing wet_all late  BROKEN LOST 1, TWICE 2  FAULT a process ended  SHORT too little`)
+	two.Idle = pond(t).Befell(`what happened
+    8.18 s to     9.18 s  tow (out) 
+   13.67 s to    16.67 s  paper (lines) 
+    4.99 s to     6.0 s  strand a-1, a-2 and 3 more
+    4.99 s to     6.0 s  strand (captain twice) 
+    5.0 s to      6.0 s  leak (gone) 2 servers
+    -1.0 s to      6.0 s  leak
+the list was not settled: 1.0 s to 2.0 s
+`)
+	qt.Check(t, two.Idle, qt.DeepEquals, []string{"tow (out)", "strand (captain twice)", "leak"})
+	qt.Check(t, two.String(), qt.Matches, `pond +2  0\.40  served 0\.500  gate failed own-2-leak-fog, closing wet_all late  BROKEN LOST 1, TWICE 2  FAULT a process ended  \(befell nobody: tow \(out\), strand \(captain twice\), leak\)  SHORT too little`)
 	var table strings.Builder
 	Table(&table, []Played{one, two})
 	lines := strings.Split(strings.TrimSpace(table.String()), "\n")
--- a/internal/lab/days/draw.go
+++ b/internal/lab/days/draw.go
@@ -203,7 +203,7 @@
 		drawn := c.Next()
 		v, isShown := shown[f]
 		_, hasDefault := k.Defaults[f]
-		if !isShown && k.Machines && slices.Contains(k.Words, "share") && drawn < onOften {
+		if !isShown && k.Machines && !d.Planned[k.Name] && slices.Contains(k.Words, "share") && drawn < onOften {
 			if classes := d.classesShown(); f == "on" && len(classes) > 0 {
 				full[f] = pick(c, classes)
 			}
--- a/internal/lab/days/played.go
+++ b/internal/lab/days/played.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -26,9 +27,27 @@
 	Fault    string         `json:"fault,omitempty"`
 	Gate     bool           `json:"gate"`
 	Short    []string       `json:"short,omitempty"` // why the gate failed, if by no rule
+	Idle     []string       `json:"idle,omitempty"`  // entries that befell nobody, so that the day shows less than it says
 	Entry    string         `json:"entry"`           // of the journal
 }
 
+var happened = regexp.MustCompile(`^ *-?[0-9.]+ s to +-?[0-9.]+ s  ([a-z_]+)((?: \([^)]*\))?) *(.*)$`)
+
+// Befell reads, from what the bench prints of a day, the entries that befell no machine, server or place, though the kind
+// is one that does: such an entry was passed over in silence.
+func (d *Drawer) Befell(printed string) (idle []string) {
+	for l := range strings.Lines(printed) {
+		m := happened.FindStringSubmatch(strings.TrimRight(l, "\n"))
+		if m == nil || m[3] != "" {
+			continue
+		}
+		if k, ok := d.Kind(m[1]); ok && (k.Machines || !d.Planned[k.Name]) {
+			idle = append(idle, m[1]+m[2])
+		}
+	}
+	return idle
+}
+
 // ReadEntry reads what a journal entry of one day holds. An entry that isn't whole, or of no day or several, is an error.
 func ReadEntry(text []byte) (Played, error) {
 	var e struct {
@@ -83,6 +102,9 @@
 	if p.Fault != "" {
 		l += "  FAULT " + p.Fault
 	}
+	if len(p.Idle) > 0 {
+		l += "  (befell nobody: " + strings.Join(p.Idle, ", ") + ")"
+	}
 	for _, s := range p.Short {
 		l += "  SHORT " + s
 	}
