--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -26,6 +26,7 @@
 	"portflow/internal/harbour/rpc"
 	"portflow/internal/harbour/sea"
 	"portflow/internal/harbour/signals"
+	"portflow/internal/harbour/soundings"
 	"portflow/internal/harbour/tonnage"
 	"portflow/internal/parts/chance"
 	"portflow/internal/parts/router"
@@ -56,6 +57,8 @@
 	back     map[string]*lines.Line[signals.Word] // by IP number, lines that other control processes dialled
 	lastTag  uint64
 	rounds   map[string]bool // rollouts whose end this process asks for now
+	shelf    soundings.Shelf // snapshots that are asked for
+	dock     soundings.Dock  // one that is restored
 	settling map[string]bool // services whose first version this process asks for now
 	armed    bool            // a tick of the agreement comes soon
 	dirty    bool            // the disk has missed something
@@ -227,5 +230,5 @@
 	defer m.mu.Unlock()
 	klog.InfoS("counters", "standing", m.state.Standing(), "items", m.state.Set.Len(), "hosts", len(m.state.Register.All()),
 		"routers", len(m.state.Roster()), "core", len(m.state.Peers)+1, "agreed", m.state.Node.String(), "agreement", m.state.Node.Counts, "news", m.state.Ledger.Last(),
-		"syncs", m.keeper.book.Syncs.Load(), "said", lines.Said.Load(), "said_bytes", lines.SaidBytes.Load(), "beats", lines.Beats.Load(), "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "calls", m.desk.Counts())
+		"syncs", m.keeper.book.Syncs.Load(), "said", lines.Said.Load(), "said_bytes", lines.SaidBytes.Load(), "beats", lines.Beats.Load(), "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "disk_opened_again", m.keeper.book.Reopened.Load(), "calls", m.desk.Counts())
 }
--- a/internal/harbour/manifest/parts.go
+++ b/internal/harbour/manifest/parts.go
@@ -30,7 +30,7 @@
 	for k, i := range s.items {
 		if slices.Contains(parts, k.part()) {
 			had[k] = i
-			s.remove(i)
+			s.remove(k)
 		}
 	}
 	for _, i := range items {
@@ -38,18 +38,10 @@
 			news = append(news, i)
 		}
 		delete(had, i.Key())
-		s.Merge(i)
+		s.put(i)
 	}
 	for k := range had {
 		gone = append(gone, k)
 	}
 	return news, gone
 }
-
-func (s *Set) remove(i Item) {
-	s.sums[i.Key().part()] ^= i.sum()
-	delete(s.items, i.Key())
-	if i.Dropped {
-		s.dropped--
-	}
-}
--- a/internal/harbour/quorum/words.go
+++ b/internal/harbour/quorum/words.go
@@ -97,7 +97,7 @@
 	Gone    []manifest.Key       // what is no longer in it
 	News    []manifest.Item      // applied in this step: to be told to those who follow
 	Left    []manifest.Key       // no longer in the set since this step
-	Cut     bool                 // the set was taken over from another
+	Cut     bool                 // items went, or older ones came: not told by News alone
 	Changed bool                 // the set, the list or this process's standing has changed
 	Send    map[string][]Message // by IP number, at once
 	Synced  map[string][]Message // once the disk has it
