--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -111,7 +111,8 @@
 	items   map[Key]Item
 	sums    [Parts]uint64
 	dropped int
-	forgot  []Key // since it was last asked for
+	forgot  []Key             // since it was last asked for
+	members map[string]string // as Members tells them, nil where they are to be read anew
 }
 
 // NewSet makes an empty set.
@@ -131,6 +132,9 @@
 // put has an item stand in the place of its key.
 func (s *Set) put(i Item) {
 	s.remove(i.Key())
+	if i.Kind == Core {
+		s.members = nil
+	}
 	s.sums[i.Key().part()] ^= i.sum()
 	s.items[i.Key()] = i
 	if i.Dropped {
@@ -145,6 +149,9 @@
 	}
 	s.sums[k.part()] ^= old.sum()
 	delete(s.items, k)
+	if k.Kind == Core {
+		s.members = nil
+	}
 	if old.Dropped {
 		s.dropped--
 	}
