Rollouts go by the middle of the members' clocks; histories step clocks

Change: control processes tell their clock in their hello (it never steps within a life); rollouts' terms, votes and ends go by the middle one of the members that are heard. The emulator's machines may have clocks apart, and a harm steps them.

--- a/internal/harbour/harbourmaster/core.go
+++ b/internal/harbour/harbourmaster/core.go
@@ -302,7 +302,7 @@
 	defer stop()
 	hello := m.state.Self
 	m.mu.Lock()
-	hello.Life, hello.Have = e.follower.Life, e.follower.Have
+	hello.Life, hello.Have, hello.Now = e.follower.Life, e.follower.Have, m.clock()
 	m.mu.Unlock()
 	l.Send(signals.Word{Hello: &hello})
 	err := l.Run(func(w signals.Word) { m.hear(e, l, w) })
@@ -323,7 +323,7 @@
 	defer m.mu.Unlock()
 	switch {
 	case w.Hello != nil:
-		e.name, e.line = w.Hello.Name, l
+		e.name, e.line, e.apart = w.Hello.Name, l, w.Hello.Now-m.clock()
 		e.member = muster.Member{IP: e.ip, ID: w.Hello.ID, Name: w.Hello.Name, Zone: w.Hello.Zone}
 		m.convoy.Meet(convoy.Member{IP: w.Hello.IP, Kind: convoy.Control, Zone: w.Hello.Zone})
 		m.state.Found(e.name)
@@ -348,6 +348,19 @@
 	}
 }
 
+// coreNow is the time by the clocks of the members that are heard, the middle one, this process's among them: a clock that is
+// ahead or behind ends no rollout early or late. It is late by the way of a hello. The caller holds the lock.
+func (m *Master) coreNow() int64 {
+	apart := []int64{0}
+	for _, x := range m.state.Node.List().Members {
+		if e := m.ends[x.IP]; e != nil && e.line != nil && e.member.ID == x.ID {
+			apart = append(apart, e.apart)
+		}
+	}
+	slices.Sort(apart)
+	return m.clock() + apart[len(apart)/2]
+}
+
 // ready tells whether this process may take orders; the caller holds the lock.
 func (m *Master) ready() error {
 	if m.leaving {
--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -37,6 +37,7 @@
 	stop := context.AfterFunc(m.ctx, func() { l.Close(m.ctx.Err()) })
 	defer stop()
 	self := m.state.Self
+	self.Now = m.clock()
 	l.Send(signals.Word{Hello: &self})
 	f := &follower{line: l, hello: make(chan signals.Hello, 1)}
 	go m.tell(f)
@@ -162,7 +163,7 @@
 		m.wake()
 	case w.Polls != nil && !f.who.Control:
 		for _, p := range w.Polls {
-			p.Front, p.At = f.who.Name, m.clock()
+			p.Front, p.At = f.who.Name, m.coreNow()
 			m.state.TellPoll(p, true)
 		}
 		m.wake()
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -87,6 +87,7 @@
 	member   muster.Member
 	line     *lines.Line[signals.Word]
 	follower signals.Follower
+	apart    int64         // by how much its clock is ahead
 	again    func()        // ends the dial that is under way
 	poke     chan struct{} // has it dialled at once
 }
--- a/internal/harbour/harbourmaster/rollouts.go
+++ b/internal/harbour/harbourmaster/rollouts.go
@@ -26,7 +26,10 @@
 	if err := r.Err(); err != nil {
 		return nil, faults.Wrap(faults.Invalid, err, "the order is invalid")
 	}
-	return nil, m.submit(ctx, orders.Order{Kind: orders.Begin, Of: service, Target: target, Term: term, Now: m.clock(), Again: m.Boot.Bounds.Acknowledge})
+	m.mu.Lock()
+	now := m.coreNow()
+	m.mu.Unlock()
+	return nil, m.submit(ctx, orders.Order{Kind: orders.Begin, Of: service, Target: target, Term: term, Now: now, Again: m.Boot.Bounds.Acknowledge})
 }
 
 func (m *Master) rollout(ctx context.Context, service string, _ []byte) (any, error) {
@@ -40,7 +43,7 @@
 		return nil, faults.New(faults.Missing, "of: no rollout of %q", service)
 	}
 	r := pilotage.Read(i)
-	return map[string]string{"server-state": r.Told(m.clock()).String(), "target-version": r.Target}, nil
+	return map[string]string{"server-state": r.Told(m.coreNow()).String(), "target-version": r.Target}, nil
 }
 
 // steer looks at the votes on each rollout that runs, and has the core decide where they say so.
@@ -50,7 +53,7 @@
 	if m.state.Standing() != bridge.InTouch {
 		return
 	}
-	now := m.clock()
+	now := m.coreNow()
 	for _, i := range m.state.Set.Standing(manifest.Rollouts) {
 		r := pilotage.Read(i)
 		if r.State != pilotage.Running || m.rounds[r.ID()] {
@@ -65,7 +68,7 @@
 		// the control processes take turns, so that one proposes and the others see what it decided
 		if want := pilotage.Judge(now, r, votes, m.state.Roster(), m.turn()); want != pilotage.Running {
 			m.rounds[r.ID()] = true
-			go m.decide(r, want)
+			go m.decide(r, want, now)
 		}
 	}
 }
@@ -81,8 +84,8 @@
 }
 
 // decide has the core decide on a rollout's end: it is one of its numbers, so that the first end is the only one.
-func (m *Master) decide(r pilotage.Rollout, want pilotage.State) {
-	err := m.submit(m.ctx, orders.Order{Kind: orders.End, Of: r.Service, Number: r.Order, State: want, Now: m.clock()})
+func (m *Master) decide(r pilotage.Rollout, want pilotage.State, now int64) {
+	err := m.submit(m.ctx, orders.Order{Kind: orders.End, Of: r.Service, Number: r.Order, State: want, Now: now})
 	if err != nil {
 		klog.InfoS("rollout not ended yet", "service", r.Service, "to", want, "why", err)
 	}
--- a/internal/harbour/harbourmaster/survey.go
+++ b/internal/harbour/harbourmaster/survey.go
@@ -160,6 +160,7 @@
 		}
 		s.Hosts = append(s.Hosts, x)
 	}
+	now = m.coreNow()
 	for _, i := range m.state.Set.Standing(manifest.Rollouts) {
 		r := pilotage.Read(i)
 		x := RolloutState{Service: r.Service, From: r.From, Target: r.Target, State: r.State.String()}
--- a/internal/harbour/signals/words.go
+++ b/internal/harbour/signals/words.go
@@ -39,6 +39,7 @@
 	Life    string `json:"l,omitempty"` // whose news it has, and up to which number
 	Have    uint64 `json:"h,omitempty"`
 	ID      string `json:"d,omitempty"` // of a control process's disk
+	Now     int64  `json:"t,omitempty"` // by a control process's clock, Unix nanoseconds: it never steps within a life
 }
 
 // News is a batch: all numbers after From up to To, or a snapshot as of To.
--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -20,6 +20,7 @@
 	"portflow/internal/harbour/harbourmaster"
 	"portflow/internal/harbour/papers"
 	"portflow/internal/parts/chance"
+	"portflow/internal/parts/router"
 )
 
 // Layout is a harbour's size: zones, two to a region, each with a control process on its first machine.
@@ -59,6 +60,7 @@
 type Master struct {
 	h       *Harbour
 	Boot    papers.Boot
+	Apart   time.Duration // of its machine's clock, as of its next start
 	Disk    *Disk
 	running *harbourmaster.Master
 	process *Process
@@ -175,7 +177,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.process = m.h.Sea.Process(m.Boot.IP)
 	m.handle = m.Disk.Handle().(*handle)
-	r, err := harbourmaster.Start(ctx, harbourmaster.Options{Boot: m.Boot, PerZone: 1, Sea: m.process, Disk: m.handle, Seed: m.h.seed()})
+	r, err := harbourmaster.Start(ctx, harbourmaster.Options{Boot: m.Boot, PerZone: 1, Sea: m.process, Disk: m.handle, Seed: m.h.seed(), Clock: m.clock()})
 	if err != nil {
 		cancel()
 		return err
@@ -191,6 +193,12 @@
 	return uint64(h.draw.Next() * (1 << 52))
 }
 
+// clock is its machine's, anchored at the start as in service; it may be apart from the others' by Apart.
+func (m *Master) clock() router.Clock {
+	here, apart := router.NewClock(), int64(m.Apart)
+	return func() int64 { return here() + apart }
+}
+
 // Kill ends it at once; its disk stays.
 func (m *Master) Kill() {
 	if m.cancel == nil {
--- a/internal/lab/basin/history_harm_test.go
+++ b/internal/lab/basin/history_harm_test.go
@@ -108,7 +108,7 @@
 		}
 	}
 	every := func(int) bool { return true }
-	switch w.n(15) {
+	switch w.n(16) {
 	case 0:
 		m.Kill()
 		return did("killed", m.mustStart)
@@ -158,6 +158,10 @@
 				x.mustStart()
 			}
 		})
+	case 14: // its clock steps, which it sees at its next start
+		m.Kill()
+		m.Apart = time.Duration(w.n(7200)-3600) * time.Second
+		return did("clock stepped", m.mustStart)
 	}
 	if w.n(2) == 0 {
 		for _, x := range h.Masters {
