--- a/internal/lab/basin/history_test.go
+++ b/internal/lab/basin/history_test.go
@@ -27,10 +27,10 @@
 
 var show = flag.Bool("show", false, "write a history down whose calls have no order that a model allows")
 
-// toPlay is how many histories TestHistories plays: what -histories says, else some 30 s of a core's time, also with the
+// toPlay is how many histories TestHistories plays: what -histories says, else under two minutes of a core's time, less with the
 // race detector.
 func toPlay() int {
-	n := lo.Ternary(raced, 10, 80)
+	n := lo.Ternary(raced, 10, 240)
 	flag.Visit(func(f *flag.Flag) {
 		if f.Name == "histories" {
 			n = *histories
