Of two clocks the earlier counts; a router that only starts proves nothing in histories

Change: the lower middle; a probe that gets 503 is asked again until 404 or a host's answer says it.

--- a/internal/harbour/harbourmaster/core.go
+++ b/internal/harbour/harbourmaster/core.go
@@ -349,7 +349,8 @@
 }
 
 // coreNow is the time by the clocks of the members that are heard, the middle one, this process's among them: a clock that is
-// ahead or behind ends no rollout early or late. It is late by the way of a hello. The caller holds the lock.
+// ahead or behind ends no rollout early or late. Of two it is the earlier one: to end late is better than to end what runs. It
+// is late by the way of a hello. The caller holds the lock.
 func (m *Master) coreNow() int64 {
 	apart := []int64{0}
 	for _, x := range m.state.Node.List().Members {
@@ -358,7 +359,7 @@
 		}
 	}
 	slices.Sort(apart)
-	return m.clock() + apart[len(apart)/2]
+	return m.clock() + apart[(len(apart)-1)/2]
 }
 
 // ready tells whether this process may take orders; the caller holds the lock.
--- a/internal/lab/basin/history_test.go
+++ b/internal/lab/basin/history_test.go
@@ -558,28 +558,34 @@
 			}
 			w.mu.Unlock()
 			for _, c := range ask {
-				w.probe(p, f, c)
+				if !w.probe(p, f, c) { // it is asked again at the next look
+					w.mu.Lock()
+					asked[fmt.Sprint(f.Boot.Name, c.id)]--
+					w.mu.Unlock()
+				}
 			}
 		}
 	}
 }
 
-// probe asks a router for what lies under a content's prefix: 404 says that it isn't in force there.
-func (w *watch) probe(p *http.Client, f *Fairway, c content) {
+// probe asks a router for what lies under a content's prefix, and tells whether the answer is clear: 404 says that it isn't in
+// force there, 503 nothing, as a router that has just started says that of all.
+func (w *watch) probe(p *http.Client, f *Fairway, c content) bool {
 	req, _ := http.NewRequest("GET", "http://"+f.Boot.Listen["front"]+c.prefix+"x", nil)
 	req.Host = "desk.example"
 	req.Header.Set("Attempt-Id", "safe-probe")
 	resp, err := p.Do(req)
 	if err != nil {
-		return
+		return false
 	}
 	resp.Body.Close()
-	if resp.StatusCode == 404 {
-		return
+	if resp.StatusCode == 404 || resp.StatusCode == 503 {
+		return resp.StatusCode == 404
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.forced[c.id] = f.Boot.Name
+	return true
 }
 
 // agree has all processes read and all routers looked at, which must all say the same.
