--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -16,6 +16,7 @@
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/orders"
 	"portflow/internal/harbour/rpc"
+	"portflow/internal/harbour/soundings"
 )
 
 const (
@@ -41,12 +42,14 @@
 		{Name: "rollouts.begin", Most: small, Do: m.begin},
 		{Name: "rollouts.read", Most: small, Do: m.rollout},
 		{Name: "harbour.read", Most: small, Do: m.survey},
+		{Name: soundings.SnapshotCall, Most: small, Do: m.snapshot},
+		{Name: soundings.RestoreCall, Most: large, Do: m.restore},
 	}
 }
 
 // listen opens the ports that this process serves; what it returns begins to serve them.
 func (m *Master) listen() (func(), error) {
-	m.desk = rpc.New(m.calls()...)
+	m.desk = rpc.New(append(m.calls(), m.coreCalls()...)...)
 	r := chi.NewRouter()
 	m.desk.Mount(r)
 	r.Get("/-/resolution", m.resolve)
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -26,6 +26,7 @@
 	"portflow/internal/harbour/rpc"
 	"portflow/internal/harbour/sea"
 	"portflow/internal/harbour/signals"
+	"portflow/internal/harbour/soundings"
 	"portflow/internal/harbour/tonnage"
 	"portflow/internal/parts/chance"
 	"portflow/internal/parts/router"
@@ -56,9 +57,14 @@
 	back     map[string]*lines.Line[signals.Word] // by IP number, lines that other control processes dialled
 	lastTag  uint64
 	rounds   map[string]bool // rollouts whose end this process asks for now
+	shelf    soundings.Shelf // snapshots that are asked for
+	dock     soundings.Dock  // one that is restored
 	settling map[string]bool // services whose first version this process asks for now
 	armed    bool            // a tick of the agreement comes soon
 	dirty    bool            // the disk has missed something
+	leaving  bool            // it ends
+	margin   muster.Margin   // of losses that the core bears, as it is seen here
+	recovery string          // what an operator confirmed when this process was made the whole core
 	draw     chance.Source
 	stands   bridge.Standing
 	dealer   *tonnage.Dealer // of callers' shares
@@ -140,6 +146,8 @@
 		close(m.keeper.stop)
 		book.Close()
 	}()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	klog.InfoS("harbourmaster serves", "node", b.Name, "zone", b.Zone, "items", len(items), "new_disk", made, "spoilt", book.Repaired,
 		"core", m.state.Node.String(), "start_ms", time.Since(began).Milliseconds())
 	return m, nil
@@ -197,6 +205,7 @@
 		}
 		m.step(quorum.Event{Tick: true})
 		m.heal()
+		m.keepMargin()
 		m.deal(n)
 		m.judge()
 		m.change()
@@ -227,5 +236,5 @@
 	defer m.mu.Unlock()
 	klog.InfoS("counters", "standing", m.state.Standing(), "items", m.state.Set.Len(), "hosts", len(m.state.Register.All()),
 		"routers", len(m.state.Roster()), "core", len(m.state.Peers)+1, "agreed", m.state.Node.String(), "agreement", m.state.Node.Counts, "news", m.state.Ledger.Last(),
-		"syncs", m.keeper.book.Syncs.Load(), "said", lines.Said.Load(), "said_bytes", lines.SaidBytes.Load(), "beats", lines.Beats.Load(), "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "calls", m.desk.Counts())
+		"syncs", m.keeper.book.Syncs.Load(), "said", lines.Said.Load(), "said_bytes", lines.SaidBytes.Load(), "beats", lines.Beats.Load(), "foreign", lines.Foreign.Load()+m.convoy.Foreign.Load(), "disk_refusals", m.refused.Load(), "disk_opened_again", m.keeper.book.Reopened.Load(), "calls", m.desk.Counts())
 }
--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -29,12 +29,26 @@
 	Asides  map[string]lookout.Judgement // hosts that are set aside, or on their way back
 	lapsed  map[string]bool              // of them, those that the rules were told are on their way back
 	fronts  map[string]signals.Front
+	at      Mark                       // as of which the items are
+	of      map[string]map[string]bool // by service: ids of the hosts that are known
 }
 
+// Mark is a place in the order of the decided changes: the epoch of the core, then the number of the change. The zero mark
+// is of control processes that number none.
+type Mark struct{ Epoch, Number uint64 }
+
+// Before tells whether m comes before o.
+func (m Mark) Before(o Mark) bool {
+	return m.Epoch < o.Epoch || m.Epoch == o.Epoch && m.Number < o.Number
+}
+
+// At is the mark as of which the board's items are.
+func (b *Board) At() Mark { return b.at }
+
 // NewBoard makes an empty one.
 func NewBoard(name string, self Place, regions map[string]string) *Board {
 	return &Board{self: self, name: name, regions: regions, Set: manifest.NewSet(), Known: map[string]berths.Host{},
-		fronts: map[string]signals.Front{}, Asides: map[string]lookout.Judgement{}, lapsed: map[string]bool{}}
+		fronts: map[string]signals.Front{}, Asides: map[string]lookout.Judgement{}, lapsed: map[string]bool{}, of: map[string]map[string]bool{}}
 }
 
 // Changes is what a batch of news touched.
@@ -43,30 +57,69 @@
 	Services      map[string]bool // whose hosts, or the choice among them, changed
 }
 
-// Take takes news in. After a snapshot, hosts and routers that it doesn't name are silent or gone: they ended while this
-// router followed nobody.
-func (b *Board) Take(notes []signals.Note, snapshot bool) Changes {
-	c := Changes{Services: map[string]bool{}}
-	all := func() {
+// touch notes what an item that changed, came or went changes.
+func (c *Changes) touch(b *Board, k manifest.Key) {
+	switch k.Kind {
+	case manifest.Routes, manifest.Services, manifest.Shares, manifest.Limits:
+		c.Chart = true
+	case manifest.Evacuations:
 		for _, h := range b.Known {
 			c.Services[h.Service] = true
 		}
+	case manifest.Rollouts, manifest.Settled:
+		c.Services[k.Name] = true
+	}
+}
+
+// items takes a batch's items in, in their order. A snapshot takes the place of all that the board has, so that what was
+// dropped and forgotten while this router was away goes; changes take the place of what stood. What is of an earlier mark
+// than the board's is passed over: the board has it, or what came after. Items without a mark are merged one by one.
+func (b *Board) items(c *Changes, notes []signals.Note, snapshot bool, at Mark) {
+	var all []manifest.Item
+	for _, n := range notes {
+		if n.Item != nil {
+			all = append(all, *n.Item)
+		}
 	}
+	switch {
+	case at == Mark{}:
+		for _, i := range all {
+			if b.Set.Merge(i) {
+				c.touch(b, i.Key())
+			}
+		}
+	case at.Before(b.at):
+	case snapshot:
+		changed, gone := b.Set.Become(all)
+		for _, i := range changed {
+			c.touch(b, i.Key())
+		}
+		for _, k := range gone {
+			c.touch(b, k)
+		}
+		b.at = at
+	default:
+		b.Set.Apply(all)
+		for _, i := range all {
+			c.touch(b, i.Key())
+		}
+		b.at = at
+	}
+}
+
+// Take takes news without a mark in.
+func (b *Board) Take(notes []signals.Note, snapshot bool) Changes {
+	return b.TakeAt(Mark{}, notes, snapshot)
+}
+
+// TakeAt takes news in; at is where its last change stands. After a snapshot, hosts and routers that it doesn't name are
+// silent or gone: they ended while this router followed nobody.
+func (b *Board) TakeAt(at Mark, notes []signals.Note, snapshot bool) Changes {
+	c := Changes{Services: map[string]bool{}}
+	b.items(&c, notes, snapshot, at)
 	named := map[string]bool{}
 	for _, n := range notes {
 		switch {
-		case n.Item != nil:
-			if !b.Set.Merge(*n.Item) {
-				continue
-			}
-			switch n.Item.Kind {
-			case manifest.Routes, manifest.Services, manifest.Shares, manifest.Limits:
-				c.Chart = true
-			case manifest.Evacuations:
-				all()
-			case manifest.Rollouts, manifest.Settled:
-				c.Services[n.Item.Name] = true
-			}
 		case n.Host != nil:
 			h := *n.Host
 			named[h.ID] = true
@@ -80,7 +133,7 @@
 			if h.State == berths.Gone && !known {
 				continue
 			}
-			b.Known[h.ID] = h
+			b.put(old, h)
 			c.Services[h.Service] = true
 		case n.Aside != nil:
 			if j := *n.Aside; j.Aside > b.Asides[j.ID].Aside {
@@ -93,7 +146,7 @@
 			named["front "+f.Name] = true
 			if old, known := b.fronts[f.Name]; !known || f.Newer(old) {
 				b.fronts[f.Name] = f
-				c.Fronts = true
+				c.Fronts = c.Fronts || !known || counts(f) != counts(old)
 			}
 		}
 	}
@@ -157,10 +210,11 @@
 	r := b.Rollout(service)
 	first, _ := b.Set.Get(manifest.Key{Kind: manifest.Settled, Name: service})
 	settled := pilotage.Settled(first, r)
-	for _, id := range slices.Sorted(maps.Keys(b.Known)) {
+	evacuated := map[string]bool{}
+	for _, id := range slices.Sorted(maps.Keys(b.of[service])) {
 		h := b.Known[id]
-		if h.Service != service {
-			continue
+		if _, asked := evacuated[h.Zone]; !asked {
+			evacuated[h.Zone] = b.Evacuated(h.Zone)
 		}
 		x := router.Host{Name: h.ID, Address: h.Address, Size: float64(max(1, h.Slots)), Build: int(r.Build()),
 			Health: rules.Ready, Ring: b.Ring(h.Zone)}
@@ -171,7 +225,7 @@
 		switch {
 		case h.State == berths.Gone:
 			x.Health = rules.Gone
-		case h.State == berths.Draining, h.Silent, h.Version != settled && !trial, b.Evacuated(h.Zone), b.Asides[id].Aside > 0 && !b.lapsed[id]:
+		case h.State == berths.Draining, h.Silent, h.Version != settled && !trial, evacuated[h.Zone], b.Asides[id].Aside > 0 && !b.lapsed[id]:
 			x.Health = rules.Draining
 		}
 		all = append(all, x)
@@ -181,7 +235,41 @@
 
 // Forget forgets a service's hosts that ended, once the rules have been told.
 func (b *Board) Forget(service string) {
-	maps.DeleteFunc(b.Known, func(_ string, h berths.Host) bool { return h.Service == service && h.State == berths.Gone })
+	for id := range b.of[service] {
+		if b.Known[id].State == berths.Gone {
+			delete(b.Known, id)
+			delete(b.of[service], id)
+		}
+	}
+	if len(b.of[service]) == 0 {
+		delete(b.of, service)
+	}
+}
+
+// Of are the hosts of a service that are known, by id. A change of one host costs what its service has, not what all have.
+func (b *Board) Of(service string) map[string]berths.Host {
+	all := make(map[string]berths.Host, len(b.of[service]))
+	for id := range b.of[service] {
+		all[id] = b.Known[id]
+	}
+	return all
+}
+
+// put notes a host; one that is of another service now is that one's.
+func (b *Board) put(old, h berths.Host) {
+	if old.Service != h.Service {
+		delete(b.of[old.Service], h.ID)
+	}
+	if b.of[h.Service] == nil {
+		b.of[h.Service] = map[string]bool{}
+	}
+	b.of[h.Service][h.ID] = true
+	b.Known[h.ID] = h
+}
+
+// counts is what of a router's state the roster goes by: whether it is in, where, and at what weight.
+func counts(f signals.Front) signals.Front {
+	return signals.Front{Zone: f.Zone, Ready: f.Ready && !f.Gone, Short: f.Short}
 }
 
 // Ring is how far a zone is: 0 this one, 1 in this region, 2 beyond.
--- a/internal/harbour/lines/lines.go
+++ b/internal/harbour/lines/lines.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	largest = 8 << 20 // bytes of a frame, inflated
-	waiting = 1024    // frames that may wait to be written
-	deflate = 512     // frames from so many bytes on are deflated
+	largest = 24 << 20 // bytes of a frame, inflated: a snapshot of 36,200 items and 4,200 hosts has 7.7 MB
+	waiting = 1024     // frames that may wait to be written
+	deflate = 512      // frames from so many bytes on are deflated
 )
 
 // Pace is how often a side beats that has nothing to say, and after how long the other side is taken for lost.
@@ -112,14 +112,23 @@
 // Peer is the other side's address.
 func (l *Line[T]) Peer() string { return l.conn.RemoteAddr().String() }
 
+// deflaters are kept from frame to frame: each has tables of half a megabyte, many times what a frame holds. Those that rest are
+// let go by the collector.
+var deflaters = sync.Pool{New: func() any {
+	w, _ := flate.NewWriter(nil, flate.BestSpeed)
+	return w
+}}
+
 // frame is a length, of which the highest bit says that what follows is deflated, and the bytes.
 func frame(raw []byte) []byte {
 	head := uint32(len(raw))
 	if len(raw) >= deflate {
 		var b bytes.Buffer
-		w, _ := flate.NewWriter(&b, flate.BestSpeed)
+		w := deflaters.Get().(*flate.Writer)
+		w.Reset(&b)
 		w.Write(raw)
 		w.Close()
+		deflaters.Put(w)
 		if b.Len() < len(raw) {
 			raw, head = b.Bytes(), uint32(b.Len())|1<<31
 		}
--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"portflow/internal/harbour/faults"
 	"portflow/internal/harbour/manifest"
@@ -23,7 +24,7 @@
 	End      Kind = "end"      // of a rollout
 	Settle   Kind = "settle"   // a service's first version
 	Join     Kind = "join"     // members in, and others out
-	Restore  Kind = "restore"  // items from a snapshot, each as it stands there unless a newer one stands
+	Restore  Kind = "restore"  // a snapshot takes the place of all that stands but the members, under a new epoch
 )
 
 // Order is one. Times are nanoseconds.
@@ -40,6 +41,7 @@
 	State   pilotage.State  `json:"s,omitempty"` // how it ends
 	In      []muster.Member `json:"m,omitempty"`
 	Out     []string        `json:"x,omitempty"` // IP numbers
+	Hold    []muster.Member `json:"h,omitempty"` // of those that go: who isn't to be voted in again by itself
 	Version string          `json:"v,omitempty"`
 	Bound   bool            `json:"c,omitempty"` // it holds only while what it changes is of version Base
 	Base    uint64          `json:"z,omitempty"`
@@ -82,22 +84,53 @@
 		if o.Number != 0 && o.Number != list.Epoch {
 			return nil, faults.New(faults.Unready, "the members have changed since: epoch %d, not %d", list.Epoch, o.Number)
 		}
-		if next.Epoch == list.Epoch {
+		if next.Epoch == list.Epoch && !slices.ContainsFunc(o.Hold, func(m muster.Member) bool { return !list.Holds(m.ID) }) {
 			return nil, nil
 		}
-		return []manifest.Item{next.Item()}, nil
+		next.Epoch = list.Epoch + 1
+		return []manifest.Item{next.Hold(o.Hold).Item()}, nil
 	case Restore:
-		var news []manifest.Item
-		for _, i := range o.Items {
-			if old, there := s.Get(i.Key()); i.Kind != manifest.Core && (!there || i.Version > old.Version) {
-				news = append(news, i)
-			}
-		}
-		return news, nil
+		return restore(s, o.Items), nil
 	}
 	return nil, faults.New(faults.Malformed, "no such order: %q", o.Kind)
 }
 
+// Whole is the mark of a value that takes the place of all that stands, whatever its versions.
+var Whole = manifest.Key{Kind: manifest.Core, Name: "whole"}
+
+// IsWhole tells whether a value does.
+func IsWhole(value []manifest.Item) bool { return len(value) > 0 && value[0].Key() == Whole }
+
+// restore is the value that makes what stands into a snapshot: the members stay, their epoch rises, so that routers take
+// lower versions too.
+func restore(s *manifest.Set, items []manifest.Item) []manifest.Item {
+	list := muster.Of(s)
+	list.Epoch++
+	value := []manifest.Item{{Kind: Whole.Kind, Name: Whole.Name, Version: list.Epoch}, list.Item()}
+	same, stands := 0, 0
+	for _, i := range items {
+		if i.Kind == manifest.Core {
+			continue
+		}
+		if old, there := s.Get(i.Key()); there && old.Same(i) {
+			same++
+		}
+		value = append(value, i)
+	}
+	for _, i := range s.All() {
+		if i.Kind != manifest.Core {
+			stands++
+		}
+	}
+	if same == stands && len(value) == same+2 {
+		return nil
+	}
+	return value
+}
+
+// Most is how much a change may hold, bytes: it goes between control processes in one frame.
+const Most = 8 << 20
+
 // key is what an order changes whose outcome rests on what stands.
 func (o Order) key() (manifest.Key, bool) {
 	switch o.Kind {
@@ -130,7 +163,11 @@
 // rival of one of the versions that are still known is refused, with all that came with it.
 func modify(s *manifest.Set, change []manifest.Item) ([]manifest.Item, error) {
 	var rest []manifest.Item
+	size := 0
 	for _, i := range change {
+		if size += len(i.Body) + len(i.Name) + 64; size > Most {
+			return nil, faults.New(faults.Oversized, "the change has %d items; from %s %s on it is over %d bytes", len(change), i.Kind, i.Name, Most)
+		}
 		old, there := s.Get(i.Key())
 		if there && old.Version == i.Version && !old.Same(i) {
 			return nil, conflict(i, old)
@@ -195,9 +232,7 @@
 }
 
 func begin(s *manifest.Set, o Order) ([]manifest.Item, error) {
-	if _, ok := s.Get(manifest.Key{Kind: manifest.Services, Name: o.Of}); !ok {
-		return nil, faults.New(faults.Invalid, "service: %s does not stand", o.Of)
-	}
+	service, ok := s.Get(manifest.Key{Kind: manifest.Services, Name: o.Of})
 	old, _ := s.Get(manifest.Key{Kind: manifest.Rollouts, Name: o.Of})
 	was := pilotage.Read(old)
 	first, _ := s.Get(manifest.Key{Kind: manifest.Settled, Name: o.Of})
@@ -205,10 +240,12 @@
 	switch {
 	case was.State == pilotage.Running && was.Target == o.Target: // the same once more
 		return nil, nil
+	case was.State > pilotage.Running && was.Target == o.Target && was.Term == o.Term && o.Now-was.Began < was.Term+o.Again: // a late copy of the last one
+		return nil, nil
+	case !ok || service.Dropped:
+		return nil, faults.New(faults.Invalid, "service: %s does not stand", o.Of)
 	case was.State == pilotage.Running:
 		return nil, faults.New(faults.UnderWay, "%s is being moved to %s", o.Of, was.Target)
-	case was.Target == o.Target && was.Term == o.Term && o.Now-was.Began < was.Term+o.Again: // a late copy of the last one
-		return nil, nil
 	}
 	return []manifest.Item{pilotage.Rollout{Service: o.Of, Order: was.Order + 1, From: settled, Base: was.Build(), Target: o.Target,
 		Began: o.Now, Term: o.Term, State: pilotage.Running}.Item()}, nil
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -33,6 +33,7 @@
 	fetchAgain  = int64(500e6)
 	fetchSoon   = int64(250e6) // a peer that has more is asked
 	beginAgain  = int64(250e6) // a start looks again for how far the core is
+	foundWaits  = int64(400e6)
 	listAgain   = int64(400e6) // between proposals of a list
 	silentFor   = int64(3e9)   // a member that has a successor in its zone goes
 	orderWaits  = int64(2500e6)
@@ -71,7 +72,10 @@
 	tag    uint64
 	order  orders.Order
 	came   int64
-	handed int64  // when it was handed over, 0 for not
+	handed int64  // when it was handed over, 0 for not, or for to be handed over anew
+	given  bool   // it was handed over once: a copy of it may be about
+	again  int64  // not to be handed over before
+	at     uint64 // the number at which it was last voted on
 	to     string // whom
 	by     string // the IP number of the process that handed it over here, empty for this one
 	theirs uint64 // its tag there
@@ -132,8 +136,10 @@
 
 	peers  map[string]Peer
 	silent map[string]int64
-	listed int64 // when the next list may be proposed
-	apart  int64 // since when a peer has had more, 0 for none
+	said   map[string]int64 // when a member last said anything of the agreement
+	passed map[string]bool  // members that were handed an order and said nothing: passed over until they do
+	listed int64            // when the next list may be proposed
+	apart  int64            // since when a peer has had more, 0 for none
 	fetch  struct {
 		from   string
 		at     int64
@@ -141,6 +147,7 @@
 		parts  []int
 		items  []manifest.Item
 	}
+	writes   bool                            // at the end of this step
 	unsaved  map[manifest.Key]*manifest.Item // applied, and not yet in a write; nil for what has gone
 	ring     []kept
 	ringed   int
@@ -158,7 +165,7 @@
 	self.ID = disk.ID
 	return &Node{Set: set, self: self, life: life, perZone: max(1, perZone), disk: disk, list: muster.Of(set), seen: disk.Promised.N, began: now,
 		kept: Message{Number: disk.At, Ballot: disk.Vote}, unsaved: map[manifest.Key]*manifest.Item{},
-		reads: map[uint64]*read{}, peers: map[string]Peer{}, silent: map[string]int64{}, last: 1 << 32}
+		reads: map[uint64]*read{}, peers: map[string]Peer{}, said: map[string]int64{}, passed: map[string]bool{}, silent: map[string]int64{}, last: 1 << 32}
 }
 
 // List is the membership as of what is applied here.
@@ -211,6 +218,8 @@
 	x.out = &Effects{Send: map[string][]Message{}, Synced: map[string][]Message{}}
 	switch {
 	case e.Message != nil:
+		x.said[e.From] = e.Now
+		delete(x.passed, e.From)
 		x.receive(e, *e.Message)
 	case e.Peer != nil:
 		_, heard := x.peers[e.From]
@@ -222,6 +231,8 @@
 		x.behind(e.Now)
 	case e.Lost:
 		delete(x.peers, e.From)
+		delete(x.said, e.From)
+		delete(x.passed, e.From)
 		x.silent[e.From] = e.Now
 		x.lostHand(e.From)
 		if x.fetch.from == e.From {
@@ -232,11 +243,14 @@
 	case e.Read:
 		x.read(e.Now, e.Tag)
 	case e.Recover:
-		x.force(e.Now)
+		x.force(e.Now, e.Chance)
 	case e.Tick:
 		x.tick(e)
 	}
 	x.pump(e)
+	if x.writes {
+		x.flush()
+	}
 	out := *x.out
 	x.out = nil
 	return out
@@ -244,11 +258,7 @@
 
 // met says to one who has only just come to be heard what it is asked now, and not with the next repeat.
 func (x *Node) met(e Event) {
-	if x.phase != Idle {
-		if _, said := x.yes[e.From]; !said && slices.Contains(x.voters(), e.From) {
-			x.say(e.From, x.proposal())
-		}
-	}
+	x.repeat(e.From)
 	for _, tag := range x.asking() {
 		r := x.reads[tag]
 		if _, member := x.list.At(e.From); member && !r.known {
@@ -280,9 +290,12 @@
 
 // write has the record written, and with it what has come into the set since the last write. A change whose vote is on this
 // disk need not be written when it is applied: it goes along with the next vote, so that an order costs a disk one sync.
-func (x *Node) write() {
+func (x *Node) write() { x.writes = true }
+
+// flush is the step's one write.
+func (x *Node) flush() {
 	d := x.disk
-	x.out.Disk = &d
+	x.out.Disk, x.writes = &d, false
 	for _, k := range x.unsavedKeys() {
 		if i, there := x.unsaved[k]; there && i != nil {
 			x.out.Items = append(x.out.Items, *i)
@@ -386,9 +399,9 @@
 		x.say(e.From, x.confirmed(m.Tag))
 	case Confirmed:
 		if r := x.reads[m.Tag]; r != nil {
-			r.yes[e.From] = m.ID
 			r.votes[e.From] = m
-			if !r.known {
+			if !r.known && x.list.Has(e.From, m.ID) { // who only comes in may have voted, and counts for nothing yet
+				r.yes[e.From] = m.ID
 				r.target = max(r.target, m.Number)
 				r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch
 			}
@@ -494,9 +507,7 @@
 		for _, b := range m.Batches {
 			x.old = append(x.old, b...)
 		}
-		if x.enough(x.yes, nil) {
-			x.accept(e)
-		}
+		x.promised(e)
 	case m.Kind == Voted && x.phase == Accepting:
 		if x.yes[e.From] = m.ID; x.enough(x.yes, x.value) {
 			x.decide(e)
@@ -504,6 +515,22 @@
 	}
 }
 
+// promised goes on once more than half have promised; for the first list it waits a moment for the founders that are heard, as
+// one of a bare majority bears no loss.
+func (x *Node) promised(e Event) {
+	if x.phase != Preparing || !x.enough(x.yes, nil) {
+		return
+	}
+	if x.disk.Applied == 0 && e.Now-x.since < foundWaits {
+		for _, ip := range x.disk.Founders {
+			if _, heard := x.peers[ip]; heard && x.yes[ip] == "" || ip == x.self.IP && x.yes[ip] == "" {
+				return
+			}
+		}
+	}
+	x.accept(e)
+}
+
 // idle ends a proposal without an end.
 func (x *Node) idle(e Event, beaten bool) {
 	if x.phase != Idle && beaten {
@@ -533,6 +560,7 @@
 		value = x.found()
 	default:
 		x.fresh = true
+		x.nothing(e)
 		value, mine = x.build(e.Now)
 	}
 	if len(value) == 0 {
@@ -544,12 +572,28 @@
 	x.vote(e, value, mine)
 }
 
+// nothing ends reads that waited for a vote which more than half, that promised since the read came, don't have: it was not
+// decided, and can't be any more.
+func (x *Node) nothing(e Event) {
+	for _, tag := range x.asking() {
+		if r := x.reads[tag]; r.known && r.epoch == x.list.Epoch && r.target == x.disk.Applied+1 && x.since >= r.came {
+			r.target = x.disk.Applied
+			x.readOn(e.Now, tag, r)
+		}
+	}
+}
+
 // vote asks for votes on a value; with a ballot this is done once a number.
 func (x *Node) vote(e Event, value []manifest.Item, mine []uint64) {
 	x.Counts.Proposed++
 	x.phase, x.number, x.value, x.mine, x.yes = Accepting, x.disk.Applied+1, value, mine, map[string]string{}
 	x.no = map[string]bool{}
 	x.since, x.sent, x.sticky = e.Now, e.Now, true
+	for _, p := range x.wait {
+		if slices.Contains(mine, p.tag) {
+			p.at = x.number
+		}
+	}
 	x.propose()
 }
 
@@ -592,7 +636,8 @@
 	at := map[manifest.Key]int{}
 	var left []*pending
 	for _, p := range x.wait {
-		if left = append(left, p); !p.local || len(value) >= mostItems || p.order.Kind == orders.Join && listIn(value).Epoch != 0 {
+		alone := p.order.Kind == orders.Restore && len(value) > 0 || orders.IsWhole(value)
+		if left = append(left, p); !p.local || alone || len(value) >= mostItems || p.order.Kind == orders.Join && listIn(value).Epoch != 0 {
 			continue
 		}
 		if p.order.Kind == orders.Join && !(x.fresh && x.takes(p.order)) {
@@ -617,12 +662,15 @@
 		switch {
 		case err != nil:
 			k := faults.Of(err)
+			if k != faults.Conflict && p.at == x.disk.Applied+1 {
+				continue // a vote on it may still be taken over: it isn't refused before that number is decided
+			}
 			if k != faults.Conflict && !x.fresh { // it may be wrong only by what this process doesn't know yet
 				x.sticky = false
 				continue
 			}
 			left = left[:len(left)-1]
-			if k != faults.Conflict && p.handed != 0 { // its copy may still be taken, once what it lacks is there
+			if k != faults.Conflict && p.given { // its copy may still be taken, once what it lacks is there
 				x.end(p, Result{Kind: faults.Unready, Reason: "not clear yet: " + err.Error()})
 				continue
 			}
@@ -633,6 +681,10 @@
 			x.end(p, Result{Number: x.disk.Applied})
 			continue
 		}
+		if orders.IsWhole(items) {
+			value, mine = items, append(mine, p.tag)
+			continue
+		}
 		if next == nil {
 			next = x.Set.Clone()
 		}
@@ -699,6 +751,18 @@
 
 // apply is the one place where a decided change comes into the set.
 func (x *Node) apply(now int64, number uint64, items []manifest.Item) {
+	if orders.IsWhole(items) {
+		changed, gone := x.Set.Become(items[1:])
+		for _, i := range changed {
+			x.save(i)
+		}
+		for _, k := range gone {
+			x.drop(k)
+		}
+		x.out.Cut = true
+		items = nil // it is kept for nobody: who is behind takes a cut
+		x.ring, x.ringed = nil, 0
+	}
 	for _, i := range items {
 		if x.Set.Merge(i) {
 			x.save(i)
@@ -707,7 +771,9 @@
 	for _, k := range x.Set.Forgotten() {
 		x.drop(k)
 	}
-	x.ring, x.ringed = append(x.ring, kept{number, items}), x.ringed+len(items)
+	if items != nil {
+		x.ring, x.ringed = append(x.ring, kept{number, items}), x.ringed+len(items)
+	}
 	for len(x.ring) > keptChanges || x.ringed > keptItems && len(x.ring) > 0 {
 		x.ringed -= len(x.ring[0].items)
 		x.ring = x.ring[1:]
@@ -761,17 +827,18 @@
 		if m.IP == x.self.IP && x.Member() {
 			return m.IP
 		}
-		if p, heard := x.peers[m.IP]; heard && p.Whole && p.Member.ID == m.ID {
+		if p, heard := x.peers[m.IP]; heard && p.Whole && p.Member.ID == m.ID && !x.passed[m.IP] {
 			return m.IP
 		}
 	}
 	return ""
 }
 
+// lostHand has orders that were handed to a member which isn't heard any more handed to the next.
 func (x *Node) lostHand(ip string) {
 	for _, p := range x.wait {
 		if p.to == ip {
-			p.local = p.local || x.Member()
+			p.handed, p.to = 0, ""
 		}
 	}
 }
@@ -780,8 +847,8 @@
 func (x *Node) handed(e Event, m Message) {
 	for n, p := range x.wait {
 		if p.tag == m.Tag && p.to == e.From && m.Result != nil {
-			if m.Result.Kind == faults.Unready {
-				p.local = p.local || x.Member()
+			if m.Result.Kind == faults.Unready { // it was bound to what stands no more, or that one can't propose
+				p.handed, p.to, p.again = 0, "", e.Now+turn
 				return
 			}
 			x.wait = slices.Delete(x.wait, n, n+1)
@@ -803,23 +870,7 @@
 	if !x.whole || x.disk.Applied == 0 {
 		return
 	}
-	first, local := x.first(), false
-	for _, p := range x.wait {
-		if !p.local {
-			switch {
-			case first == x.self.IP:
-				p.local = true
-			case p.handed == 0 && first != "":
-				x.Counts.Handed++
-				p.handed, p.to = e.Now, first
-				o := orders.Bind(x.Set, p.order)
-				x.say(first, Message{Kind: Hand, Tag: p.tag, Order: &o})
-			case e.Now-max(p.handed, p.came) > handAgain:
-				p.local = x.Member()
-			}
-		}
-		local = local || p.local
-	}
+	local := x.hand(e)
 	if x.phase != Idle || e.Now < x.retry || !x.Member() || x.muted {
 		return
 	}
@@ -839,6 +890,35 @@
 	x.prepare(e)
 }
 
+// hand hands orders over to the member that proposes for all, and tells whether there are some that this process is to
+// propose itself: it is that member, or nobody is. That several propose at once beats them all, so an order stays handed as long
+// as the one that has it says anything; one that says nothing is passed over.
+func (x *Node) hand(e Event) (local bool) {
+	for _, p := range x.wait {
+		if p.handed != 0 && e.Now-p.handed > handAgain {
+			if x.said[p.to] < p.handed {
+				x.passed[p.to] = true
+				p.handed, p.to = 0, ""
+			} else if e.Now-p.handed > 2*handAgain { // it may have lost it
+				p.handed, p.to = 0, ""
+			}
+		}
+		first := x.first()
+		switch {
+		case p.local:
+		case first == x.self.IP || first == "" && e.Now-p.came > handAgain && x.Member():
+			p.local = true
+		case p.handed == 0 && first != "" && e.Now >= p.again:
+			x.Counts.Handed++
+			p.handed, p.to, p.given = e.Now, first, true
+			o := orders.Bind(x.Set, p.order)
+			x.say(first, Message{Kind: Hand, Tag: p.tag, Order: &o})
+		}
+		local = local || p.local
+	}
+	return local
+}
+
 // before is how many members that are heard come before this one.
 func (x *Node) before() (n int) {
 	for _, m := range x.list.Members {
@@ -859,6 +939,7 @@
 			x.propose()
 		}
 	}
+	x.promised(e)
 	x.behind(e.Now)
 	for _, tag := range x.asking() {
 		if e.Now-x.reads[tag].came > orderWaits {
@@ -916,7 +997,7 @@
 	}
 	var in []muster.Member
 	for _, ip := range slices.Sorted(maps.Keys(x.peers)) {
-		if p := x.peers[ip]; p.Whole && !x.list.Has(ip, p.Member.ID) && p.Applied+mostBehind >= x.disk.Applied && p.Member.ID != "" &&
+		if p := x.peers[ip]; p.Whole && !x.list.Has(ip, p.Member.ID) && !x.list.Holds(p.Member.ID) && p.Applied+mostBehind >= x.disk.Applied && p.Member.ID != "" &&
 			x.live(p.Member.Zone, in) < x.perZone {
 			in = append(in, p.Member)
 		}
@@ -982,13 +1063,24 @@
 	return n
 }
 
+// The high bits of a number and of an epoch count how often an operator has made one process the whole core. What follows
+// them is drawn: of two that were made so at once, one is the later by both, and the other gives way as soon as they meet.
+const recoveredNumber, recoveredEpoch, recoveredDraw = 48, 32, 1 << 31
+
+// Jump is by how much at least a number goes up where one core gives way to another that an operator made.
+const Jump = 1 << 16
+
 // force makes this process the whole core: a number and an epoch that fence all that was before.
-func (x *Node) force(now int64) {
+func (x *Node) force(now int64, chance float64) {
+	if x.disk.Applied == 0 || x.list.Epoch == 0 { // it has nothing to go on from
+		return
+	}
 	x.idle(Event{Now: now}, false)
-	next := muster.List{Epoch: x.list.Epoch + 1<<16, Members: []muster.Member{x.self}}
+	drawn := uint64(chance * recoveredDraw)
+	next := muster.List{Epoch: (x.list.Epoch>>recoveredEpoch+1)<<recoveredEpoch + drawn, Members: []muster.Member{x.self}, Held: x.list.Held}
 	x.ring, x.ringed = nil, 0
 	x.whole = true
-	x.apply(now, x.disk.Applied+1<<32, []manifest.Item{next.Item()})
+	x.apply(now, (x.disk.Applied>>recoveredNumber+1)<<recoveredNumber+drawn<<16, []manifest.Item{next.Item()})
 }
 
 // read begins a read: it is answered once this process has all that was decided when it came.
@@ -1118,6 +1210,7 @@
 			}
 		}
 		x.say(to, Message{Kind: Changes, Number: m.Applied, Batches: batches})
+		x.repeat(to)
 		return
 	}
 	x.Counts.Cuts++
@@ -1132,6 +1225,14 @@
 	}
 	chunk.Last = true
 	x.say(to, chunk)
+	x.repeat(to)
+}
+
+// repeat says the present proposal to one that was behind, right after what it lacked.
+func (x *Node) repeat(to string) {
+	if _, said := x.yes[to]; x.phase != Idle && !said && slices.Contains(x.voters(), to) {
+		x.say(to, x.proposal())
+	}
 }
 
 // follow applies changes that follow on what is had.
@@ -1181,7 +1282,7 @@
 	for _, k := range gone {
 		x.drop(k)
 	}
-	x.out.Cut = true
+	x.out.Cut = len(gone) > 0
 	x.ring, x.ringed = nil, 0
 	x.applied(e.Now, m.Number)
 }
