A router doesn't note what it forgets; a constant that nothing uses goes

Cause: on reading the change: Set notes the dropped items that it forgets for the disk; a router has none and never asked for them, so that the note grew by a thousand keys with each thousand drops beyond ten thousand. A comment of handAgain said what it did before.

--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -81,6 +81,7 @@
 			all = append(all, *n.Item)
 		}
 	}
+	defer b.Set.Forgotten() // a router has no disk from which they are to go
 	switch {
 	case at == Mark{}:
 		for _, i := range all {
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -27,12 +27,11 @@
 const (
 	sendAgain   = int64(250e6) // to those that have not answered a step of a proposal, or a read
 	giveUp      = int64(2e9)   // a proposal that gets no further: the next try has a higher ballot
-	handAgain   = int64(350e6) // an order that was handed over is proposed here
+	handAgain   = int64(350e6) // one that was handed an order and says nothing for so long is passed over
 	stuck       = int64(500e6) // a vote that nobody tells the end of is brought to its end by another
 	turn        = int64(150e6) // each member waits for those before it
 	fetchAgain  = int64(500e6)
 	fetchSoon   = int64(250e6) // a peer that has more is asked
-	beginAgain  = int64(250e6) // a start looks again for how far the core is
 	foundWaits  = int64(400e6)
 	listAgain   = int64(400e6) // between proposals of a list
 	silentFor   = int64(3e9)   // a member that has a successor in its zone goes
