A host that leaves is answered once more than half of the core has heard of it

A control process that is cut off in silence takes itself for in touch for up to 2.8 s (docs/hardening.md, point 1). A host that said in that time that it leaves had its answer at once, ended on it, and the routers that hang on other processes were told nothing. Seen: TestLeavesOnceMostHaveHeard, three calls of three answered 200 by a process cut off 0.1 s before. Ruled out as cause of a broken DRAIN by itself: TestDrainsBesideACut holds without the mend, as the process isn't in touch by the rule's word.

The answer to a draining beat and to a leave waits until more than half of the members, this one counted, have acknowledged the news of it, 0.7 s at most; else 503, and the host goes on to the next process. What is told of other hosts waits for nobody. The numbers that wait are kept by host and go with it.

--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -92,7 +92,7 @@
 	rpc.Write(w, http.StatusOK, map[string]any{"addresses": all, "lifetime-s": min(2, float64(m.Boot.Bounds.Lifetime)/1e9)})
 }
 
-func (m *Master) heartbeat(_ context.Context, id string, body []byte) (any, error) {
+func (m *Master) heartbeat(ctx context.Context, id string, body []byte) (any, error) {
 	if id == "" || len(id) > 256 {
 		return nil, faults.New(faults.Malformed, "of: no id")
 	}
@@ -112,8 +112,7 @@
 	}
 	h, changed := m.state.Register.Beat(now, h)
 	if changed {
-		m.state.TellHost(h, true)
-		m.wake()
+		m.tellHost(h)
 	}
 	_, known := m.state.Set.Get(manifest.Key{Kind: manifest.Settled, Name: h.Service})
 	to := m.near(h.Zone)
@@ -122,6 +121,9 @@
 		go m.settle(h.Service, h.Version)
 	}
 	m.mu.Unlock()
+	if err := m.spread(ctx, id); err != nil {
+		return nil, err
+	}
 	if to != "" {
 		return map[string]string{"heartbeat-address": to}, nil
 	}
@@ -154,20 +156,69 @@
 	delete(m.settling, service)
 }
 
-func (m *Master) leave(_ context.Context, id string, _ []byte) (any, error) {
+func (m *Master) leave(ctx context.Context, id string, _ []byte) (any, error) {
 	if id == "" || len(id) > 256 {
 		return nil, faults.New(faults.Malformed, "of: no id")
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if err := m.ready(); err != nil {
+		m.mu.Unlock()
 		return nil, err
 	}
 	if h, changed := m.state.Register.Leave(m.clock(), id); changed {
-		m.state.TellHost(h, true)
-		m.wake()
+		m.tellHost(h)
+	}
+	m.mu.Unlock()
+	return nil, m.spread(ctx, id)
+}
+
+// tellHost makes news of a host that beats here; the caller holds the lock.
+func (m *Master) tellHost(h berths.Host) {
+	m.state.TellHost(h, true)
+	if h.State != berths.Ready {
+		m.departing[h.ID] = m.state.Ledger.Last()
+	}
+	m.wake()
+}
+
+// spreadIn is for how long a host that leaves waits for its answer at the most: it goes on to the next process after a second.
+const spreadIn = 700 * time.Millisecond
+
+// spread waits until more than half of the members, this process among them, have taken what was told here of a host that
+// leaves: it ends on the answer, so routers that hang on any of them must hear of it. A process that was cut off a moment ago
+// doesn't know that yet, and so answers nothing. What is told of other hosts waits for nobody.
+func (m *Master) spread(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, spreadIn)
+	defer cancel()
+	for {
+		m.mu.Lock()
+		number, waits := m.departing[id]
+		if waits && m.taken(number) {
+			delete(m.departing, id)
+			waits = false
+		}
+		acks := m.acks
+		m.mu.Unlock()
+		if !waits {
+			return nil
+		}
+		select {
+		case <-acks:
+		case <-ctx.Done():
+			return faults.Wrap(faults.Unready, ctx.Err(), "of: %s leaves, and more than half of the core haven't heard of it yet", id)
+		}
+	}
+}
+
+// taken tells whether more than half of the members have acknowledged the news up to a number; the caller holds the lock.
+func (m *Master) taken(number uint64) bool {
+	list, yes := m.state.Node.List(), map[string]string{m.Boot.IP: m.state.Self.ID}
+	for f := range m.hung {
+		if f.who.Control && f.acked >= number {
+			yes[f.who.IP] = f.who.ID
+		}
 	}
-	return nil, nil
+	return list.Quorum(yes)
 }
 
 // modify takes a configuration, as a whole or not at all.
--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -187,6 +187,10 @@
 		}
 	case w.Ack != 0:
 		f.acked = max(f.acked, w.Ack)
+		if len(m.departing) > 0 && f.who.Control {
+			close(m.acks)
+			m.acks = make(chan struct{})
+		}
 	case w.Agreed != nil && f.who.Control:
 		m.agreed(f.who.IP, w.Agreed)
 	}
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -50,29 +51,31 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu       sync.Mutex // over all that follows
-	state    *bridge.State
-	news     chan struct{} // closed and made anew when there is news
-	ends     map[string]*end
-	waits    map[uint64]chan quorum.Result        // orders and reads that are under way, by tag
-	hung     map[*follower]bool                   // who follows here
-	back     map[string]*lines.Line[signals.Word] // by IP number, lines that other control processes dialled
-	lastTag  uint64
-	rounds   map[string]bool // rollouts whose end this process asks for now
-	shelf    soundings.Shelf // snapshots that are asked for
-	dock     soundings.Dock  // one that is restored
-	settling map[string]bool // services whose first version this process asks for now
-	armed    bool            // a tick of the agreement comes soon
-	dirty    bool            // the disk has missed something
-	leaving  bool            // it ends
-	margin   muster.Margin   // of losses that the core bears, as it is seen here
-	recovery string          // what an operator confirmed when this process was made the whole core
-	draw     chance.Source
-	stands   bridge.Standing
-	dealer   *tonnage.Dealer // of callers' shares
-	dealOf   uint64          // the sum of the items that it goes by
-	toldSums bool            // to the other control processes, the last time
-	watch    *lookout.Watch
+	mu        sync.Mutex // over all that follows
+	state     *bridge.State
+	news      chan struct{} // closed and made anew when there is news
+	ends      map[string]*end
+	departing map[string]uint64                    // hosts that say they leave, whose news more than half of the members haven't acknowledged: its number
+	acks      chan struct{}                        // closed and made anew when one of the members acknowledges news, while such hosts wait
+	waits     map[uint64]chan quorum.Result        // orders and reads that are under way, by tag
+	hung      map[*follower]bool                   // who follows here
+	back      map[string]*lines.Line[signals.Word] // by IP number, lines that other control processes dialled
+	lastTag   uint64
+	rounds    map[string]bool // rollouts whose end this process asks for now
+	shelf     soundings.Shelf // snapshots that are asked for
+	dock      soundings.Dock  // one that is restored
+	settling  map[string]bool // services whose first version this process asks for now
+	armed     bool            // a tick of the agreement comes soon
+	dirty     bool            // the disk has missed something
+	leaving   bool            // it ends
+	margin    muster.Margin   // of losses that the core bears, as it is seen here
+	recovery  string          // what an operator confirmed when this process was made the whole core
+	draw      chance.Source
+	stands    bridge.Standing
+	dealer    *tonnage.Dealer // of callers' shares
+	dealOf    uint64          // the sum of the items that it goes by
+	toldSums  bool            // to the other control processes, the last time
+	watch     *lookout.Watch
 
 	clock   router.Clock // anchored once: a step of the time of day changes nothing
 	refused atomic.Int64 // writes by the disk
@@ -104,6 +107,7 @@
 	b := o.Boot
 	ctx, cancel := context.WithCancel(parent)
 	m := &Master{Options: o, ctx: ctx, cancel: cancel, news: make(chan struct{}), ends: map[string]*end{},
+		departing: map[string]uint64{}, acks: make(chan struct{}),
 		waits: map[uint64]chan quorum.Result{}, hung: map[*follower]bool{}, back: map[string]*lines.Line[signals.Word]{}, rounds: map[string]bool{}, settling: map[string]bool{},
 		dealer: tonnage.NewDealer(), watch: lookout.NewWatch(), draw: chance.Source{Seed: o.Seed},
 		clock: o.Clock, life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
@@ -208,6 +212,7 @@
 		}
 		if n%5 == 4 {
 			m.reclaim()
+			maps.DeleteFunc(m.departing, func(id string, _ uint64) bool { return m.state.Register.Host(id).ID == "" })
 		}
 		m.step(quorum.Event{Tick: true})
 		m.heal()
--- /dev/null
+++ b/internal/lab/basin/departing_test.go
@@ -0,0 +1,90 @@
+package basin
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// leaving is what a host's call gets that says that it leaves, from one control process, and how long that takes.
+func (h *Harbour) leaving(at int, q *Quay, sequence int, call string) (int, time.Duration) {
+	body, _ := json.Marshal(map[string]any{"address": q.Address, "information": map[string]any{"service": q.Service, "version": q.Version, "zone-name": q.Zone,
+		"slot-count": 3}, "current-status": map[string]any{"server-state": "draining", "sequence": sequence, "cold-remaining-s": 0}})
+	if call == "instances.leave" {
+		body = nil
+	}
+	began := time.Now()
+	status, _ := h.askOf(at, call, q.ID, body)
+	return status, time.Since(began)
+}
+
+// A host that leaves is answered once more than half of the core has heard of it: it ends on that answer. One that was cut off
+// a moment ago and doesn't know it answers nothing; the host goes on to another process.
+func TestLeavesOnceMostHaveHeard(t *testing.T) {
+	for _, call := range []string{"instances.heartbeat", "instances.leave"} {
+		t.Run(call, func(t *testing.T) {
+			l := small
+			l.Zones, l.Rate = 6, 2
+			day(t, l, 22*time.Second, func(c *qt.C, h *Harbour) {
+				ours := func(z int) (all []*Quay) {
+					for _, q := range h.Quays {
+						if q.Zone == zone(z) {
+							all = append(all, q)
+						}
+					}
+					return all
+				}
+				calm := ours(4)[0]
+				calm.Drain()
+				status, took := h.leaving(4, calm, 1000, call)
+				c.Check(status, qt.Equals, 200)
+				c.Check(took < 250*time.Millisecond, qt.IsTrue, qt.Commentf("%v in a calm", took)) // a round trip between regions
+				status, took = h.leaving(4, calm, 1001, call)
+				c.Check(status, qt.Equals, 200)
+				c.Check(took < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v once more", took)) // it is known: the connection and the call alone
+
+				q := ours(5)[0]
+				h.part(h.Masters[5], true)
+				time.Sleep(100 * time.Millisecond)
+				c.Check(h.Masters[5].Standing(), qt.Equals, "in touch") // as far as it knows
+				for n := range 3 {
+					status, took := h.leaving(5, q, 1000+n, call)
+					c.Check(status, qt.Equals, 503, qt.Commentf("try %d", n))
+					c.Check(took < 900*time.Millisecond, qt.IsTrue, qt.Commentf("%v while it is cut off", took))
+				}
+				status, _ = h.leaving(0, q, 1003, call)
+				c.Check(status, qt.Equals, 200)
+				h.part(h.Masters[5], false)
+				time.Sleep(4 * time.Second)
+				status, _ = h.leaving(5, q, 1004, call)
+				c.Check(status, qt.Equals, 200)
+			}, 0.96)
+		})
+	}
+}
+
+// The same by the host's own beats: it says that it leaves to the process of its zone right after that was cut off, ends when
+// its time is over, and no router of another zone may have sent it anything later than drain-limit-s after its answer.
+func TestDrainsBesideACut(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			l := small
+			l.Zones, l.Rate, l.Seed = 6, 2, seed+1
+			day(t, l, 20*time.Second, func(c *qt.C, h *Harbour) {
+				h.part(h.Masters[5], true)
+				for _, q := range h.Quays {
+					if q.Zone == zone(5) {
+						q.Drain()
+					}
+				}
+				h.Host("desk", 5, "v1", 0)
+				h.Host("desk", 5, "v1", 0)
+				time.Sleep(10 * time.Second)
+				h.part(h.Masters[5], false)
+			}, 0.96)
+		})
+	}
+}
