A copy of a restore on its way takes nothing back that was confirmed since

Read from the code while looking for orders whose late copies could come in force after others: changes have versions, evacuations and begins are bound to what they found, ends and members' changes have numbers; a restore had nothing. It is handed to the first member, proposed by its taker after 0.35 s without an answer, and sent again by a loop after 2.5 s: a copy decided after a confirmed change would have put all that stood back.

A restore has a name (one life of one process, counted) and goes by an epoch. The members' list keeps the last eight names; a copy whose name is there changes nothing, one of another epoch is refused and its loop goes by the new one. A restore of what stands already raises the epoch too: else its copy would not be known.

Tests: late copies of the same and of a later try, after a change of members, an older epoch, the bound on names.

--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -64,6 +64,7 @@
 	rounds    map[string]bool // rollouts whose end this process asks for now
 	shelf     soundings.Shelf // snapshots that are asked for
 	dock      soundings.Dock  // one that is restored
+	restores  int             // how many this life has put in force, or tried to
 	settling  map[string]bool // services whose first version this process asks for now
 	armed     bool            // a tick of the agreement comes soon
 	dirty     bool            // the disk has missed something
--- a/internal/harbour/harbourmaster/soundings.go
+++ b/internal/harbour/harbourmaster/soundings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"portflow/internal/harbour/faults"
@@ -58,9 +59,16 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(m.ctx, restoring)
 			defer cancel()
+			m.mu.Lock()
+			o := orders.Order{Kind: orders.Restore, Items: items, Version: fmt.Sprintf("%s-%d", m.life, m.restores)}
+			m.restores++
+			m.mu.Unlock()
 			err := faults.New(faults.Unready, "not begun")
 			for err != nil && ctx.Err() == nil && faults.Of(err) == faults.Unready {
-				err = m.submit(ctx, orders.Order{Kind: orders.Restore, Items: items})
+				m.mu.Lock()
+				o.Number = m.state.Node.List().Epoch // no copy of a try that is out comes in force once that has moved
+				m.mu.Unlock()
+				err = m.submit(ctx, o)
 			}
 			m.mu.Lock()
 			defer m.mu.Unlock()
--- a/internal/harbour/muster/muster.go
+++ b/internal/harbour/muster/muster.go
@@ -20,9 +20,21 @@
 
 // List is the members of one epoch, in the order of their IP numbers. The zero List is before the first.
 type List struct {
-	Epoch   uint64   `json:"e"`
-	Members []Member `json:"m"`
-	Held    []Member `json:"h,omitempty"` // let go by an operator: they aren't voted in again by themselves with these disks
+	Epoch    uint64   `json:"e"`
+	Members  []Member `json:"m"`
+	Held     []Member `json:"h,omitempty"` // let go by an operator: they aren't voted in again by themselves with these disks
+	Restored []string `json:"r,omitempty"` // the last snapshots that took the place of all that stood, so that a late copy does nothing
+}
+
+// MostRestored is how many restored snapshots are known.
+const MostRestored = 8
+
+// Restore is the next epoch's list, which knows of one more.
+func (l List) Restore(id string) List {
+	l.Epoch++
+	l.Restored = append(slices.Clone(l.Restored), id)
+	l.Restored = l.Restored[max(0, len(l.Restored)-MostRestored):]
+	return l
 }
 
 // MostHeld is how many of those that were let go are held out; beyond it the first is forgotten.
@@ -87,7 +99,7 @@
 // Join is the next epoch's list with members that come in, each in the place of an older one of its IP number, and without
 // those that go. It is the same list where nothing changes.
 func (l List) Join(in []Member, out []string) List {
-	next := List{Epoch: l.Epoch + 1, Held: slices.DeleteFunc(slices.Clone(l.Held), func(m Member) bool {
+	next := List{Epoch: l.Epoch + 1, Restored: l.Restored, Held: slices.DeleteFunc(slices.Clone(l.Held), func(m Member) bool {
 		return slices.ContainsFunc(in, func(x Member) bool { return x.ID == m.ID })
 	})}
 	changed := false
--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -41,12 +41,12 @@
 	Again   int64           `json:"a,omitempty"` // for how long after its term the same begin may come again
 	Known   uint64          `json:"y,omitempty"` // the service's newest rollout as who took the order knows it
 	Age     int64           `json:"g,omitempty"` // for how long that one has been there
-	Number  uint64          `json:"u,omitempty"` // of the rollout that ends; the epoch that a change of members goes by, 0 for any
+	Number  uint64          `json:"u,omitempty"` // of the rollout that ends; the epoch that a restore or a change of members goes by, there 0 for any
 	State   pilotage.State  `json:"s,omitempty"` // how it ends
 	In      []muster.Member `json:"m,omitempty"`
 	Out     []string        `json:"x,omitempty"` // IP numbers
 	Hold    []muster.Member `json:"h,omitempty"` // of those that go: who isn't to be voted in again by itself
-	Version string          `json:"v,omitempty"`
+	Version string          `json:"v,omitempty"` // a service's first; the name of a restore, of which there is one only
 	Bound   bool            `json:"c,omitempty"` // it holds only while what it changes is of version Base
 	Base    uint64          `json:"z,omitempty"`
 }
@@ -102,7 +102,14 @@
 		next.Epoch = list.Epoch + 1
 		return []manifest.Item{next.Hold(o.Hold).Item()}, nil
 	case Restore:
-		return restore(s, o.Items), nil
+		list := muster.Of(s)
+		switch {
+		case slices.Contains(list.Restored, o.Version): // it has been in force, whatever came since
+			return nil, nil
+		case o.Number != list.Epoch:
+			return nil, faults.New(faults.Unready, "the members or all that stands have changed since: epoch %d, not %d", list.Epoch, o.Number)
+		}
+		return restore(list.Restore(o.Version), o.Items), nil
 	}
 	return nil, faults.New(faults.Malformed, "no such order: %q", o.Kind)
 }
@@ -115,28 +122,13 @@
 
 // restore is the value that makes what stands into a snapshot: the members stay, their epoch rises, so that routers take
 // lower versions too.
-func restore(s *manifest.Set, items []manifest.Item) []manifest.Item {
-	list := muster.Of(s)
-	list.Epoch++
+func restore(list muster.List, items []manifest.Item) []manifest.Item {
 	value := []manifest.Item{{Kind: Whole.Kind, Name: Whole.Name, Version: list.Epoch}, list.Item()}
-	same, stands := 0, 0
 	for _, i := range items {
-		if i.Kind == manifest.Core {
-			continue
-		}
-		if old, there := s.Get(i.Key()); there && old.Same(i) {
-			same++
-		}
-		value = append(value, i)
-	}
-	for _, i := range s.All() {
 		if i.Kind != manifest.Core {
-			stands++
+			value = append(value, i)
 		}
 	}
-	if same == stands && len(value) == same+2 {
-		return nil
-	}
 	return value
 }
 
--- a/internal/harbour/orders/orders_test.go
+++ b/internal/harbour/orders/orders_test.go
@@ -280,8 +280,8 @@
 	}
 }
 
-// A snapshot takes the place of all that stands but the members, also where it is older, under a new epoch; again it changes
-// nothing.
+// A snapshot takes the place of all that stands but the members, also where it is older, under a new epoch; a copy of the
+// order changes nothing, whatever was confirmed since.
 func TestRestore(t *testing.T) {
 	c := qt.New(t)
 	set := manifest.NewSet()
@@ -299,9 +299,9 @@
 	}
 	do(modifies(service("desk", 1), route("r1", 5, "desk", "a"), route("r2", 5, "desk", "a")))
 	do(joined(0, "1 2"))
-	snapshot := Order{Kind: Restore, Items: []manifest.Item{service("desk", 1), route("r1", 3, "desk", "old"), drop(manifest.Routes, "r3", 4), muster.List{Epoch: 9}.Item()}}
+	snapshot := Order{Kind: Restore, Number: 1, Version: "first", Items: []manifest.Item{service("desk", 1), route("r1", 3, "desk", "old"), drop(manifest.Routes, "r3", 4), muster.List{Epoch: 9}.Item()}}
 	c.Check(IsWhole(do(snapshot)), qt.IsTrue)
-	c.Check(muster.Of(set), qt.DeepEquals, muster.List{Epoch: 2, Members: joined(0, "1 2").In})
+	c.Check(muster.Of(set), qt.DeepEquals, muster.List{Epoch: 2, Members: joined(0, "1 2").In, Restored: []string{"first"}})
 	for _, i := range snapshot.Items[:3] {
 		now, there := set.Get(i.Key())
 		c.Check(there && now.Same(i), qt.IsTrue, qt.Commentf("%s %s", i.Kind, i.Name))
@@ -313,8 +313,27 @@
 	c.Check(set.Len(), qt.Equals, 4)
 	c.Check(do(snapshot), qt.HasLen, 0, qt.Commentf("again"))
 	c.Check(do(modifies(route("r2", 4, "desk", "b"))), qt.HasLen, 1, qt.Commentf("a version lower than what stood before"))
+	// a copy of the order that was on its way changes nothing that was confirmed since
+	c.Check(do(snapshot), qt.HasLen, 0, qt.Commentf("a late copy"))
+	snapshot.Number = 2
+	c.Check(do(snapshot), qt.HasLen, 0, qt.Commentf("a late copy of a later try"))
+	do(joined(2, "3"))
+	c.Check(do(snapshot), qt.HasLen, 0, qt.Commentf("after a change of members"))
+	now, _ := set.Get(manifest.Key{Kind: manifest.Routes, Name: "r2"})
+	c.Check(now.Version, qt.Equals, uint64(4))
+	// the same snapshot restored once more is another order; one that goes by an older epoch is none
+	snapshot.Version = "second"
+	_, err := Apply(set, snapshot)
+	c.Check(faults.Of(err), qt.Equals, faults.Unready)
+	snapshot.Number = 3
 	c.Check(IsWhole(do(snapshot)), qt.IsTrue)
-	c.Check(muster.Of(set).Epoch, qt.Equals, uint64(3))
+	c.Check(muster.Of(set).Epoch, qt.Equals, uint64(4))
+	c.Check(muster.Of(set).Restored, qt.DeepEquals, []string{"first", "second"})
+	for n := range 20 {
+		snapshot.Number, snapshot.Version = uint64(4+n), fmt.Sprint(n)
+		do(snapshot)
+	}
+	c.Check(muster.Of(set).Restored, qt.HasLen, muster.MostRestored)
 	c.Check(IsWhole(nil), qt.IsFalse)
 }
 
