--- a/internal/lab/days/days_test.go
+++ b/internal/lab/days/days_test.go
@@ -20,7 +20,8 @@
 
 leak: share (.2) of a service's servers fail for for_s; how: slow (drips), gone (for good)
 swap: share (.4) are changed, x (1) at a time, each gap_s
-strand: share (.1) of the machines: SIGKILL; how: dark (for for_s)
+strand: share (.1) of the machines: SIGKILL; how: dark (for for_s); how dry: the ebb's (+ far: at once; + deep: later)
+strand_still: share (.1) lie still
 tow: share (1) get SIGTERM, x (1) at a time; how: out (they leave)
 fog: count (1) counted machines are cut off from the others; how: half, part (some (a few) only)
 paper: how: lines weights
@@ -47,7 +48,7 @@
 floor_zones = [0.3]
 closing = { kind = "dark_all", down_s = 1.0, how = "aimed" }
 plan = [ { at = 1.0, kind = "paper", how = "lines" }, { at = 1.0, kind = "swap", x = 8.0, share = 0.2 }, { at = 2, kind = "spoil", count = 2 }, { at = 2, kind = "tow" }, { at = 2, kind = "calm" } ]
-faults = [ { at = 3.0, kind = "leak", service = "mail" }, { at = 3.5, kind = "fog", how = "captain" }, { at = 4, kind = "reuse" } ]
+faults = [ { at = 3.0, kind = "leak", service = "mail" }, { at = 3.5, kind = "fog", how = "captain" }, { at = 4, kind = "reuse" }, { at = 4, kind = "strand_still" } ]
 traffic = [ { zone = "east", per_s = 3.0, mix = { ask = 1.5 } } ]
 [[day]]
 name = "two"
@@ -71,15 +72,15 @@
 func TestReadKinds(t *testing.T) {
 	c := pond(t).Catalogue
 	for name, hows := range map[string][]string{
-		"leak": {"slow", "gone"}, "swap": {}, "strand": {"dark"}, "tow": {"out"}, "fog": {"half", "part"}, "paper": {"lines", "weights"},
+		"leak": {"slow", "gone"}, "swap": {}, "strand": {"dry", "far", "deep", "dark"}, "strand_still": {}, "tow": {"out"}, "fog": {"half", "part"}, "paper": {"lines", "weights"},
 		"spoil": {"torn", "empty"}, "reuse": {"slowly"}, "grade": {"rude", "mute", "late", "beside"}, "calm": {"warm"},
 	} {
 		k, ok := c.Kind(name)
 		qt.Check(t, ok, qt.IsTrue, qt.Commentf(name))
 		qt.Check(t, k.Hows, qt.DeepEquals, hows, qt.Commentf(name))
-		qt.Check(t, k.Machines, qt.Equals, slices.Contains([]string{"strand", "tow", "fog"}, name), qt.Commentf(name))
+		qt.Check(t, k.Machines, qt.Equals, slices.Contains([]string{"strand", "strand_still", "tow", "fog"}, name), qt.Commentf(name))
 	}
-	qt.Check(t, len(c.Kinds), qt.Equals, 10)
+	qt.Check(t, len(c.Kinds), qt.Equals, 11)
 	leak, _ := c.Kind("leak")
 	qt.Check(t, leak.Defaults["share"], qt.Equals, 0.2)
 	qt.Check(t, c.Defaults, qt.DeepEquals, map[string]float64{"for_s": 4, "gap_s": 2})
@@ -265,7 +266,7 @@
 	for name, c := range map[string]struct{ text, says string }{
 		"empty":       {"", "kinds: no line of 1 names a kind.*"},
 		"no closing":  {"leak: share (.1) fail", "kinds: no line tells of closing faults.*"},
-		"named twice": {listText + "leak: again", `kinds, line 17: leak stands twice`},
+		"named twice": {listText + "leak: again", `kinds, line 18: leak stands twice`},
 	} {
 		_, err := ReadKinds(c.text)
 		qt.Check(t, err, qt.ErrorMatches, c.says, qt.Commentf(name))
--- a/internal/lab/days/kinds.go
+++ b/internal/lab/days/kinds.go
@@ -49,7 +49,7 @@
 	defaults = regexp.MustCompile(`\b([a-z_]+):? \((\.?[0-9][0-9.]*)\)`)
 	spanned  = regexp.MustCompile(`\b([a-z_]+): [^.;:()]*\((\.?[0-9][0-9.]*)\)`)
 	headed   = regexp.MustCompile(`(?:^|[.;] )((?:[a-z_]+, )*[a-z_]+): `)
-	named    = regexp.MustCompile(`how ([a-z_]+): `)
+	named    = regexp.MustCompile(`(?:how|[(;] ?\+) ([a-z_]+): `)
 	striking = regexp.MustCompile(`\b(machines?|disks?|SIG[A-Z]+)\b`)
 )
 
@@ -75,9 +75,20 @@
 		return c, fmt.Errorf("kinds: no line tells of closing faults (closing = { kind = A | B })")
 	}
 	c.Fields = lo.Uniq(c.Fields)
+	// a line needn't say again what its neighbour says: kinds whose names begin alike befall alike
+	striking := lo.FilterMap(c.Kinds, func(k Kind, _ int) (string, bool) { return k.family(), k.Machines })
+	for i := range c.Kinds {
+		c.Kinds[i].Machines = slices.Contains(striking, c.Kinds[i].family())
+	}
 	return c, nil
 }
 
+// family is the first part of a kind's name.
+func (k Kind) family() string {
+	first, _, _ := strings.Cut(k.Name, "_")
+	return first
+}
+
 func readKind(name, text string) Kind {
 	k := Kind{Name: name, Defaults: map[string]float64{}, Machines: striking.MatchString(text), Cuts: strings.Contains(text, "cut off")}
 	for _, m := range defaults.FindAllStringSubmatch(text, -1) {
@@ -93,7 +104,7 @@
 }
 
 // hows finds the variants of a line: what stands after "how:", up to the clause's end and without remarks in brackets, and
-// "how NAME:". Within brackets only what stands before a comma counts.
+// "how NAME:", also with what may stand beside it, "(+ NAME:". Within brackets only what stands before a comma counts.
 func hows(text string) []string {
 	var found []string
 	for _, m := range named.FindAllStringSubmatch(text, -1) {
