Answers that end with their connection count; early ones keep what they say

Read in the code: a reset that a write takes up reads like an orderly end; Time-Remaining was that of before the connection came up; long answers got a made-up Content-Type. Change: whether an unended answer is whole shows at its end; parts/hosts tells an orderly end from others. A write that fails after some bytes went ends nothing. Renewer states what is left once there is a connection.

--- a/internal/harbour/attempt/answer.go
+++ b/internal/harbour/attempt/answer.go
@@ -9,7 +9,6 @@
 	NotRun  bool     // it carries Request-Not-Run
 	Sealed  bool     // it carries a Server-Seal
 	Encoded bool     // it carries a Content-Encoding
-	Bounded bool     // where it ends is stated: by a length, by chunks, or as it has no body
 }
 
 // Why an answer is none to the request that waits.
@@ -17,13 +16,14 @@
 	ErrOther    = errors.New("the answer is another request's")
 	ErrSeal     = errors.New("a success without a seal")
 	ErrEncoded  = errors.New("an encoding that nobody asked for")
-	ErrUnended  = errors.New("an answer without a stated end")
+	ErrUnended  = errors.New("an answer without a stated end, to one who can't be told of another")
 	ErrSwitched = errors.New("another protocol that nobody asked for")
 	ErrBoth     = errors.New("a success that says it did not run")
 )
 
-// Judge tells what an answer is to the request with this id that waits on its connection. The id comes first: whatever else
-// an answer says, it says of the request that it names. A request without an id has answers without one.
+// Judge tells by its head what an answer is to the request with this id that waits on its connection. The id comes first:
+// whatever else an answer says, it says of the request that it names. A request without an id has answers without one. Whether
+// it is whole shows as its body is read: one without a stated end ends with its connection, in order or not at all.
 func Judge(id string, a Answer) (Event, error) {
 	switch {
 	case a.Status < 200:
@@ -40,8 +40,6 @@
 		return Extra, ErrSeal
 	case a.Encoded:
 		return Extra, ErrEncoded
-	case !a.Bounded:
-		return Cut, ErrUnended
 	}
 	return Answered, nil
 }
--- a/internal/harbour/attempt/attempt.go
+++ b/internal/harbour/attempt/attempt.go
@@ -29,7 +29,7 @@
 	Misdirected              // an answer with the request's id and 421
 	Answered                 // any other whole answer with the request's id
 	WrongID                  // an answer with another id, or with none
-	Cut                      // an answer that breaks off, or of which nobody can tell whether it is whole
+	Cut                      // an answer that breaks off
 	Extra                    // bytes that are no answer
 	Reset                    // the connection broke
 	Silence                  // the time is up
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -28,6 +29,7 @@
 // counts are the counters of a process, by what became of requests and of hand-offs.
 type counts struct {
 	taken, answered, again, gone, panics atomic.Int64
+	unstowed                             atomic.Int64     // bodies that there was no memory for
 	withheld                             atomic.Int64     // hand-offs that were wanted and must not be
 	odd                                  [16]atomic.Int64 // what came in place of answers, by attempt.Event
 	faults                               [32]atomic.Int64
@@ -44,6 +46,9 @@
 	if n := c.withheld.Load(); n > 0 {
 		fmt.Fprintf(&b, " withheld=%d", n)
 	}
+	if n := c.unstowed.Load(); n > 0 {
+		fmt.Fprintf(&b, " unstowed=%d", n)
+	}
 	for _, e := range attempt.Events() {
 		if n := c.odd[e].Load(); n > 0 {
 			fmt.Fprintf(&b, " odd.%s=%d", strings.ReplaceAll(e.String(), " ", "_"), n)
@@ -122,6 +127,7 @@
 	limits func() manifest.Bounds
 	mu     sync.Mutex
 	idle   bool
+	behind bool // something has come while a request was at work: the library looks for a client's end no more then
 	frames framing.Stream
 }
 
@@ -130,6 +136,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = false
+	c.behind = c.behind || n == 1 && len(b) == 1 // as it looks
 	c.frames.Read(b[:n])
 	return n, err
 }
@@ -153,6 +160,33 @@
 	return c.frames.Take()
 }
 
+// Write gives a client that takes nothing as long as one that says nothing.
+func (c *caller) Write(b []byte) (int, error) {
+	c.Conn.SetWriteDeadline(time.Now().Add(time.Duration(c.limits().IdleFor)))
+	return c.Conn.Write(b)
+}
+
+// left tells whether the client went while its request stood behind another.
+func (c *caller) left() bool {
+	c.mu.Lock()
+	behind := c.behind
+	c.behind = false
+	c.mu.Unlock()
+	s, ok := c.Conn.(syscall.Conn)
+	if !behind || !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	n, seen := 0, error(nil)
+	err = raw.Control(func(fd uintptr) {
+		n, _, seen = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || seen == nil && n == 0 || seen != nil && seen != syscall.EAGAIN && seen != syscall.EINTR
+}
+
 func (c *caller) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -191,8 +225,12 @@
 	defer f.open.Add(-1)
 	began := f.clock()
 	v := f.view.Load()
-	if c, ok := r.Context().Value(callerKey{}).(*caller); ok {
-		if x := c.take(); x.Doubtful() || x.Codings > 0 && !r.ProtoAtLeast(1, 1) { // the library passes over codings there
+	if r.ContentLength != 0 { // also for what is left of it once a request is refused: the library reads that
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyIn + time.Duration(max(0, r.ContentLength)>>20)*time.Second))
+	}
+	from, known := r.Context().Value(callerKey{}).(*caller)
+	if known {
+		if x := from.take(); x.Doubtful() || x.Codings > 0 && !r.ProtoAtLeast(1, 1) { // the library passes over codings there
 			f.refuse(w, faults.Malformed, 0)
 			return
 		}
@@ -223,8 +261,10 @@
 		}
 		left = min(left, int64(ms*1e6))
 	}
-	body, fault := f.body(w, r, v.chart.Limits)
-	defer f.held.Add(-int64(len(body)))
+	body, weight, fault := f.body(w, r, v.chart.Limits)
+	load := &cargo{id: r.Header.Get("Attempt-Id"), stream: make(chan *stream, 1), attempts: attempt.Request{Idempotent: route.Safe},
+		stowed: stowed{in: &f.held, weight: weight, users: 1}}
+	defer load.leave()
 	if fault != faults.None {
 		f.refuse(w, fault, 0)
 		return
@@ -241,11 +281,14 @@
 		}
 	}
 	answers := make(router.Chan, 1)
-	load := &cargo{host: r.Host, header: passed(r.Header), id: r.Header.Get("Attempt-Id"), homes: len(route.Homes) > 0,
-		stream: make(chan *stream, 1), attempts: attempt.Request{Idempotent: route.Safe}}
+	load.host, load.header, load.homes = r.Host, passed(r.Header), len(route.Homes) > 0
 	c := &router.Command{Band: s.band(route), CutOff: began + left, Answer: answers, Most: route.Most,
 		May:     func(h router.Host) bool { return s.may(h, route.Homes) },
 		Request: &router.Request{Method: r.Method, Target: r.RequestURI, Body: body, Cargo: load}}
+	if known && from.left() {
+		f.counts.gone.Add(1)
+		panic(http.ErrAbortHandler)
+	}
 	s.reducer.Post(router.Taken{Command: c})
 	select {
 	case a := <-answers:
@@ -258,7 +301,7 @@
 			f.refuse(w, faults.Broken, 0)
 			return
 		}
-		f.passOn(w, t)
+		f.passOn(w, r, t)
 	case <-r.Context().Done(): // also where only its writing side is shut: no answer, as one that isn't given would be a success
 		load.settle()
 		f.counts.gone.Add(1)
@@ -288,30 +331,58 @@
 // bodyIn is for a body, beside a second for each megabyte of it that is stated.
 const bodyIn = 5 * time.Second
 
-// body reads a request's body whole. What all bodies together may hold is a quarter of the machine's memory.
-func (f *Fairway) body(w http.ResponseWriter, r *http.Request, l manifest.Bounds) ([]byte, faults.Kind) {
+// body reads a request's body whole, within the memory that bodies have. It tells how much of that it has taken up, which is
+// the caller's to give back whatever the fault.
+func (f *Fairway) body(w http.ResponseWriter, r *http.Request, l manifest.Bounds) (body []byte, weight int64, fault faults.Kind) {
 	if r.ContentLength == 0 {
-		return nil, faults.None
+		return nil, 0, faults.None
 	}
 	if r.ContentLength > int64(l.Body) {
-		return nil, faults.Oversized
+		return nil, 0, faults.Oversized
 	}
-	room := int64(f.Boot.MemoryMB) << 20 / 4
-	if f.held.Load()+max(0, r.ContentLength) > room {
-		return nil, faults.Crowded
+	crowded := func() ([]byte, int64, faults.Kind) {
+		f.counts.unstowed.Add(1)
+		w.Header()["Connection"] = []string{"close"} // what comes of it is not waited for
+		return nil, weight, faults.Crowded
+	}
+	var err error
+	if r.ContentLength > 0 {
+		if !f.stow(r.ContentLength, r.ContentLength) {
+			return crowded()
+		}
+		weight = r.ContentLength
+		body = make([]byte, weight)
+		_, err = io.ReadFull(r.Body, body)
+	} else {
+		from := http.MaxBytesReader(w, r.Body, int64(l.Body))
+		for n := 0; err == nil; {
+			if n == len(body) { // while it is copied there are two of it
+				more := max(firstPart, 2*int64(n))
+				if !f.stow(more, more+int64(n)) {
+					return crowded()
+				}
+				weight += more
+				body = append(make([]byte, 0, more), body...)[:more]
+				f.held.Add(-int64(n))
+				weight -= int64(n)
+			}
+			var k int
+			k, err = from.Read(body[n:])
+			if n += k; err == io.EOF {
+				body, err = body[:n], nil
+				break
+			}
+		}
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyIn + time.Duration(max(0, r.ContentLength)>>20)*time.Second))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, min(int64(l.Body), room)))
-	f.held.Add(int64(len(body)))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return body, faults.Oversized
+		return nil, weight, faults.Oversized
 	case err != nil:
-		return body, faults.Malformed
+		return nil, weight, faults.Malformed
 	}
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return body, faults.None
+	return body, weight, faults.None
 }
 
 // choose is a route's service for one request, by the weights.
@@ -351,42 +422,42 @@
 	}
 }
 
-// pass gives a host's answer as it is.
-func (f *Fairway) pass(w http.ResponseWriter, a *reply) {
+// head begins to give a host's answer, and makes nothing up.
+func (f *Fairway) head(w http.ResponseWriter, a *reply) http.Header {
 	f.counts.answered.Add(1)
 	h := w.Header()
 	for name, values := range a.header {
 		h[name] = values
 	}
-	if _, ok := h["Date"]; !ok {
-		h["Date"] = nil
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
 	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil
+	if f.leaving.Load() {
+		h["Connection"] = []string{"close"}
 	}
+	return h
+}
+
+// pass gives a host's answer as it is.
+func (f *Fairway) pass(w http.ResponseWriter, a *reply) {
+	h := f.head(w, a)
 	if !a.bodiless {
 		h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
 	}
-	if f.leaving.Load() {
-		h["Connection"] = []string{"close"}
-	}
 	w.WriteHeader(a.status)
 	w.Write(a.body)
 }
 
-// passOn gives a long answer as it comes. One that breaks off ends the connection, so that it doesn't look complete.
-func (f *Fairway) passOn(w http.ResponseWriter, t *stream) {
-	f.counts.answered.Add(1)
-	h := w.Header()
-	for name, values := range t.header {
-		h[name] = values
-	}
+// passOn gives a long answer as it comes, while its client is there. One that breaks off ends the connection, so that it doesn't
+// look complete.
+func (f *Fairway) passOn(w http.ResponseWriter, r *http.Request, t *stream) {
+	defer context.AfterFunc(r.Context(), t.stop)()
+	h := f.head(w, t.reply)
 	if t.length >= 0 {
 		h["Content-Length"] = []string{strconv.FormatInt(t.length, 10)}
 	}
-	if f.leaving.Load() {
-		h["Connection"] = []string{"close"}
-	}
 	w.WriteHeader(t.status)
 	_, err := w.Write(t.body)
 	if err == nil {
--- a/internal/harbour/fairway/speech.go
+++ b/internal/harbour/fairway/speech.go
@@ -32,14 +32,24 @@
 	conns    []any // that it was written on; as many as hand-offs at most
 	first    [1]any
 	odd      attempt.Event // what came in place of an answer to the present attempt, 0 for none
+	stowed   stowed        // its body
+}
+
+// leave tells that its handler is done with it.
+func (c *cargo) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stowed.leave()
 }
 
 // begin begins an attempt where that may be.
 func (c *cargo) begin() (ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.attempts, ok = c.attempts.Begin()
-	c.odd = 0
+	if c.attempts, ok = c.attempts.Begin(); ok {
+		c.odd = 0
+		c.stowed.enter()
+	}
 	return ok
 }
 
@@ -78,12 +88,16 @@
 	return ok
 }
 
-// Wrote tells that so many bytes went. Which are the last is not told: some may have been all.
+// Wrote tells that so many bytes went. Which are the last is not told: some may have been all. Where some went before, a write
+// that fails ends nothing: the host's answer may be there already, and the connection is closed behind an early one.
 func (c *cargo) Wrote(n int, err error) {
-	if n > 0 {
-		c.on(attempt.WrotePart)
-	} else if err != nil {
-		c.on(attempt.WroteNone)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case n > 0:
+		c.attempts, _ = c.attempts.On(attempt.WrotePart)
+	case err != nil && c.attempts.Last().Phase == attempt.Begun:
+		c.attempts, _ = c.attempts.On(attempt.WroteNone)
 	}
 }
 
@@ -131,6 +145,7 @@
 func (c *cargo) end(e rules.Ending) (told rules.Ending, odd attempt.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.stowed.leave()
 	c.attempts, _ = c.attempts.On(ends[e])
 	switch known := c.attempts.Last().Knowledge; {
 	case known == attempt.NotRun && (e == rules.Reset || e == rules.TimedOut || e == rules.Spoilt):
@@ -148,6 +163,7 @@
 	*reply
 	length int64 // -1 where it isn't stated
 	rest   io.Reader
+	stop   func() // ends rest, also while it is read
 	done   chan error
 }
 
@@ -193,7 +209,7 @@
 	c := r.Cargo.(*cargo)
 	h := c.header.Clone()
 	h["Expected-Instance"] = []string{to.Name}
-	h["Time-Remaining"] = []string{strconv.FormatInt(max(1, left.Milliseconds()), 10)}
+	h["Time-Remaining"] = []string{milliseconds(left)}
 	if h["User-Agent"] == nil {
 		h["User-Agent"] = nil // none of the library's own
 	}
@@ -213,6 +229,21 @@
 	return req
 }
 
+// Renew states what is left once there is a connection, where that took a while.
+func (speech) Renew(r *http.Request, left time.Duration) {
+	if said := r.Header["Time-Remaining"]; said[0] != "" {
+		if ms, err := strconv.ParseInt(said[0], 10, 64); err == nil && ms > left.Milliseconds()+renewed {
+			said[0] = milliseconds(left)
+		}
+	}
+}
+
+const renewed = 2 // milliseconds that a host may be told too much
+
+func milliseconds(left time.Duration) string {
+	return strconv.FormatInt(max(1, left.Milliseconds()), 10)
+}
+
 // target is a request's target as the library writes it unchanged; ok is false where it can't.
 func target(raw string) (u *url.URL, ok bool) {
 	if !strings.HasPrefix(raw, "//") {
@@ -239,9 +270,8 @@
 	h := resp.Header
 	bodiless := r.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	what, err := attempt.Judge(c.id, attempt.Answer{Status: resp.StatusCode, IDs: h["Attempt-Id"], NotRun: h.Get("Request-Not-Run") != "",
-		Sealed: h.Get("Server-Seal") != "", Encoded: h.Get("Content-Encoding") != "",
-		Bounded: bodiless || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0})
-	if err != nil { // what else it says, and whether it ends, is no matter
+		Sealed: h.Get("Server-Seal") != "", Encoded: h.Get("Content-Encoding") != ""})
+	if err != nil { // what else it says is no matter
 		c.none(what)
 		return router.Outcome{}, err
 	}
@@ -267,7 +297,7 @@
 			c.none(attempt.Extra)
 			return router.Outcome{}, errLong
 		}
-		t := &stream{reply: a, length: resp.ContentLength, rest: resp.Body, done: make(chan error, 1)}
+		t := &stream{reply: a, length: resp.ContentLength, rest: resp.Body, stop: func() { resp.Body.Close() }, done: make(chan error, 1)}
 		err := errGone
 		if c.offer(t) {
 			err = <-t.done
--- a/internal/parts/hosts/conn.go
+++ b/internal/parts/hosts/conn.go
@@ -38,10 +38,14 @@
 	drained bool      // the reader waits, so all that had come was taken up
 	closed  bool
 	writer  *handOff // that was written last
+
+	took   *handOff      // of which it has taken bytes; the writer's alone
+	pen    chan struct{} // holds one while bytes of a hand-off with a Track are written
+	failed atomic.Bool   // such a write did
 }
 
 func newConn(c net.Conn, place *room.Place, w Watch, to string) (*conn, error) {
-	v := &conn{Conn: c, place: place, opened: time.Now(), flow: w(to, c.LocalAddr(), c.RemoteAddr())}
+	v := &conn{Conn: c, place: place, opened: time.Now(), pen: make(chan struct{}, 1), flow: w(to, c.LocalAddr(), c.RemoteAddr())}
 	v.turn.L = &v.mu
 	if s, ok := c.(syscall.Conn); ok {
 		raw, err := s.SyscallConn()
@@ -59,8 +63,39 @@
 // to be read.
 type Pending interface{ Pending() bool }
 
-// Read reads under the lock, so that nothing can come between a look for bytes and a write.
-func (c *conn) Read(b []byte) (n int, err error) {
+// Read reads, and tells an orderly end from one that isn't. A write may take up the word of a reset, and the end then reads
+// like any other: an answer whose end is the connection's would look whole.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.read(b)
+	if err == io.EOF && !c.orderly() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// lastWrite is for a write that is under way as the end is read: one that the host took has returned long before then.
+const lastWrite = 50 * time.Millisecond
+
+// orderly tells, at the connection's end, whether all that was written on it was taken.
+func (c *conn) orderly() bool {
+	select {
+	case c.pen <- struct{}{}:
+		<-c.pen
+	default:
+		after := time.NewTimer(lastWrite)
+		defer after.Stop()
+		select {
+		case c.pen <- struct{}{}:
+			<-c.pen
+		case <-after.C:
+			return false
+		}
+	}
+	return !c.failed.Load()
+}
+
+// read reads under the lock, so that nothing can come between a look for bytes and a write.
+func (c *conn) read(b []byte) (n int, err error) {
 	if len(b) == 0 {
 		return 0, nil
 	}
@@ -103,10 +138,27 @@
 			return 0, errRevoked
 		}
 	}
+	if h == nil || h.track == nil {
+		n, err := c.Conn.Write(b)
+		c.flow.Out(n)
+		return n, err
+	}
+	c.pen <- struct{}{}
 	n, err := c.Conn.Write(b)
-	if c.flow.Out(n); h != nil && h.track != nil {
-		h.track.Wrote(n, err)
+	if err != nil {
+		c.failed.Store(true)
 	}
+	<-c.pen
+	c.flow.Out(n)
+	if n > 0 {
+		c.took = h
+	}
+	if c.took == h && (errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)) {
+		// the host wants no more of it, and may have said why: its answer, or the end, is for the reader
+		h.track.Wrote(len(b), nil)
+		return len(b), nil
+	}
+	h.track.Wrote(n, err)
 	return n, err
 }
 
@@ -117,6 +169,9 @@
 	if c.writer == h {
 		return true
 	}
+	if c.failed.Load() {
+		return false
+	}
 	if c.raw == nil {
 		c.writer = h
 		return !c.closed && !c.pending.Pending()
--- a/internal/parts/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -40,6 +40,11 @@
 	Answer(r *router.Request, resp *http.Response) (router.Outcome, error)
 }
 
+// Renewer is a Protocol whose requests state how long the host has: one that waited for its connection has less by then.
+type Renewer interface {
+	Renew(r *http.Request, left time.Duration)
+}
+
 // Track follows what is written of a request. Where a request's Cargo is one, no byte of it goes without its leave.
 type Track interface {
 	// Spent tells whether the request was written on this connection before: a second answer to that may still come on it.
@@ -279,6 +284,7 @@
 }
 
 func (p *Pool) try(ctx context.Context, h *handOff, host router.Host, r *router.Request, left time.Duration) router.Outcome {
+	request := p.Protocol.Request(host, r, left)
 	wants, has := context.WithCancel(context.WithValue(ctx, key{}, h)) // until it has a connection
 	defer has()
 	trace := &httptrace.ClientTrace{
@@ -288,6 +294,9 @@
 			c.flow.Sent(host, r)
 			c.handOff.Store(h)
 			h.conn.Store(c)
+			if late, ok := p.Protocol.(Renewer); ok {
+				late.Renew(request, left-time.Since(h.began))
+			}
 			has()
 		},
 		// hosts write an answer at once: one that takes longer than a connection to come up never ends
@@ -310,7 +319,7 @@
 		}
 	}()
 	ctx = httptrace.WithClientTrace(context.WithValue(ctx, key{}, wants), trace)
-	resp, err := to.transport.RoundTrip(p.Protocol.Request(host, r, left).WithContext(ctx))
+	resp, err := to.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return router.Outcome{Ending: h.broken(ctx, err)}
 	}
