Bodies' memory is counted before they are read, and none is held by idle goroutines

Cause: by the code, a body was counted once it had been read: any number that were still coming passed the look at what was held, chunked ones without any. Seen in a heap count: goroutines that wait for the next hand-off (32 are kept) held their last one, and with it its body: 7,571 KB were left of 1 MB bodies after all requests had ended. Change: stowage.go: bodies have a quarter of the machine's memory, taken up whole by the stated length (or as they grow) before a byte is read, and given back by who leaves last, the handler or a hand-off. Beyond it 503 with Retry-After at once; an eighth is left to bodies up to 64 KB, so that long ones that are stated and don't come can't keep out the rest. A body without an end is bounded in time also where its request is refused. hosts.Pool.do lets a hand-off go once it is done.

--- /dev/null
+++ b/internal/harbour/fairway/stowage_test.go
@@ -0,0 +1,277 @@
+package fairway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/attempt"
+	"portflow/internal/parts/hosts"
+	"portflow/rules"
+)
+
+var _ hosts.Track = (*cargo)(nil)
+
+// What bodies take up is never over what there is for them, and long ones leave a part to short ones.
+func TestStow(t *testing.T) {
+	f := &Fairway{}
+	f.Boot.MemoryMB = 4 // 1 MB for bodies
+	qt.Assert(t, f.stowage(shortBody), qt.Equals, int64(1<<20))
+	qt.Assert(t, f.stowage(shortBody+1), qt.Equals, int64(7<<17))
+	for n := range 14 {
+		qt.Check(t, f.stow(64<<10+1, 64<<10+1), qt.Equals, n < 13)
+	}
+	for n := range 4 {
+		qt.Check(t, f.stow(64<<10, 64<<10), qt.Equals, n < 2, qt.Commentf("%d held", f.held.Load()))
+	}
+	f.held.Store(0)
+	var all sync.WaitGroup
+	var most atomic.Int64
+	for k := range 8 {
+		all.Go(func() {
+			for n := range 2000 {
+				bytes := int64((k+1)*(n%50)) << 10
+				if !f.stow(bytes, bytes) {
+					continue
+				}
+				for held := f.held.Load(); held > most.Load(); {
+					most.Store(held)
+				}
+				f.held.Add(-bytes)
+			}
+		})
+	}
+	all.Wait()
+	qt.Check(t, most.Load() <= 1<<20 && f.held.Load() == 0, qt.IsTrue, qt.Commentf("%d, %d", most.Load(), f.held.Load()))
+}
+
+// A body's memory is given back by whoever leaves last: the handler, or a hand-off that is still out.
+func TestStowedUntilTheLastLeaves(t *testing.T) {
+	for _, handlerFirst := range []bool{true, false} {
+		var held atomic.Int64
+		held.Store(100)
+		x := &cargo{stream: make(chan *stream, 1), attempts: attempt.Request{Idempotent: true}, stowed: stowed{in: &held, weight: 100, users: 1}}
+		for range 2 {
+			qt.Assert(t, x.begin(), qt.IsTrue)
+			qt.Assert(t, x.begin(), qt.IsFalse) // takes up nothing
+			x.end(rules.Reset)
+		}
+		qt.Assert(t, x.begin(), qt.IsTrue)
+		leave := []func(){x.leave, func() { x.end(rules.Recalled) }}
+		if !handlerFirst {
+			leave[0], leave[1] = leave[1], leave[0]
+		}
+		leave[0]()
+		qt.Check(t, held.Load(), qt.Equals, int64(100))
+		leave[1]()
+		qt.Check(t, held.Load(), qt.Equals, int64(0))
+	}
+}
+
+// sink is a host that reads a body into nothing, and answers; it waits before, where it is told to.
+func sink(t *testing.T, wait chan bool) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	s := &script{t: t, at: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					n, err := io.Copy(io.Discard, r.Body)
+					if err != nil {
+						return
+					}
+					s.mu.Lock()
+					s.came = append(s.came, arrival{method: r.Method, target: r.RequestURI, header: r.Header, body: fmt.Sprint(n)})
+					s.mu.Unlock()
+					if wait != nil {
+						<-wait
+					}
+					io.WriteString(c, good(r, "x"))
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// asking is a client's connection on which a request is sent in parts.
+type asking struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func begin(t *testing.T, at, id, framing string) asking {
+	c, err := net.Dial("tcp", at)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(c, "POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: "+id+"\r\n"+framing+"\r\n\r\n")
+	return asking{t, c, bufio.NewReader(c)}
+}
+
+func (a asking) answer() *http.Response {
+	a.t.Helper()
+	resp, err := http.ReadResponse(a.in, nil)
+	qt.Assert(a.t, err, qt.IsNil)
+	io.Copy(io.Discard, resp.Body)
+	return resp
+}
+
+// Who has no room for its body is answered 503 with Retry-After by its head alone, at once; those that have it are served, and
+// so are short bodies while long ones fill their part.
+func TestBodiesBeyondMemory(t *testing.T) {
+	h := sink(t, nil)
+	f, at := routed(t, h)
+	f.Boot.MemoryMB = 4
+	const long = 200000
+	var all []asking
+	for n := range 4 {
+		c := begin(t, at, fmt.Sprint("in", n), fmt.Sprintf("Content-Length: %d", long))
+		io.WriteString(c, "b")
+		all = append(all, c)
+	}
+	until(t, func() bool { return f.held.Load() == 4*long })
+	for n := range 3 {
+		for _, framing := range []string{fmt.Sprintf("Content-Length: %d", long), fmt.Sprintf("Content-Length: %d\r\nExpect: 100-continue", long), "Content-Length: 300000"} {
+			began := time.Now()
+			resp := begin(t, at, fmt.Sprint("out", n), framing).answer()
+			qt.Check(t, resp.StatusCode, qt.Equals, 503)
+			qt.Check(t, resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			qt.Check(t, resp.Close, qt.IsTrue)
+			qt.Check(t, time.Since(began) < 2*time.Second, qt.IsTrue) // a body is waited for for 5 s
+		}
+	}
+	chunked := begin(t, at, "chunked", "Transfer-Encoding: chunked")
+	go fmt.Fprintf(chunked, "%x\r\n%s\r\n0\r\n\r\n", 2*long, strings.Repeat("c", 2*long))
+	qt.Check(t, chunked.answer().StatusCode, qt.Equals, 503)
+	qt.Check(t, status(ask(t, at, "POST", "/issue/x", "short", "body")), qt.Equals, "200")
+	qt.Check(t, f.held.Load(), qt.Equals, int64(4*long))
+	for _, c := range all {
+		io.WriteString(c, strings.Repeat("b", long-1))
+		qt.Check(t, c.answer().StatusCode, qt.Equals, 200)
+	}
+	until(t, func() bool { return f.held.Load() == 0 })
+	qt.Check(t, f.counts.String(), qt.Contains, " unstowed=10 ")
+	qt.Check(t, counted(h), qt.DeepEquals, map[string]int{"in0": 1, "in1": 1, "in2": 1, "in3": 1, "short": 1})
+}
+
+// However a request ends, what its body took up is given back.
+func TestBodiesMemoryIsGivenBack(t *testing.T) {
+	wait := make(chan bool, 100)
+	h := sink(t, wait)
+	f, at := routed(t, h)
+	sent := func(c asking, body string) asking {
+		io.WriteString(c, body)
+		return c
+	}
+	stated := func(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
+	body, back := strings.Repeat("b", 100000), func() { until(t, func() bool { return f.held.Load() == 0 && f.open.Load() == 0 }) }
+
+	wait <- true // served
+	qt.Check(t, sent(begin(t, at, "a", stated(len(body))), body).answer().StatusCode, qt.Equals, 200)
+	back()
+	wait <- true
+	qt.Check(t, sent(begin(t, at, "a", "Transfer-Encoding: chunked"), fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)).answer().StatusCode, qt.Equals, 200)
+	back()
+	c := sent(begin(t, at, "b", stated(len(body))), body[1:]) // ends early
+	until(t, func() bool { return f.held.Load() == int64(len(body)) })
+	c.Close()
+	back()
+	c = sent(begin(t, at, "b", "Transfer-Encoding: chunked"), fmt.Sprintf("%x\r\n%s", len(body), body[1:]))
+	until(t, func() bool { return f.held.Load() >= int64(len(body)) })
+	c.Close()
+	back()
+	c = sent(begin(t, at, "c", stated(len(body))), body) // goes while its host is at work
+	until(t, func() bool { return counted(h)["c"] == 1 })
+	c.Close()
+	back()
+	wait <- true
+	c = begin(t, at, "d", "Transfer-Encoding: chunked") // over the limit
+	go fmt.Fprintf(c, "%x\r\n%s", 3<<20, strings.Repeat("b", 2<<20))
+	qt.Check(t, c.answer().StatusCode, qt.Equals, 413)
+	back()
+	c = sent(begin(t, at, "e", stated(len(body))+"\r\nTime-Remaining: 100"), body) // its time ends
+	qt.Check(t, c.answer().StatusCode, qt.Equals, 504)
+	back()
+	wait <- true
+	qt.Check(t, counted(h), qt.DeepEquals, map[string]int{"a": 2, "c": 1, "e": 1})
+}
+
+// All bodies together, many times what there is for them: as many are served as have room, the others know at once, and what the
+// process holds is what bodies have and little more: nothing of them once their requests are over.
+func TestBodiesMemory(t *testing.T) {
+	wait := make(chan bool)
+	h := sink(t, wait)
+	f, at := routed(t, h)
+	f.Boot.MemoryMB = 32 // 8 MB for bodies, 7 for long ones
+	const clients, rounds, size, fit, little = 40, 8, 1 << 20, 7, 2 << 20
+	body := []byte(strings.Repeat("b", size))
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	var most, left int64
+	for n := range rounds {
+		var all sync.WaitGroup
+		var served, refused, other atomic.Int64
+		for k := range clients {
+			all.Go(func() {
+				c, err := net.Dial("tcp", at)
+				if err != nil {
+					other.Add(1)
+					return
+				}
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(20 * time.Second))
+				fmt.Fprintf(c, "POST /issue/x HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: %d-%d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", n, k, size)
+				all.Go(func() { c.Write(body) })
+				answer := make([]byte, 12)
+				io.ReadFull(c, answer)
+				map[string]*atomic.Int64{"200": &served, "503": &refused}[status(string(answer))].Add(1)
+			})
+		}
+		until(t, func() bool { return refused.Load() == clients-fit && len(h.arrivals()) >= 4 }) // the host's slots
+		qt.Check(t, f.held.Load(), qt.Equals, int64(fit*size))
+		most = max(most, heap()-before)
+		for range fit {
+			wait <- true
+		}
+		all.Wait()
+		qt.Check(t, served.Load(), qt.Equals, int64(fit))
+		until(t, func() bool { return f.held.Load() == 0 && f.open.Load() == 0 })
+		left = heap() - before
+		h.mu.Lock()
+		h.came = nil
+		h.mu.Unlock()
+	}
+	t.Logf("heap over the beginning: %d KB with %d bodies of %d KB, %d KB after %d rounds", most>>10, fit, size>>10, left>>10, rounds)
+	qt.Check(t, most < fit*size+little, qt.IsTrue)
+	qt.Check(t, left < little, qt.IsTrue)
+}
--- a/internal/parts/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -252,8 +252,14 @@
 	select {
 	case p.work <- f:
 	default:
-		go func() {
-			for f(); p.idle.Add(1) <= kept; f() {
+		go func(f func()) {
+			for {
+				f()
+				f = nil // what it has to do with, as a long body, isn't held while idle
+				if p.idle.Add(1) > kept {
+					p.idle.Add(-1)
+					return
+				}
 				select {
 				case f = <-p.work:
 				case <-p.over:
@@ -261,8 +267,7 @@
 				}
 				p.idle.Add(-1)
 			}
-			p.idle.Add(-1)
-		}()
+		}(f)
 	}
 }
 
