A router claimed by a clock that is behind is known again at once

Where it restarts with its router by a clock behind that of its former life (or claims one whose former owner it never heard of), the others take the router for gone until its clock has come as far: they leave it out of the roster, the directory and the count that the shared bounds go by. Its own second look finds nothing, as it holds its own claim only.

Who is told of a claim older than the one it has tells that one back; the process then claims anew above it.

TestClaimAfterRestart: two others had the router as gone for good before, all have it after the next look now, in 10 notes at most.

--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -232,7 +232,11 @@
 			s.TellHost(s.Register.Host(n.Host.ID), true)
 		}
 	case n.Front != nil:
-		s.TellFront(*n.Front, false)
+		// who claims a router by a clock that is behind, after a restart or as it never heard of it, learns of the claim that
+		// stands from here: what it tells would else be passed over until its clock has come as far
+		if old := s.Fronts[n.Front.Name]; !s.TellFront(*n.Front, false) && old.Newer(*n.Front) {
+			s.Ledger.Add(signals.Note{Front: &old, First: true})
+		}
 	case n.Poll != nil:
 		s.TellPoll(*n.Poll, false)
 	case n.Aside != nil:
--- a/internal/harbour/bridge/state_test.go
+++ b/internal/harbour/bridge/state_test.go
@@ -138,6 +138,51 @@
 	c.Check(s.Fronts["x"].Gone, qt.IsTrue)
 }
 
+// A control process restarts with its router by a clock that is an hour behind that of its former life: its claim is older than
+// what the others know. It hears of that from them, and claims the router anew; then all have it as it is, in a bounded number
+// of notes.
+func TestClaimAfterRestart(t *testing.T) {
+	for _, owner := range []string{"a", "b"} { // whose the former claim was: its own, or another's that is lost
+		c := qt.New(t)
+		all := map[string]*State{}
+		seen := map[string]uint64{}
+		for _, name := range []string{"a", "c", "d"} {
+			all[name] = state(3, true)
+			all[name].Self.Name = name
+			if name != "a" {
+				all[name].TellFront(signals.Front{Name: "r", Owner: owner, Ready: true, Since: 4600, Gone: true, Change: 7}, false)
+				seen[name] = all[name].Ledger.Last()
+			}
+		}
+		here := all["a"].Claim(1000, signals.Front{Name: "r", Owner: "a", Ready: true})
+		notes := 0
+		for range 5 {
+			for _, from := range []string{"a", "c", "d"} {
+				news, ok := all[from].Ledger.After(seen[from])
+				c.Assert(ok, qt.IsTrue)
+				seen[from] = all[from].Ledger.Last()
+				for _, n := range Fit(news, true) {
+					for to, s := range all {
+						if to != from {
+							notes++
+							s.Take(1001, n)
+						}
+					}
+				}
+			}
+			if x := all["a"].Fronts["r"]; x.Gone || x.Owner != "a" { // as reclaim finds it
+				here = all["a"].Claim(1002, here)
+			}
+		}
+		for name, s := range all {
+			x := s.Fronts["r"]
+			c.Check(!x.Gone && x.Ready && x.Owner == "a", qt.IsTrue, qt.Commentf("%s of %s: %+v", name, owner, x))
+			c.Check(s.Roster(), qt.HasLen, 1)
+		}
+		c.Check(notes <= 10, qt.IsTrue, qt.Commentf("%d notes", notes))
+	}
+}
+
 // A vote stands until the router's next one, also one that takes it back; figures alone change no vote, and stay here.
 func TestPolls(t *testing.T) {
 	c := qt.New(t)
