An evacuation that another brought to its end isn't made once more by its proposer

Found on reading the agreement: a proposer that is beaten keeps its orders and looks at them anew at the next number. Its vote may have been taken over and decided by another meanwhile, and a later order have undone it: an evacuation was then begun a second time after its withdrawal was confirmed, by one call. Orders that are handed over are bound to what they found; those of the proposer itself were not. Shown by steps of one node: TestOrderTakesEffectOnce, version 3 proposed where 1 and 2 are decided. Ruled out: a begin (its age and the rollout's number hold it; the test has it too), changes (versions), ends, members, restores.

With its first vote an order is bound to what it changes, as with its first hand-over.

--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -591,6 +591,9 @@
 	for _, p := range x.wait {
 		if slices.Contains(mine, p.tag) {
 			p.at = x.number
+			if !p.order.Bound { // the vote may be brought to its end by another: it is not made once more on what comes after
+				p.order = orders.Bind(x.Set, p.order)
+			}
 		}
 	}
 	x.propose()
