The emulator's reader isn't put off by a writer that waits for room

Cause: one alarm for both sides of a connection's half. A reader that waits for bytes on their way set it; a writer that found the window of 256 KB full, with a deadline, put it to its own deadline: nobody read any more, and the write timed out.

Change: an alarm is only set earlier. TestFullWindow fails before ("write: i/o timeout") and passes after.

--- a/internal/lab/basin/sea.go
+++ b/internal/lab/basin/sea.go
@@ -288,6 +288,7 @@
 	dead     bool  // the reader's machine lost power: the writer isn't told
 	deadline time.Time
 	alarm    *time.Timer
+	rings    time.Time // when the alarm does
 }
 
 func newHalf() *half {
@@ -296,10 +297,15 @@
 	return h
 }
 
+// wake wakes who waits at a time; a reader and a writer may wait, and neither puts off the other's.
 func (h *half) wake(at time.Time) {
 	if h.alarm != nil {
+		if now := time.Now(); h.rings.After(now) && at.After(h.rings) {
+			return
+		}
 		h.alarm.Stop()
 	}
+	h.rings = at
 	h.alarm = time.AfterFunc(time.Until(at), func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/internal/lab/basin/sea_test.go
+++ b/internal/lab/basin/sea_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -49,3 +50,29 @@
 		c.Check(time.Since(began) < 10*time.Millisecond, qt.IsTrue)
 	})
 }
+
+// A writer that waits for room, with a deadline, doesn't put off the reader's own wake: it was for ever, and the write timed out
+// though all were well.
+func TestFullWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := NewSea(func(a, b string) time.Duration { return time.Millisecond }, 1)
+		a, b := newPair(s, &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1)}, &net.TCPAddr{IP: net.IPv4(10, 0, 0, 2)})
+		read := make(chan int, 1)
+		go func() {
+			n, _ := io.Copy(io.Discard, b)
+			read <- int(n)
+		}()
+		began := time.Now()
+		for range 20 {
+			synctest.Wait() // the reader waits for what is on its way
+			a.SetWriteDeadline(time.Now().Add(time.Second))
+			_, err := a.Write(make([]byte, window/2))
+			c.Assert(err, qt.IsNil)
+		}
+		c.Check(time.Since(began) < 100*time.Millisecond, qt.IsTrue)
+		a.Close()
+		c.Check(<-read, qt.Equals, 10*window)
+		time.Sleep(20 * time.Second)
+	})
+}
