--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -41,6 +41,8 @@
 	ip       string
 	line     *lines.Line[signals.Word]
 	follower signals.Follower
+	incoming *signals.Assembly // a snapshot that comes in; it goes on on the next line
+	came     time.Time         // when its last chunk did
 }
 
 const (
@@ -48,6 +50,7 @@
 	avoidFor  = 3 * time.Second         // a control process that failed is asked after the others
 	lookEvery = 1500 * time.Millisecond // for a nearer one
 	patience  = 600 * time.Millisecond  // with a control process that is behind, or hears too few others
+	partFor   = 30 * time.Second        // for which a part of a snapshot is kept: no longer than control keeps the rest
 )
 
 // known are the control processes, by IP number, with their zones as far as they are known.
@@ -111,6 +114,7 @@
 func (f *Fairway) follow() {
 	avoid := map[string]time.Time{}
 	for f.ctx.Err() == nil {
+		f.forgetPart()
 		all := f.candidates()
 		slices.SortStableFunc(all, func(a, b string) int { // those that failed lately come last
 			return int(min(1, max(0, time.Until(avoid[a])))) - int(min(1, max(0, time.Until(avoid[b]))))
@@ -165,15 +169,16 @@
 	stop := context.AfterFunc(f.ctx, func() { l.Close(f.ctx.Err()) })
 	defer stop()
 	f.mu.Lock()
-	k := &link{ip: ip, line: l}
+	k := &link{ip: ip, line: l, incoming: &signals.Assembly{}}
 	if f.link != nil {
-		k.follower = f.link.follower
+		k.follower, k.incoming, k.came = f.link.follower, f.link.incoming, f.link.came
 	}
+	part := k.incoming.Part()
 	f.link = k
 	hello := signals.Hello{Name: f.Boot.Name, IP: f.Boot.IP, Zone: f.Boot.Zone, Life: k.follower.Life, Have: k.follower.Have}
 	f.since = time.Now().UnixNano()
 	f.mu.Unlock()
-	l.Send(signals.Word{Hello: &hello})
+	l.Send(signals.Word{Hello: &hello, Part: &part})
 	f.tellSelf()
 	tried := maps.Clone(avoid)
 	go f.nearer(l, ip, tried)
@@ -192,6 +197,8 @@
 			}
 		case w.News != nil:
 			f.hear(k, *w.News)
+		case w.Chunk != nil:
+			f.gather(k, *w.Chunk)
 		case w.Tons != nil:
 			f.dealt(*w.Tons)
 		}
@@ -200,9 +207,36 @@
 	return err
 }
 
+// gather takes a snapshot's chunk. Nothing of it is in force before the whole is there with what came since.
+func (f *Fairway) gather(k *link, c signals.Chunk) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := k.incoming.Take(c); err != nil {
+		k.line.Close(err)
+		return
+	}
+	k.came = time.Now()
+	part := k.incoming.Part()
+	k.line.Send(signals.Word{Part: &part})
+}
+
+// forgetPart lets a part of a snapshot go whose rest nobody keeps any more.
+func (f *Fairway) forgetPart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.link != nil && time.Since(f.link.came) > partFor {
+		f.link.incoming.Drop()
+	}
+}
+
 // hear takes a batch of news.
 func (f *Fairway) hear(k *link, n signals.News) {
 	f.mu.Lock()
+	if notes, ok := k.incoming.Close(n); ok { // the snapshot and what came since, in one step
+		n.Notes, n.Snapshot = notes, true
+	} else if n.Snapshot {
+		k.incoming.Drop()
+	}
 	if !k.follower.Take(n.Life, n.From, n.To, n.Snapshot) {
 		f.mu.Unlock()
 		k.line.Close(errors.New("news does not follow"))
--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -29,6 +29,7 @@
 const (
 	statusEvery = 3 * time.Second // where nothing has changed
 	statusSoon  = 200 * time.Millisecond
+	tidyEvery   = 10 * time.Second // of snapshots that were made for routers
 )
 
 // feed tells the news on one line until it ends.
@@ -39,7 +40,7 @@
 	self := m.state.Self
 	self.Now = m.clock()
 	l.Send(signals.Word{Hello: &self})
-	f := &follower{line: l, hello: make(chan signals.Hello, 1)}
+	f := &follower{line: l, hello: make(chan signals.Hello, 1), taken: make(chan struct{}, 1)}
 	go m.tell(f)
 	m.mu.Lock()
 	m.hung[f] = true
@@ -70,10 +71,14 @@
 	who   signals.Hello
 	front signals.Front // as it told
 	acked uint64
-	in    int64 // bytes that had come when it was last looked at
+	part  *signals.Part // what it has of a snapshot, as it said last; nil where it takes no chunks
+	taken chan struct{} // a chunk was acknowledged
+	in    int64         // bytes that had come when it was last looked at
 }
 
-// tell sends news as it comes: all that is there at once goes into one batch.
+// tell sends news as it comes: all that is there at once goes into one batch. Who can't be given changes alone, or to whom they
+// would be more than a snapshot, is sent one: a router in chunks, then the changes since it in one batch, with which it takes all
+// in at once.
 func (m *Master) tell(f *follower) {
 	var who signals.Hello
 	select {
@@ -84,7 +89,14 @@
 	at, began := uint64(0), false
 	var said signals.Status
 	saidAt := time.Time{}
+	var sent *signals.Transfer // of the snapshot that it is being sent
 	for {
+		select {
+		case <-f.line.Done():
+			return
+		default:
+		}
+		var making chan struct{}
 		m.mu.Lock()
 		news, st := m.news, m.state.Status()
 		st.Leaving = m.leaving && who.Control
@@ -101,25 +113,40 @@
 		}
 		if who.Control || st.Whole {
 			last := m.state.Ledger.Last()
+			if _, ok := m.state.Ledger.After(who.Have); !began && sent == nil && ok && who.Life == m.life { // it has been here before
+				at, began = who.Have, true
+			}
 			notes, ok := m.state.Ledger.After(at)
+			batch := bridge.Fit(notes, who.Control)
+			if f.part != nil && signals.Size(batch) > signals.BatchBytes {
+				ok = false
+			}
 			switch {
-			case !began && who.Life == m.life:
-				if _, ok = m.state.Ledger.After(who.Have); ok { // it has been here before
-					at, began = who.Have, true
-					notes, _ = m.state.Ledger.After(at)
-				}
-				fallthrough
+			case began && ok:
+				if len(batch) > 0 || last-at > bridge.KeptNews/4 {
+					f.line.Send(signals.Word{News: &signals.News{Life: m.life, From: at, To: last, Notes: batch, Epoch: epoch, Number: number}})
+					at = last
+				} // else nothing of it is for this one: the numbers go with the next batch
+			case f.part == nil:
+				f.line.Send(signals.Word{News: &signals.News{Life: m.life, To: last, Snapshot: true, Notes: m.state.Snapshot(who.Control), Epoch: epoch, Number: number}})
+				at, began = last, true
 			default:
-				if !began || !ok {
-					f.line.Send(signals.Word{News: &signals.News{Life: m.life, To: last, Snapshot: true, Notes: m.state.Snapshot(who.Control), Epoch: epoch, Number: number}})
-				} else if last > at {
-					if batch := bridge.Fit(notes, who.Control); len(batch) > 0 || last-at > bridge.KeptNews/4 {
-						f.line.Send(signals.Word{News: &signals.News{Life: m.life, From: at, To: last, Notes: batch, Epoch: epoch, Number: number}})
-					} else {
-						last = at // nothing of it is for this one: the numbers go with the next batch
-					}
+				began, who.Life = false, ""
+				var cut *signals.Making
+				if cut, sent = m.cut(f, sent, signals.Head{Life: m.life, To: last, Epoch: epoch, Number: number}); sent == nil {
+					making = cut.Done
+					break
 				}
-				at, began = last, true
+				words, done := sent.Next(*f.part)
+				for _, w := range words {
+					f.line.SendFrame(w)
+				}
+				if !done {
+					break
+				}
+				notes, _ = m.state.Ledger.After(sent.Cut.To) // it is all kept, or the cut weren't sent any more
+				f.line.Send(signals.Word{News: &signals.News{Life: m.life, From: sent.Cut.To, To: last, Notes: bridge.Fit(notes, false), Epoch: epoch, Number: number}})
+				at, began, sent = last, true, nil
 			}
 		}
 		wait := statusEvery
@@ -129,6 +156,8 @@
 		m.mu.Unlock()
 		select {
 		case <-news:
+		case <-f.taken:
+		case <-making:
 		case <-time.After(wait):
 		case <-f.line.Done():
 			return
@@ -136,12 +165,61 @@
 	}
 }
 
+// cut finds the snapshot that a router is to be sent, and has one made where none is there: sent is nil until it is. One that is
+// being sent goes on as long as it is kept, and one of which the router has a part; else it begins with the newest. The caller
+// holds the lock.
+func (m *Master) cut(f *follower, sent *signals.Transfer, h signals.Head) (*signals.Making, *signals.Transfer) {
+	now, l := m.clock(), m.state.Ledger
+	if sent != nil {
+		if c := m.cuts.Named(now, sent.Cut.Name, h.Life, l); c != nil {
+			return c, sent
+		}
+	}
+	c := m.cuts.Named(now, f.part.Name, h.Life, l)
+	if c == nil {
+		c = m.cuts.Fresh(now, h.Life, l)
+	}
+	if c == nil {
+		c = m.cuts.Begin(now, h)
+		go c.Make(m.state.Snapshot(false), lines.Frame)
+		m.tidy()
+	}
+	select {
+	case <-c.Done:
+		if c.Err != nil {
+			f.line.Close(c.Err)
+			return c, nil
+		}
+		return c, signals.NewTransfer(c.Cut, *f.part)
+	default:
+		return c, nil
+	}
+}
+
+// tidy looks for cuts that nobody asks for any more, as long as one is kept; the caller holds the lock.
+func (m *Master) tidy() {
+	if m.tidying {
+		return
+	}
+	m.tidying = true
+	time.AfterFunc(tidyEvery, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.tidying = false; m.ctx.Err() == nil && m.cuts.Tidy(m.clock()) {
+			m.tidy()
+		}
+	})
+}
+
 // asked takes what a follower says.
 func (m *Master) asked(f *follower, w signals.Word) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
 	case w.Hello != nil:
+		if f.who.IP == "" && !w.Hello.Control {
+			f.part = w.Part
+		}
 		select {
 		case f.hello <- *w.Hello:
 			f.who = *w.Hello
@@ -173,6 +251,12 @@
 		for service, all := range w.Seen {
 			m.watch.Told(m.clock(), f.front.Name, service, all)
 		}
+	case w.Part != nil && f.part != nil:
+		f.part = w.Part
+		select {
+		case f.taken <- struct{}{}:
+		default:
+		}
 	case w.Ack != 0:
 		f.acked = max(f.acked, w.Ack)
 	case w.Agreed != nil && f.who.Control:
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -71,6 +71,8 @@
 	dealOf   uint64          // the sum of the items that it goes by
 	toldSums bool            // to the other control processes, the last time
 	watch    *lookout.Watch
+	cuts     signals.Shelf // snapshots that routers are sent
+	tidying  bool          // they are looked at again soon
 
 	clock   router.Clock // anchored once: a step of the time of day changes nothing
 	refused atomic.Int64 // writes by the disk
--- a/internal/harbour/lines/lines.go
+++ b/internal/harbour/lines/lines.go
@@ -44,7 +44,7 @@
 	conn net.Conn
 	pace Pace
 	slow atomic.Bool
-	out  chan []byte
+	out  chan said
 	done chan struct{}
 	once sync.Once
 	err  error
@@ -52,12 +52,18 @@
 	Out  atomic.Int64
 }
 
+// said is what waits to be written: a frame, or what is to be one.
+type said struct {
+	raw    []byte
+	framed bool
+}
+
 // magic opens each side's talk, so that foreign bytes are known at once.
 var magic = []byte("pfl1")
 
 // Open takes a connection up. Run reads it.
 func Open[T any](c net.Conn, p Pace) *Line[T] {
-	l := &Line[T]{conn: c, pace: p, out: make(chan []byte, waiting), done: make(chan struct{})}
+	l := &Line[T]{conn: c, pace: p, out: make(chan said, waiting), done: make(chan struct{})}
 	go l.write()
 	return l
 }
@@ -86,8 +92,15 @@
 		l.Close(err)
 		return
 	}
+	l.send(said{raw: raw})
+}
+
+// SendFrame says what Frame laid out. Many lines may be sent the same bytes: nobody changes them.
+func (l *Line[T]) SendFrame(f []byte) { l.send(said{f, true}) }
+
+func (l *Line[T]) send(s said) {
 	select {
-	case l.out <- raw:
+	case l.out <- s:
 	case <-l.done:
 	default:
 		l.Close(errors.New("the other side takes nothing up"))
@@ -119,6 +132,9 @@
 	return w
 }}
 
+// Frame lays out JSON as it is sent, for what is said on many lines alike.
+func Frame(raw []byte) []byte { return frame(raw) }
+
 // frame is a length, of which the highest bit says that what follows is deflated, and the bytes.
 func frame(raw []byte) []byte {
 	head := uint32(len(raw))
@@ -139,7 +155,7 @@
 func (l *Line[T]) write() {
 	beat := time.NewTicker(l.pace.Beat)
 	defer beat.Stop()
-	said := time.Now()
+	spoke := time.Now()
 	next := append([]byte(nil), magic...)
 	for {
 		l.conn.SetWriteDeadline(time.Now().Add(l.silence()))
@@ -154,13 +170,15 @@
 			l.Close(fmt.Errorf("writing: %w", err))
 			return
 		}
-		said = time.Now()
+		spoke = time.Now()
 		for next = nil; next == nil; {
 			select {
-			case raw := <-l.out:
-				next = frame(raw)
+			case s := <-l.out:
+				if next = s.raw; !s.framed {
+					next = frame(s.raw)
+				}
 			case <-beat.C:
-				if time.Since(said) >= l.beat()*7/8 {
+				if time.Since(spoke) >= l.beat()*7/8 {
 					next = make([]byte, 4)
 				}
 			case <-l.done:
--- a/internal/harbour/lines/lines_test.go
+++ b/internal/harbour/lines/lines_test.go
@@ -62,6 +62,32 @@
 	qt.Check(t, Foreign.Load()-foreign, qt.Equals, int64(5))
 }
 
+// A frame that was laid out once is heard on each line as if it were said there, between what is said otherwise.
+func TestSendFrame(t *testing.T) {
+	c := qt.New(t)
+	long := word{strings.Repeat("long ", 1000), 2}
+	raw, _ := json.Marshal(long)
+	f := Frame(raw)
+	kept := bytes.Clone(f)
+	for range 3 {
+		a, b := net.Pipe()
+		from, to := Open[word](a, Quick), Open[word](b, Quick)
+		go from.Run(func(word) {})
+		from.Send(word{"before", 1})
+		from.SendFrame(f)
+		from.Send(word{"behind", 3})
+		var all []word
+		to.Run(func(w word) {
+			if all = append(all, w); len(all) == 3 {
+				to.Close(io.EOF)
+			}
+		})
+		c.Check(all, qt.DeepEquals, []word{{"before", 1}, long, {"behind", 3}})
+		from.Close(io.EOF)
+	}
+	c.Check(f, qt.DeepEquals, kept)
+}
+
 // FuzzFrames: whatever comes, only whole frames of JSON are heard, as another decoder reads them.
 func FuzzFrames(f *testing.F) {
 	b, _ := json.Marshal(word{strings.Repeat("x", 600), 7})
--- a/internal/harbour/signals/words.go
+++ b/internal/harbour/signals/words.go
@@ -18,6 +18,8 @@
 	Agreed json.RawMessage            `json:"q,omitempty"` // up, between control processes: a quorum.Message, laid out once for all
 	Seen   map[string][]lookout.Count `json:"e,omitempty"` // up, from a router: hosts with bad outcomes, by service
 	Tons   *Tons                      `json:"t,omitempty"` // up from a router, down to it, and down between control processes
+	Chunk  *Chunk                     `json:"k,omitempty"` // down, to a router that says Part with its hello
+	Part   *Part                      `json:"w,omitempty"` // up, from a router: with its hello, and as the acknowledgement of each chunk
 }
 
 // Tons is what is told of callers' shares; nothing is where there are none.
--- a/internal/lab/hollow/hollow_test.go
+++ b/internal/lab/hollow/hollow_test.go
@@ -66,6 +66,17 @@
 			c.Check(h, qt.DeepEquals, x.want)
 		}
 	}
+	cut, err := signals.NewCut(signals.Head{Name: "l.1", Life: "l", To: 9}, long, func(word []byte) []byte { return word })
+	c.Assert(err, qt.IsNil)
+	have := 0
+	for _, w := range cut.Words { // a snapshot in chunks
+		h, err := readHead(packed(w), true)
+		c.Assert(err, qt.IsNil)
+		c.Check(h.Part.Have > have, qt.IsTrue)
+		have = h.Part.Have
+		c.Check(h, qt.DeepEquals, head{Kind: Snapshot, Life: "l", To: 9, Part: signals.Part{Name: "l.1", Have: have}, Of: len(long)})
+	}
+	c.Check(have, qt.Equals, len(long))
 }
 
 func FuzzReadHead(f *testing.F) {
--- a/internal/lab/hollow/router.go
+++ b/internal/lab/hollow/router.go
@@ -46,6 +46,8 @@
 	Kind            Kind
 	Life            string
 	From, To        uint64
+	Part            signals.Part // of a snapshot that comes in chunks: what is there with this one
+	Of              int          // notes that it has in all; 0 where it comes in one frame
 	Whole, Majority bool
 	Hosts, Fronts   int // notes of a batch
 	Items           int
@@ -53,8 +55,8 @@
 }
 
 const (
-	enough  = 64 << 10 // bytes up to which a frame is read whole
-	opening = 2 << 10  // of a longer one
+	enough  = 2 * signals.ChunkBytes // bytes up to which a frame is read whole
+	opening = 2 << 10                // of a longer one
 )
 
 // readHead reads a frame's body: the first member of a word says what it is, and of news the numbers come before the notes.
@@ -82,6 +84,8 @@
 		return head{Kind: Status, Whole: w.S.Whole, Majority: w.S.Majority}, err
 	case bytes.HasPrefix(raw, []byte(`{"t":`)):
 		return head{Kind: Tons}, nil
+	case bytes.HasPrefix(raw, []byte(`{"k":`)):
+		return readChunk(raw)
 	case !bytes.HasPrefix(raw, []byte(`{"n":`)):
 		return head{Kind: Other}, nil
 	}
@@ -119,6 +123,21 @@
 	}
 }
 
+// readChunk reads a snapshot's chunk; it is short enough to be read whole.
+func readChunk(raw []byte) (head, error) {
+	var w struct {
+		K struct {
+			signals.Chunk
+			Notes []json.RawMessage `json:"n"`
+		} `json:"k"`
+	}
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return head{}, err
+	}
+	c := w.K
+	return head{Kind: Snapshot, Life: c.Life, To: c.To, Part: signals.Part{Name: c.Name, Have: c.From + len(c.Notes)}, Of: c.Of}, nil
+}
+
 // Tally counts what routers were told, by kind and by how far the control process is.
 type Tally struct {
 	Frames, Bytes        [kinds][3]atomic.Int64
@@ -140,6 +159,7 @@
 	to       int // zone of the control process
 	wrote    time.Time
 	follower signals.Follower
+	incoming head         // the last chunk of a snapshot that isn't whole with what came since
 	of       int          // the zone of the control process whose news it has
 	ready    atomic.Int64 // Unix nanoseconds since when it follows with a snapshot, 0 for not
 	change   int64
@@ -232,6 +252,7 @@
 	r.mu.Lock()
 	r.conn, r.to, r.change = c, z, time.Now().UnixNano()
 	hello := signals.Hello{Name: r.name, IP: r.ip, Zone: zoneName(r.zone), Life: r.follower.Life, Have: r.follower.Have}
+	part := r.incoming.Part
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
@@ -239,7 +260,7 @@
 		r.conn = nil
 	}()
 	c.Write([]byte("pfl1"))
-	r.say(signals.Word{Hello: &hello})
+	r.say(signals.Word{Hello: &hello, Part: &part})
 	r.tellSelf(false)
 	var why reason
 	patience := time.AfterFunc(600*time.Millisecond, func() { why.Store(&errBehind); c.Close() })
@@ -292,6 +313,14 @@
 			t.Hosts.Add(int64(h.Hosts))
 			t.Fronts.Add(int64(h.Fronts))
 			t.Items.Add(int64(h.Items))
+			if h.Part.Name != "" { // the changes since it come with the next batch
+				r.incoming = h
+				r.say(signals.Word{Part: &h.Part})
+				continue
+			}
+			if i := r.incoming; i.Of == i.Part.Have && i.Part.Name != "" && h.Kind == Batch && h.Life == i.Life && h.From == i.To {
+				h.Kind, r.incoming = Snapshot, head{}
+			}
 			if !r.follower.Take(h.Life, h.From, h.To, h.Kind == Snapshot) {
 				return errors.New("news does not follow")
 			}
