A change is checked by what it touches, not by drawing the whole chart twice

Change: the set keeps an index of what was read: routes by place and by the services that they name, shares by service. It is never changed, so copies of a set share it; what was put since is kept beside it, 256 keys at most, then the index is made anew of what was read. Check looks at the items of the change, what stands at their places and names their services, before and after. Which item yields stays a function of the set: contest (one place) and together (one service) are what Draw calls too.

Tests: TestCheckAlike, 7,000 drawn cases and their copies, word for word as the whole drawing; TestCheckCost.

--- a/internal/harbour/manifest/change.go
+++ b/internal/harbour/manifest/change.go
@@ -126,21 +126,27 @@
 }
 
 // Check tells whether a change may be taken where this set stands, and which of its items change anything. A service that
-// is named must stand afterwards, and no two routes may have one place. Items that stand already are no error.
+// is named must stand afterwards, and no two routes may have one place. Items that stand already are no error. What yielded
+// before is not this change's fault. It looks at what the change touches and what goes together with that, and at no more.
 func (s *Set) Check(change []Item) (news []Item, err error) {
-	next := s.Clone()
+	next := map[Key]*reading{}
+	newest := map[Key]Item{}
 	for _, i := range change {
-		if old, ok := s.Get(i.Key()); ok && !i.Newer(old) {
+		k := i.Key()
+		if old, ok := s.Get(k); ok && !i.Newer(old) {
 			continue
 		}
-		next.Merge(i)
+		if old, ok := newest[k]; !ok || i.Newer(old) {
+			newest[k], next[k] = i, read(i)
+		}
 		news = append(news, i)
 	}
-	c := Draw(next)
-	if len(c.Yielding) > 0 { // what yielded before is not this change's fault; drawing costs as much as all items
-		before := Draw(s)
-		for _, y := range c.Yielding {
-			if !slices.Contains(before.Yielding, y) {
+	s.refresh()
+	after := s.with(next)
+	if yields := after.yields(next); len(yields) > 0 {
+		was := s.with(nil).yields(next)
+		for _, y := range yields {
+			if !slices.Contains(was, y) {
 				return nil, faults.New(faults.Invalid, "%s", y)
 			}
 		}
@@ -157,7 +163,7 @@
 			if _, known := s.Get(Key{Services, w.Service}); behind && known {
 				continue
 			}
-			if _, ok := c.Services[w.Service]; !ok {
+			if !after.stands(w.Service) {
 				return nil, faults.New(faults.Invalid, "route %s: service: %s does not stand", i.Name, w.Service)
 			}
 		}
--- /dev/null
+++ b/internal/harbour/manifest/index_test.go
@@ -0,0 +1,250 @@
+package manifest
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/faults"
+	"portflow/internal/harbour/papers"
+)
+
+// checkWhole is Check by drawing the whole chart, before and after: what it must be alike to.
+func checkWhole(s *Set, change []Item) (news []Item, err error) {
+	bare := func(s *Set) *Set { // a copy that holds nothing of what was read
+		c := s.Clone()
+		c.index, c.since = nil, nil
+		return c
+	}
+	next := bare(s)
+	for _, i := range change {
+		if old, ok := s.Get(i.Key()); ok && !i.Newer(old) {
+			continue
+		}
+		next.Merge(i)
+		news = append(news, i)
+	}
+	c := Draw(next)
+	if len(c.Yielding) > 0 {
+		before := Draw(bare(s))
+		for _, y := range c.Yielding {
+			if !slices.Contains(before.Yielding, y) {
+				return nil, faults.New(faults.Invalid, "%s", y)
+			}
+		}
+	}
+	for _, i := range change {
+		if i.Kind != Routes || i.Dropped {
+			continue
+		}
+		old, there := s.Get(i.Key())
+		behind := there && !i.Newer(old)
+		for _, w := range ReadRoute(papers.Read(i.Tree())).Split {
+			if _, known := s.Get(Key{Services, w.Service}); behind && known {
+				continue
+			}
+			if _, ok := c.Services[w.Service]; !ok {
+				return nil, faults.New(faults.Invalid, "route %s: service: %s does not stand", i.Name, w.Service)
+			}
+		}
+	}
+	return news, nil
+}
+
+// drawItem draws an item of a small world, where most things meet: some can't be read, as a disk of before may hold them.
+func drawItem(draw *rand.Rand, version uint64) Item {
+	n := func(most int) int { return draw.IntN(most) }
+	i := Item{Version: uint64(max(1, int(version)-n(3)+n(2)))}
+	service := func() string { return fmt.Sprint("service-", n(5)) }
+	switch n(7) {
+	case 0:
+		i.Kind, i.Name = Services, service()
+		health := []string{"/h", "/h", "/h", "h"}[n(4)]
+		i.Body = fmt.Appendf(nil, `{"health-path":"%s","name":"%s"}`, health, i.Name)
+	case 1, 2, 3:
+		i.Kind, i.Name = Routes, fmt.Sprint("route-", n(12))
+		to := fmt.Sprintf(`"service":"%s"`, service())
+		if n(4) == 0 {
+			to = fmt.Sprintf(`"weighted-split":[{"service":"%s","share-weight":1},{"service":"%s","share-weight":2}]`, service(), service())
+		}
+		prefix := []string{"/a/", "/b/", "/c/", "/a/b/", "/d/", "/e/", "x"}[min(6, n(14)%8)]
+		i.Body = fmt.Appendf(nil, `{"host-name":"H%d","name":"%s","path-prefix":"%s",%s,"timeout-s":1}`, n(3), i.Name, prefix, to)
+	default:
+		i.Kind, i.Name = Shares, fmt.Sprint("share-", n(20))
+		size := []string{`"per-s":1`, `"part":0.3`, `"part":0.6`, `"per-s":-1`}[n(4)]
+		header := []string{"X-A", "x-a", "X-A", "X-B"}[n(4)]
+		i.Body = fmt.Appendf(nil, `{"caller":"c%d","caller-header":"%s","name":"%s",%s,"service":"%s"}`, n(8), header, i.Name, size, service())
+	}
+	if n(6) == 0 {
+		i.Dropped, i.Body = true, nil
+	}
+	return i
+}
+
+// Over drawn changes Check comes to what the whole drawing comes to, word for word, in sets to which anything was merged: taken
+// ones, refused ones, behind, rivals of one version, in copies and their originals; and the chart is the same with what was read
+// before.
+func TestCheckAlike(t *testing.T) {
+	cases, refused, taken, yielding := 0, 0, 0, 0
+	for seed := range uint64(40) {
+		c := qt.New(t)
+		draw := rand.New(rand.NewPCG(seed, 43))
+		s := NewSet()
+		for step := range 150 {
+			var change []Item
+			for range 1 + draw.IntN(4)*draw.IntN(3) {
+				change = append(change, drawItem(draw, uint64(3+step/4)))
+			}
+			if draw.IntN(40) == 0 {
+				for range mostSince {
+					change = append(change, drawItem(draw, uint64(3+step/4)))
+				}
+			}
+			want, wrong := checkWhole(s, change)
+			got, err := s.Check(change)
+			cases++
+			c.Assert(fmt.Sprint(err), qt.Equals, fmt.Sprint(wrong), qt.Commentf("seed %d, step %d: %v", seed, step, change))
+			c.Assert(fmt.Sprint(got), qt.Equals, fmt.Sprint(want))
+			if err != nil {
+				refused++
+			} else if len(got) > 0 {
+				taken++
+			}
+			switch draw.IntN(6) {
+			case 0: // in a copy, as orders that aren't decided yet; the original goes on
+				x := s.Clone()
+				for _, i := range change {
+					x.Merge(i)
+				}
+				next := []Item{drawItem(draw, uint64(3+step/4)), drawItem(draw, uint64(3+step/4))}
+				want, wrong := checkWhole(x, next)
+				got, err := x.Check(next)
+				cases++
+				c.Assert(fmt.Sprint(got, err), qt.Equals, fmt.Sprint(want, wrong), qt.Commentf("seed %d, step %d, in a copy", seed, step))
+				if draw.IntN(2) == 0 {
+					s = x
+				}
+			case 1: // merged as it is, as of a disk
+				for _, i := range change {
+					s.Merge(i)
+				}
+			case 2:
+				if draw.IntN(4) == 0 { // another holder's
+					s.Become(s.All()[:s.Len()/2])
+				}
+			default:
+				if err == nil {
+					for _, i := range got {
+						s.Merge(i)
+					}
+				}
+			}
+			bare := s.Clone()
+			bare.index, bare.since = nil, nil
+			a, b := Draw(s), Draw(bare)
+			yielding += min(1, len(a.Yielding))
+			c.Assert(chartOf(a), qt.Equals, chartOf(b), qt.Commentf("seed %d, step %d", seed, step))
+		}
+	}
+	t.Logf("%d cases: %d refused, %d taken; after %d something yields", cases, refused, taken, yielding)
+	qt.Check(t, refused > 1000 && taken > 1000 && yielding > 1000, qt.IsTrue)
+}
+
+func chartOf(c *Chart) string {
+	var b strings.Builder
+	fmt.Fprint(&b, c.Services, c.Yielding, c.Limits)
+	for _, r := range c.Routes {
+		fmt.Fprint(&b, *r)
+	}
+	fmt.Fprint(&b, c.Shares)
+	return b.String()
+}
+
+// atSize is a set of 3,200 routes and so many shares in 220 services.
+func atSize(shares int) *Set {
+	s := NewSet()
+	for n := range 220 {
+		s.Merge(Item{Kind: Services, Name: fmt.Sprint("service-", n), Version: 1, Body: fmt.Appendf(nil, `{"health-path":"/health","name":"service-%d"}`, n)})
+	}
+	for n := range 3200 {
+		s.Merge(routeAt(n, 1))
+	}
+	for n := range shares {
+		s.Merge(shareAt(n, 1))
+	}
+	return s
+}
+
+func routeAt(n int, version uint64) Item {
+	return Item{Kind: Routes, Name: fmt.Sprint("route-", n), Version: version, Body: fmt.Appendf(nil,
+		`{"host-name":"desk-%d.example","name":"route-%d","path-prefix":"/r%d/%d","service":"service-%d","timeout-s":2}`, n%40, n, n, version, n%220)}
+}
+
+func shareAt(n int, version uint64) Item {
+	return Item{Kind: Shares, Name: fmt.Sprint("share-", n), Version: version, Body: fmt.Appendf(nil,
+		`{"burst":10,"caller":"tenant-%d","caller-header":"X-Tenant","name":"share-%d","per-s":%d,"service":"service-%d"}`, n, n, version, n%220)}
+}
+
+// A change costs what it touches and what goes together with that, counted in items looked at, and not what there is.
+func TestCheckCost(t *testing.T) {
+	c := qt.New(t)
+	s := atSize(33000)
+	check := func(change ...Item) int {
+		before := s.looked
+		news, err := s.Check(change)
+		c.Assert(err, qt.IsNil)
+		for _, i := range news {
+			s.Merge(i)
+		}
+		return s.looked - before
+	}
+	first := check(routeAt(1, 2))
+	c.Check(first >= s.Len(), qt.IsTrue) // all are read, once
+	most, all, walks := 0, 0, 0
+	for n := range 1000 {
+		for _, looked := range []int{check(routeAt(n, 3)), check(shareAt(n, 3))} {
+			if all += looked; looked > s.Len() {
+				walks++
+			} else {
+				most = max(most, looked)
+			}
+		}
+	}
+	t.Logf("the first check looks at %d items; of 2,000 more %d at all, the others at %d at most; %d on average", first, walks, most, all/2000)
+	c.Check(most < 1000, qt.IsTrue)             // what has changed since the index was made, the place of a route, 150 shares of a service
+	c.Check(walks <= 2000/mostSince, qt.IsTrue) // over what was read, without reading it again
+	c.Check(all/2000 < 800, qt.IsTrue)
+}
+
+// BenchmarkCheck is an order's check at the size of docs/CAPACITY.md, by the index and by drawing all.
+func BenchmarkCheck(b *testing.B) {
+	for _, x := range []struct {
+		name  string
+		check func(*Set, []Item) ([]Item, error)
+	}{{"index", (*Set).Check}, {"whole", checkWhole}} {
+		for _, shares := range []int{0, 33000} {
+			for name, item := range map[string]func(int, uint64) Item{"route": routeAt, "share": shareAt} {
+				if shares == 0 && name == "share" {
+					continue
+				}
+				b.Run(fmt.Sprintf("%s/3200-routes-%d-shares/a-%s", x.name, shares, name), func(b *testing.B) {
+					s := atSize(shares)
+					s.Check(nil)
+					n := 0
+					for b.Loop() {
+						n++
+						news, err := x.check(s, []Item{item(n%3200, uint64(n+1))})
+						if err != nil {
+							b.Fatal(err)
+						}
+						s.Merge(news[0])
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -113,6 +114,9 @@
 	dropped int
 	forgot  []Key             // since it was last asked for
 	members map[string]string // as Members tells them, nil where they are to be read anew
+	index   *index            // of what goes together, as of a while ago, nil until Check asks for it; shared by copies, never changed
+	since   map[Key]*reading  // what was put or removed since then, nil where it isn't read yet
+	looked  int               // items that Check looked at
 }
 
 // NewSet makes an empty set.
@@ -132,6 +136,7 @@
 // put has an item stand in the place of its key.
 func (s *Set) put(i Item) {
 	s.remove(i.Key())
+	s.touch(i.Key())
 	if i.Kind == Core {
 		s.members = nil
 	}
@@ -147,6 +152,7 @@
 	if !there {
 		return
 	}
+	s.touch(k)
 	s.sums[k.part()] ^= old.sum()
 	delete(s.items, k)
 	if k.Kind == Core {
@@ -237,7 +243,7 @@
 
 // Clone is a copy, for trying out what a change would make of it.
 func (s *Set) Clone() *Set {
-	c := &Set{items: make(map[Key]Item, len(s.items)), sums: s.sums, dropped: s.dropped}
+	c := &Set{items: make(map[Key]Item, len(s.items)), sums: s.sums, dropped: s.dropped, index: s.index, since: maps.Clone(s.since)}
 	for k, i := range s.items {
 		c.items[k] = i
 	}
--- a/internal/harbour/manifest/routes.go
+++ b/internal/harbour/manifest/routes.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -145,10 +144,8 @@
 func Draw(s *Set) *Chart {
 	c := &Chart{places: map[string][]*Route{}, Services: map[string]Service{}, Limits: Usual}
 	for _, i := range s.Standing(Services) {
-		r := papers.Read(i.Tree())
-		v := ReadService(r)
-		if v.Version = i.Version; r.Err() == nil {
-			c.Services[i.Name] = v
+		if r := s.reading(i); r.err == nil {
+			c.Services[i.Name] = *r.service
 		}
 	}
 	if i, ok := s.Get(Key{Limits, Limits}); ok && !i.Dropped {
@@ -157,31 +154,21 @@
 			c.Limits = l
 		}
 	}
-	byPlace := map[[2]string]*Route{}
+	byPlace := map[[2]string][]*reading{}
 	for _, i := range s.Standing(Routes) {
-		r := papers.Read(i.Tree())
-		v := ReadRoute(r)
-		if v.Version = i.Version; r.Err() != nil {
-			c.Yielding = append(c.Yielding, fmt.Sprintf("route %s: %v", i.Name, r.Err()))
-			continue
-		}
-		if w := slices.IndexFunc(v.Split, func(w Weight) bool { _, ok := c.Services[w.Service]; return !ok }); w >= 0 {
-			c.Yielding = append(c.Yielding, fmt.Sprintf("route %s: service %s does not stand", i.Name, v.Split[w].Service))
+		r := s.reading(i)
+		if why := r.alone(func(service string) bool { _, ok := c.Services[service]; return ok }); why != "" {
+			c.Yielding = append(c.Yielding, why)
 			continue
 		}
-		place := [2]string{v.Host, v.Prefix}
-		if other := byPlace[place]; other != nil {
-			if other.Version >= v.Version { // names come in order
-				c.Yielding = append(c.Yielding, fmt.Sprintf("route %s: route %s has its place", i.Name, other.Name))
-				continue
-			}
-			c.Yielding = append(c.Yielding, fmt.Sprintf("route %s: route %s has its place", other.Name, i.Name))
-		}
-		byPlace[place] = &v
-	}
-	for _, v := range byPlace {
-		c.Routes = append(c.Routes, v)
-		c.places[v.Host] = append(c.places[v.Host], v)
+		byPlace[r.route.place()] = append(byPlace[r.route.place()], r)
+	}
+	for _, all := range byPlace {
+		holds, yielding := contest(all)
+		c.Yielding = append(c.Yielding, yielding...)
+		v := *holds
+		c.Routes = append(c.Routes, &v)
+		c.places[v.Host] = append(c.places[v.Host], &v)
 	}
 	c.drawShares(s)
 	slices.SortFunc(c.Routes, func(a, b *Route) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/harbour/manifest/shares.go
+++ b/internal/harbour/manifest/shares.go
@@ -60,45 +60,17 @@
 // header of its newest share, and those with another yield; parts that sum up to more than one are cut down alike.
 func (c *Chart) drawShares(s *Set) {
 	all := map[string][]Share{}
-	yield := func(v Share, format string, args ...any) {
-		c.Yielding = append(c.Yielding, fmt.Sprintf("share %s: ", v.Name)+fmt.Sprintf(format, args...))
-	}
 	for _, i := range s.Standing(Shares) {
-		r := papers.Read(i.Tree())
-		v := ReadShare(r)
-		if v.Version = i.Version; r.Err() != nil {
-			yield(v, "%v", r.Err())
-		} else if _, ok := c.Services[v.Service]; !ok {
-			yield(v, "service: %s does not stand", v.Service)
+		r := s.reading(i)
+		if why := r.alone(func(service string) bool { _, ok := c.Services[service]; return ok }); why != "" {
+			c.Yielding = append(c.Yielding, why)
 		} else {
-			all[v.Service] = append(all[v.Service], v)
+			all[r.share.Service] = append(all[r.share.Service], *r.share)
 		}
 	}
 	for service, shares := range all {
-		slices.SortFunc(shares, func(a, b Share) int {
-			return cmp.Or(cmp.Compare(b.Version, a.Version), strings.Compare(a.Name, b.Name))
-		})
-		header, held, sum := shares[0].Header, map[string]string{}, 0.0
-		shares = slices.DeleteFunc(shares, func(v Share) bool {
-			if v.Header != header {
-				yield(v, "caller-header: %s, and the service's newest share goes by %s", v.Header, header)
-				return true
-			}
-			if other, there := held[v.Caller]; there {
-				yield(v, "caller: share %s has %q", other, v.Caller)
-				return true
-			}
-			held[v.Caller] = v.Name
-			sum += v.Part
-			return false
-		})
-		if sum > 1+1e-9 {
-			for i := range shares {
-				yield(shares[i], "part: the service's parts sum up to %.3f, and are cut down alike", sum)
-				shares[i].Part /= sum
-			}
-		}
-		slices.SortFunc(shares, func(a, b Share) int { return strings.Compare(a.Name, b.Name) })
+		shares, yielding := together(shares)
+		c.Yielding = append(c.Yielding, yielding...)
 		if c.Shares == nil {
 			c.Shares = map[string][]Share{}
 		}
@@ -106,3 +78,35 @@
 	}
 	slices.Sort(c.Yielding)
 }
+
+// together is what holds of the shares of one service, by name, and what yields.
+func together(shares []Share) (hold []Share, yielding []string) {
+	yield := func(v Share, format string, args ...any) {
+		yielding = append(yielding, fmt.Sprintf("share %s: ", v.Name)+fmt.Sprintf(format, args...))
+	}
+	slices.SortFunc(shares, func(a, b Share) int {
+		return cmp.Or(cmp.Compare(b.Version, a.Version), strings.Compare(a.Name, b.Name))
+	})
+	header, held, sum := shares[0].Header, map[string]string{}, 0.0
+	shares = slices.DeleteFunc(shares, func(v Share) bool {
+		if v.Header != header {
+			yield(v, "caller-header: %s, and the service's newest share goes by %s", v.Header, header)
+			return true
+		}
+		if other, there := held[v.Caller]; there {
+			yield(v, "caller: share %s has %q", other, v.Caller)
+			return true
+		}
+		held[v.Caller] = v.Name
+		sum += v.Part
+		return false
+	})
+	if sum > 1+1e-9 {
+		for i := range shares {
+			yield(shares[i], "part: the service's parts sum up to %.3f, and are cut down alike", sum)
+			shares[i].Part /= sum
+		}
+	}
+	slices.SortFunc(shares, func(a, b Share) int { return strings.Compare(a.Name, b.Name) })
+	return shares, yielding
+}
