--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -90,6 +90,7 @@
 	var said signals.Status
 	saidAt := time.Time{}
 	var sent *signals.Transfer // of the snapshot that it is being sent
+	waits := ""                // for which snapshot
 	for {
 		select {
 		case <-f.line.Done():
@@ -133,8 +134,11 @@
 			default:
 				began, who.Life = false, ""
 				var cut *signals.Making
-				if cut, sent = m.cut(f, sent, signals.Head{Life: m.life, To: last, Epoch: epoch, Number: number}); sent == nil {
-					making = cut.Done
+				if sent != nil {
+					waits = sent.Cut.Name
+				}
+				if cut, sent = m.cut(f, waits, sent, signals.Head{Life: m.life, To: last, Epoch: epoch, Number: number}); sent == nil {
+					making, waits = cut.Done, cut.Name
 					break
 				}
 				words, done := sent.Next(*f.part)
@@ -165,17 +169,18 @@
 	}
 }
 
-// cut finds the snapshot that a router is to be sent, and has one made where none is there: sent is nil until it is. One that is
-// being sent goes on as long as it is kept, and one of which the router has a part; else it begins with the newest. The caller
-// holds the lock.
-func (m *Master) cut(f *follower, sent *signals.Transfer, h signals.Head) (*signals.Making, *signals.Transfer) {
+// cut finds the snapshot that a router is to be sent, and has one made where none is there: sent is nil until it is. The one that
+// it is being sent or waits for goes on as long as it is kept, and one of which the router has a part; else it begins with the
+// newest. The caller holds the lock.
+func (m *Master) cut(f *follower, waits string, sent *signals.Transfer, h signals.Head) (*signals.Making, *signals.Transfer) {
 	now, l := m.clock(), m.state.Ledger
-	if sent != nil {
-		if c := m.cuts.Named(now, sent.Cut.Name, h.Life, l); c != nil {
-			return c, sent
-		}
+	c := m.cuts.Named(now, waits, h.Life, l)
+	if c != nil && sent != nil {
+		return c, sent
+	}
+	if c == nil {
+		c = m.cuts.Named(now, f.part.Name, h.Life, l)
 	}
-	c := m.cuts.Named(now, f.part.Name, h.Life, l)
 	if c == nil {
 		c = m.cuts.Fresh(now, h.Life, l)
 	}
--- a/internal/harbour/signals/chunks.go
+++ b/internal/harbour/signals/chunks.go
@@ -240,15 +240,15 @@
 	return size
 }
 
-// Fresh is the newest cut, if little has come since; none where a new one is to be made.
+// Fresh is the newest cut, if little has come since or it is still being made: who asks then waits for it and takes it as Named
+// gives it, or where more comes than is fresh while one is made nobody would ever get one. None where a new one is to be made.
 func (s *Shelf) Fresh(now int64, life string, l *Ledger) *Making {
 	s.tidy(now)
 	if len(s.kept) == 0 {
 		return nil
 	}
 	m := s.kept[len(s.kept)-1]
-	notes, ok := l.After(m.To)
-	if m.Life != life || !ok || len(notes) > FreshChanges || Size(notes) > FreshBytes || m.failed() {
+	if notes, ok := l.After(m.To); m.Life != life || m.failed() || !m.underWay() && (!ok || len(notes) > FreshChanges || Size(notes) > FreshBytes) {
 		return nil
 	}
 	s.used = now
@@ -268,12 +268,14 @@
 	return nil
 }
 
-func (m *Making) failed() bool {
+func (m *Making) failed() bool { return !m.underWay() && m.Err != nil }
+
+func (m *Making) underWay() bool {
 	select {
 	case <-m.Done:
-		return m.Err != nil
-	default:
 		return false
+	default:
+		return true
 	}
 }
 
--- a/internal/harbour/signals/chunks_test.go
+++ b/internal/harbour/signals/chunks_test.go
@@ -276,6 +276,26 @@
 	c.Check(h.shelf.Held(), qt.Equals, 0)
 }
 
+// More comes while a cut is made than a fresh one may lack: who waited for it is sent it all the same, as long as what came is
+// kept; whoever asks meanwhile waits for the same one.
+func TestMuchComesWhileItIsMade(t *testing.T) {
+	c := qt.New(t)
+	h := newHeld("a", 100)
+	m := h.shelf.Begin(0, Head{Life: "a", To: h.ledger.Last(), Epoch: 1, Number: h.number})
+	notes := h.notes()
+	for range FreshChanges + 1000 {
+		h.set("route-00001", h.number+1, 10)
+		c.Assert(h.shelf.Fresh(0, "a", h.ledger) == m, qt.IsTrue)
+	}
+	m.Make(notes, plain)
+	c.Check(h.shelf.Fresh(0, "a", h.ledger), qt.IsNil) // for who comes now
+	c.Check(h.shelf.Named(0, m.Name, "a", h.ledger) == m, qt.IsTrue)
+	for range 7000 {
+		h.set("route-00001", h.number+1, 10)
+	}
+	c.Check(h.shelf.Named(0, m.Name, "a", h.ledger), qt.IsNil)
+}
+
 // What isn't the next chunk is refused, whatever it is, and what was there goes with it.
 func TestChunkRefused(t *testing.T) {
 	c := qt.New(t)
