--- a/internal/harbour/signals/words.go
+++ b/internal/harbour/signals/words.go
@@ -20,6 +20,8 @@
 	Tons   *Tons                      `json:"t,omitempty"` // up from a router, down to it, and down between control processes
 	Ages   []Since                    `json:"r,omitempty"` // down between control processes: rollouts of late, with a status
 	Now    int64                      `json:"u,omitempty"` // by a control process's clock, where the word holds times (see Offset)
+	Chunk  *Chunk                     `json:"k,omitempty"` // down, to a router that says Part with its hello
+	Part   *Part                      `json:"w,omitempty"` // up, from a router: with its hello, and as the acknowledgement of each chunk
 }
 
 // Tons is what is told of callers' shares; nothing is where there are none.
