The model has early answers and bodies that are passed on as they come

Change: a write may stand still with its rest to come, hosts answer it all the same and read on; in a second way of the router a body goes on as its client sends it. Five mutations more, each must break its rule.

--- a/internal/harbour/attempt/model_test.go
+++ b/internal/harbour/attempt/model_test.go
@@ -29,6 +29,7 @@
 	holder  int8
 	wire    int8 // the request on its way to the host
 	part    bool // of which only the beginning was written
+	early   bool // the host has answered it all the same, and reads on
 	working int8 // the request that the host has
 	back    [2]message
 	last    message // that the host said
@@ -52,7 +53,9 @@
 	line   int8
 	tries  uint8
 	runs   uint8
-	stale  bool // the router has read only a part of it
+	early  uint8 // of the runs, those for which a part of it was enough
+	passed bool  // its body went on as it came: the router doesn't have it any more
+	stale  bool  // the router has read only a part of it
 }
 
 type world struct {
@@ -63,7 +66,9 @@
 
 // mutation takes a part of the machine out.
 type mutation struct {
-	noID, notRunFirst, noMayHaveRun, noSpent, noSettle, keepPart, sendEarly bool
+	noID, notRunFirst, noMayHaveRun, noSpent, noSettle, keepPart, sendEarly, keepEarly bool
+	streams                                                                            bool // no fault: bodies go on as they come
+	endsWhole, resends                                                                 bool // faults of that
 }
 
 type model struct {
@@ -90,7 +95,7 @@
 			m.broken("REFUSED: request %d", i)
 			return
 		}
-		if a.runs > 0 && a.stale {
+		if a.runs > a.early && a.stale {
 			m.broken("UNASKED: request %d, of which a part was read", i)
 			return
 		}
@@ -107,6 +112,7 @@
 // on tells a request's attempt an event; where the attempt is over its line is free, or closed.
 func (m *model) on(w *world, i int8, e Event) {
 	a := &w.asked[i]
+	whole := a.is.now.Phase == Written || m.keepEarly
 	a.is, _ = a.is.On(e)
 	if m.noMayHaveRun && a.is.past == MayHaveRun {
 		a.is.past = NotRun
@@ -116,7 +122,7 @@
 	}
 	if l := &w.lines[a.line]; true {
 		l.holder = -1
-		l.up = l.up && (e == Answered || e == TurnedAway || e == Misdirected) && !a.is.busy
+		l.up = l.up && (e == Answered || e == TurnedAway || e == Misdirected) && !a.is.busy && whole
 	}
 	a.line = -1
 }
@@ -174,8 +180,21 @@
 		i, a := int8(k), w.asked[k]
 		if a.client == sending {
 			calm(func(w *world) { w.asked[i].client = waits })
-			harm(func(w *world) { w.asked[i].client, w.asked[i].stale = gone, true })
-			if !m.sendEarly {
+			harm(func(w *world) {
+				a := &w.asked[i]
+				a.client, a.stale = gone, true
+				if !m.streams {
+					return
+				}
+				if a.is = a.is.Settle(); a.line < 0 || a.is.now.Phase < Begun {
+					return
+				}
+				if l := &w.lines[a.line]; m.endsWhole && l.wire == i {
+					l.part = false
+				}
+				m.on(w, i, Cancel)
+			})
+			if !m.sendEarly && !m.streams {
 				continue
 			}
 		}
@@ -188,7 +207,7 @@
 					calm(func(w *world) {
 						a := &w.asked[i]
 						if !a.is.busy {
-							if a.tries >= m.tries {
+							if a.tries >= m.tries || a.passed && !m.resends {
 								return
 							}
 							var ok bool
@@ -238,6 +257,7 @@
 					return false
 				}
 				l.had |= 1 << i
+				a.stale = a.stale || a.passed // only its end goes out
 				return true
 			}
 			put := func(w *world, part bool) {
@@ -249,10 +269,24 @@
 					l.wire, l.part = i, part
 				}
 			}
-			calm(func(w *world) {
+			coming := m.streams && a.client == sending
+			if !coming {
+				calm(func(w *world) {
+					if write(w) {
+						put(w, false)
+						m.on(w, i, WroteAll)
+					}
+				})
+			}
+			more := harm // a long body stands still, as its host doesn't read on
+			if coming {
+				more = calm
+			}
+			more(func(w *world) {
 				if write(w) {
-					put(w, false)
-					m.on(w, i, WroteAll)
+					put(w, true)
+					w.asked[i].passed = m.streams
+					m.on(w, i, WrotePart)
 				}
 			})
 			harm(func(w *world) {
@@ -261,9 +295,13 @@
 				}
 			})
 			for _, all := range []bool{false, true} { // some bytes are known to have gone; all may have
+				if all && coming {
+					break
+				}
 				harm(func(w *world) {
 					if write(w) {
 						put(w, !all)
+						w.asked[i].passed = m.streams
 						m.on(w, i, WrotePart)
 						c := w.asked[i].line
 						m.on(w, i, Reset)
@@ -272,6 +310,15 @@
 				})
 			}
 		}
+		if a.is.now.Phase == Partly && a.client != sending {
+			calm(func(w *world) { // the rest goes
+				l := &w.lines[w.asked[i].line]
+				if l.part = false; l.early {
+					l.wire, l.early = -1, false
+				}
+				m.on(w, i, WroteAll)
+			})
+		}
 		if a.is.now.Phase >= Begun {
 			harm(func(w *world) { m.on(w, i, Silence) })
 		}
@@ -301,7 +348,7 @@
 				}
 				m.on(w, i, e)
 				a := &w.asked[i]
-				if e != Answered || a.client != waits {
+				if e != Answered || a.client != waits && a.client != sending {
 					return
 				}
 				if x.of != i || a.runs == 0 || x.kind != Answered {
@@ -311,11 +358,23 @@
 			})
 		}
 		if l.wire >= 0 {
+			if l.part && !l.early { // the host answers though the rest is still to come
+				for _, kind := range []Event{Answered, TurnedAway} {
+					harm(func(w *world) {
+						if kind == Answered {
+							w.asked[l.wire].runs++
+							w.asked[l.wire].early++
+						}
+						*w, _ = m.say(*w, c, message{l.wire, kind})
+						w.lines[c].early = true
+					})
+				}
+			}
 			if !l.part && l.working < 0 {
 				calm(func(w *world) { w.lines[c].working, w.lines[c].wire = l.wire, -1 })
 			}
 			if !l.up {
-				calm(func(w *world) { w.lines[c].wire = -1 }) // lost with the connection
+				calm(func(w *world) { w.lines[c].wire, w.lines[c].early = -1, false }) // lost with the connection
 			}
 		}
 		if l.working >= 0 {
@@ -371,8 +430,18 @@
 
 // Every history of the model keeps the rules; -args -harms 4 -tries 3 plays those with four harms and three attempts.
 func TestModel(t *testing.T) {
-	m := explore(mutation{}, *harms, *tries, func(*model) bool { return false })
-	t.Logf("%d states, %d steps, %d harms, %d attempts; ended, by whether they ran: %v", len(m.seen), m.steps, *harms, *tries, m.ends)
+	for _, streams := range []bool{false, true} {
+		t.Run(map[bool]string{false: "held whole", true: "passed on as they come"}[streams], func(t *testing.T) { keepsRules(t, streams) })
+	}
+}
+
+func keepsRules(t *testing.T, streams bool) {
+	harms := *harms
+	if streams { // has more to go wrong
+		harms--
+	}
+	m := explore(mutation{streams: streams}, harms, *tries, func(*model) bool { return false })
+	t.Logf("%d states, %d steps, %d harms, %d attempts; ended, by whether they ran: %v", len(m.seen), m.steps, harms, *tries, m.ends)
 	for x := range m.wrong {
 		t.Error(x)
 	}
@@ -389,13 +458,18 @@
 		m     mutation
 		finds []string
 	}{
-		"no look at the id":                      {mutation{noID: true}, []string{"MIXED", "TWICE", "REFUSED"}},
-		"Request-Not-Run before the id":          {mutation{notRunFirst: true}, []string{"TWICE", "REFUSED"}},
-		"no 'may have run'":                      {mutation{noMayHaveRun: true}, []string{"TWICE", "REFUSED"}},
-		"a request twice on one connection":      {mutation{noSpent: true}, []string{"TWICE", "REFUSED"}},
-		"written after the final answer":         {mutation{noSettle: true}, []string{"REFUSED"}},
-		"a connection kept after half a request": {mutation{keepPart: true}, []string{"UNASKED"}},
-		"sent before it is read whole":           {mutation{sendEarly: true}, []string{"UNASKED"}},
+		"no look at the id":                       {mutation{noID: true}, []string{"MIXED", "TWICE", "REFUSED"}},
+		"Request-Not-Run before the id":           {mutation{notRunFirst: true}, []string{"TWICE", "REFUSED"}},
+		"no 'may have run'":                       {mutation{noMayHaveRun: true}, []string{"TWICE", "REFUSED"}},
+		"a request twice on one connection":       {mutation{noSpent: true}, []string{"TWICE", "REFUSED"}},
+		"written after the final answer":          {mutation{noSettle: true}, []string{"REFUSED"}},
+		"a connection kept after half a request":  {mutation{keepPart: true}, []string{"UNASKED"}},
+		"sent before it is read whole":            {mutation{sendEarly: true}, []string{"UNASKED"}},
+		"a connection kept after an early answer": {mutation{keepEarly: true}, []string{"UNASKED"}},
+		"the same, and bodies are passed on":      {mutation{streams: true, keepEarly: true}, []string{"UNASKED"}},
+		"a body that ends early looks whole":      {mutation{streams: true, endsWhole: true}, []string{"UNASKED"}},
+		"a body that is gone is sent again":       {mutation{streams: true, resends: true}, []string{"UNASKED"}},
+		"passed on without 'may have run'":        {mutation{streams: true, noMayHaveRun: true}, []string{"REFUSED"}},
 	} {
 		found := func(m *model, rule string) bool {
 			for w := range m.wrong {
