Chunked bodies come in parts; the library's traces hold no body

Two of eight runs of the memory test kept bodies for over 10 s where a hand-off had got no connection: the library keeps a wait for a connection, and with it the trace and what that refers to, until the next one for that host. Change: parts, joined once at the end, all of it counted; a trace refers to a hand-off that lets its request go at its end. The memory test waits for what is on its way out (the old check was at one moment, and failed by a busy machine's timing), plays 12 rounds in place of 8 and holds as many bodies as its host has slots; it still fails without either mend.

--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -354,23 +355,32 @@
 		body = make([]byte, weight)
 		_, err = io.ReadFull(r.Body, body)
 	} else {
-		from := http.MaxBytesReader(w, r.Body, int64(l.Body))
-		for n := 0; err == nil; {
-			if n == len(body) { // while it is copied there are two of it
-				more := max(firstPart, 2*int64(n))
-				if !f.stow(more, more+int64(n)) {
+		var parts [][]byte
+		from, total := http.MaxBytesReader(w, r.Body, int64(l.Body)), int64(0)
+		for err == nil {
+			last := len(parts) - 1
+			if last < 0 || len(parts[last]) == cap(parts[last]) {
+				more := max(firstPart, total/2)
+				if !f.stow(more, total+more) {
 					return crowded()
 				}
 				weight += more
-				body = append(make([]byte, 0, more), body...)[:more]
-				f.held.Add(-int64(n))
-				weight -= int64(n)
+				parts = append(parts, make([]byte, 0, more))
+				last++
 			}
-			var k int
-			k, err = from.Read(body[n:])
-			if n += k; err == io.EOF {
-				body, err = body[:n], nil
-				break
+			var n int
+			part := parts[last]
+			n, err = from.Read(part[len(part):cap(part)])
+			parts[last], total = part[:len(part)+n], total+int64(n)
+		}
+		if err == io.EOF {
+			if body, err = parts[0], nil; len(parts) > 1 {
+				if !f.stow(total, total) {
+					return crowded()
+				}
+				body = slices.Concat(parts...)
+				f.held.Add(-weight)
+				weight = total
 			}
 		}
 	}
--- a/internal/harbour/fairway/stowage_test.go
+++ b/internal/harbour/fairway/stowage_test.go
@@ -16,6 +16,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"portflow/internal/harbour/attempt"
+	"portflow/internal/harbour/manifest"
+	"portflow/internal/harbour/signals"
 	"portflow/internal/parts/hosts"
 	"portflow/rules"
 )
@@ -146,6 +148,7 @@
 	h := sink(t, nil)
 	f, at := routed(t, h)
 	f.Boot.MemoryMB = 4
+	patient(t, f)
 	const long = 200000
 	var all []asking
 	for n := range 4 {
@@ -220,14 +223,28 @@
 	qt.Check(t, counted(h), qt.DeepEquals, map[string]int{"a": 2, "c": 1, "e": 1})
 }
 
+// patient gives routes a minute, as a busy machine may hold up what a test waits for.
+func patient(t *testing.T, f *Fairway) {
+	items, err := manifest.Read([]byte(strings.NewReplacer(`safe_method",2,`, `safe_method",60,`, "00000001", "00000002").Replace(config)))
+	qt.Assert(t, err, qt.IsNil)
+	var notes []signals.Note
+	for i := range items {
+		notes = append(notes, signals.Note{Item: &items[i]})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publish(f.board.Take(notes, false))
+}
+
 // All bodies together, many times what there is for them: as many are served as have room, the others know at once, and what the
 // process holds is what bodies have and little more: nothing of them once their requests are over.
 func TestBodiesMemory(t *testing.T) {
 	wait := make(chan bool)
 	h := sink(t, wait)
 	f, at := routed(t, h)
-	f.Boot.MemoryMB = 32 // 8 MB for bodies, 7 for long ones
-	const clients, rounds, size, fit, little = 40, 8, 1 << 20, 7, 2 << 20
+	f.Boot.MemoryMB = 20 // 5 MB for bodies, 4.4 for long ones
+	patient(t, f)
+	const clients, rounds, size, fit, little = 40, 12, 1 << 20, 4, 2 << 20 // fit is the host's slots, too
 	body := []byte(strings.Repeat("b", size))
 	heap := func() int64 {
 		var m runtime.MemStats
@@ -237,7 +254,7 @@
 		return int64(m.HeapAlloc)
 	}
 	before := heap()
-	var most, left int64
+	var held, left int64
 	for n := range rounds {
 		var all sync.WaitGroup
 		var served, refused, other atomic.Int64
@@ -254,24 +271,36 @@
 				all.Go(func() { c.Write(body) })
 				answer := make([]byte, 12)
 				io.ReadFull(c, answer)
-				map[string]*atomic.Int64{"200": &served, "503": &refused}[status(string(answer))].Add(1)
+				switch status(string(answer)) {
+				case "200":
+					served.Add(1)
+				case "503":
+					refused.Add(1)
+				default:
+					other.Add(1)
+				}
 			})
 		}
-		until(t, func() bool { return refused.Load() == clients-fit && len(h.arrivals()) >= 4 }) // the host's slots
+		until(t, func() bool { return refused.Load() == clients-fit && len(h.arrivals()) == fit })
 		qt.Check(t, f.held.Load(), qt.Equals, int64(fit*size))
-		most = max(most, heap()-before)
+		until(t, func() bool { // what is just over may still be on its way out
+			held = heap() - before
+			return held < fit*size+little
+		})
 		for range fit {
 			wait <- true
 		}
 		all.Wait()
 		qt.Check(t, served.Load(), qt.Equals, int64(fit))
+		qt.Check(t, other.Load(), qt.Equals, int64(0))
 		until(t, func() bool { return f.held.Load() == 0 && f.open.Load() == 0 })
-		left = heap() - before
+		until(t, func() bool {
+			left = heap() - before
+			return left < little
+		})
 		h.mu.Lock()
 		h.came = nil
 		h.mu.Unlock()
 	}
-	t.Logf("heap over the beginning: %d KB with %d bodies of %d KB, %d KB after %d rounds", most>>10, fit, size>>10, left>>10, rounds)
-	qt.Check(t, most < fit*size+little, qt.IsTrue)
-	qt.Check(t, left < little, qt.IsTrue)
+	t.Logf("heap over the beginning: %d KB with %d bodies of %d KB, %d KB after %d rounds", held>>10, fit, size>>10, left>>10, rounds)
 }
--- a/internal/parts/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -182,6 +182,9 @@
 	dialled atomic.Bool          // a connection was asked for
 	conn    atomic.Pointer[conn] // that it has, or had
 	written atomic.Pointer[conn] // that its bytes went to
+
+	request *http.Request   // while it is tried: the transport keeps traces for as long as it likes, and a long body must not be in them
+	asked   *router.Request // the same
 }
 
 // mayWrite settles that the hand-off is sent on this connection, unless it was ended or sent on another before.
@@ -289,18 +292,19 @@
 }
 
 func (p *Pool) try(ctx context.Context, h *handOff, host router.Host, r *router.Request, left time.Duration) router.Outcome {
-	request := p.Protocol.Request(host, r, left)
+	h.request, h.asked = p.Protocol.Request(host, r, left), r
+	defer func() { h.request, h.asked = nil, nil }()
 	wants, has := context.WithCancel(context.WithValue(ctx, key{}, h)) // until it has a connection
 	defer has()
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			c := i.Conn.(*conn)
 			c.place.Set(room.Busy)
-			c.flow.Sent(host, r)
+			c.flow.Sent(host, h.asked)
 			c.handOff.Store(h)
 			h.conn.Store(c)
 			if late, ok := p.Protocol.(Renewer); ok {
-				late.Renew(request, left-time.Since(h.began))
+				late.Renew(h.request, left-time.Since(h.began))
 			}
 			has()
 		},
@@ -324,7 +328,7 @@
 		}
 	}()
 	ctx = httptrace.WithClientTrace(context.WithValue(ctx, key{}, wants), trace)
-	resp, err := to.transport.RoundTrip(request.WithContext(ctx))
+	resp, err := to.transport.RoundTrip(h.request.WithContext(ctx))
 	if err != nil {
 		return router.Outcome{Ending: h.broken(ctx, err)}
 	}
