--- a/internal/parts/hosts/hosts.go
+++ b/internal/parts/hosts/hosts.go
@@ -183,6 +183,9 @@
 	conn    atomic.Pointer[conn] // that it has, or had
 	reused  atomic.Bool          // another hand-off had that before
 	written atomic.Pointer[conn] // that its bytes went to
+
+	request *http.Request   // while it is tried: the transport keeps traces for as long as it likes, and a long body must not be in them
+	asked   *router.Request // the same
 }
 
 // mayWrite settles that the hand-off is sent on this connection, unless it was ended or sent on another before.
@@ -290,18 +293,19 @@
 }
 
 func (p *Pool) try(ctx context.Context, h *handOff, host router.Host, r *router.Request, left time.Duration) router.Outcome {
-	request := p.Protocol.Request(host, r, left)
+	h.request, h.asked = p.Protocol.Request(host, r, left), r
+	defer func() { h.request, h.asked = nil, nil }()
 	wants, has := context.WithCancel(context.WithValue(ctx, key{}, h)) // until it has a connection
 	defer has()
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			c := i.Conn.(*conn)
 			c.place.Set(room.Busy)
-			c.flow.Sent(host, r)
+			c.flow.Sent(host, h.asked)
 			h.reused.Store(c.handOff.Swap(h) != nil)
 			h.conn.Store(c)
 			if late, ok := p.Protocol.(Renewer); ok {
-				late.Renew(request, left-time.Since(h.began))
+				late.Renew(h.request, left-time.Since(h.began))
 			}
 			has()
 		},
@@ -325,7 +329,7 @@
 		}
 	}()
 	ctx = httptrace.WithClientTrace(context.WithValue(ctx, key{}, wants), trace)
-	resp, err := to.transport.RoundTrip(request.WithContext(ctx))
+	resp, err := to.transport.RoundTrip(h.request.WithContext(ctx))
 	if err != nil {
 		return router.Outcome{Ending: h.broken(ctx, err)}
 	}
