Hard histories: two harms of one kind at once, frozen proposers, and faults that close

Change: TestHardHistories (seeds above 1,000,000 of the same histories, with the same checks) plays them, by the command too. After each kind of harm the core must bear again what it bore within 15 s, by itself. The emulator learned what that takes: a machine beside the one that it follows, a share of a machine's connections reset, answers lost, a disk that takes no more bytes; TestConnectionsBreak and TestLogbookOnFullDisk hold these. A refused order that comes in force is named with its items and answers. A frozen machine's timers run on in the emulator, as before: its first moments after the thaw are not tested.

--- a/internal/lab/basin/disk.go
+++ b/internal/lab/basin/disk.go
@@ -19,6 +19,7 @@
 	meta   storage.FileDesc
 	Delay  time.Duration // of a sync
 	Refuse bool          // writes and syncs fail
+	full   bool          // takes no more bytes: of a write the first half stays
 	Syncs  int
 	hangs  chan struct{} // closed when syncs go on; nil while they do
 }
@@ -28,7 +29,10 @@
 	synced int
 }
 
-var errRefused = errors.New("the disk refuses to write")
+var (
+	errRefused = errors.New("the disk refuses to write")
+	errFull    = errors.New("no space left on the disk")
+)
 
 // NewDisk makes an empty one.
 func NewDisk() *Disk { return &Disk{files: map[storage.FileDesc]*file{}} }
@@ -47,6 +51,13 @@
 	d.Delay, d.Refuse = delay, refuse
 }
 
+// fill has it take no more bytes, or again.
+func (d *Disk) fill(full bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = full
+}
+
 // hang has syncs wait, or go on.
 func (d *Disk) hang(hangs bool) {
 	d.mu.Lock()
@@ -100,8 +111,11 @@
 func (h *handle) SetMeta(fd storage.FileDesc) error {
 	h.disk.mu.Lock()
 	defer h.disk.mu.Unlock()
-	if h.disk.Refuse {
+	switch {
+	case h.disk.Refuse:
 		return errRefused
+	case h.disk.full:
+		return errFull
 	}
 	h.disk.meta = fd
 	return nil
@@ -202,6 +216,10 @@
 	if d.Refuse || w.handle.dead() {
 		return 0, errRefused
 	}
+	if d.full && len(b) > 0 {
+		w.file.data = append(w.file.data, b[:len(b)/2]...)
+		return len(b) / 2, errFull
+	}
 	w.file.data = append(w.file.data, b...)
 	return len(b), nil
 }
--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -230,19 +230,30 @@
 // starts from now on is given its address with the seeds in the lost one's place.
 func (m *Master) Replace() {
 	m.Kill()
+	m.become(m.Successor())
+}
+
+// Successor is a new machine beside this one, which doesn't run yet: another IP number and name, an empty disk.
+func (m *Master) Successor() *Master {
 	h := m.h
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.lastHost++
 	old, ip := m.Boot.IP, fmt.Sprintf("10.%d.1.%d", zoneOf(m.Boot.IP)+1, h.lastHost)
-	m.Disk = NewDisk()
-	m.Disk.Delay = 5 * time.Millisecond
-	m.Boot.IP, m.Boot.Name = ip, fmt.Sprintf("%s-anew-%d", m.Boot.Name, h.lastHost)
-	listen := map[string]string{}
-	for name, at := range m.Boot.Listen {
-		listen[name] = moved(at, old, ip)
-	}
-	m.Boot.Listen = listen
+	next := &Master{h: h, Boot: m.Boot, Apart: m.Apart, Disk: NewDisk()}
+	next.Disk.Delay = 5 * time.Millisecond
+	next.Boot.IP, next.Boot.Name = ip, fmt.Sprintf("%s-anew-%d", m.Boot.Name, h.lastHost)
+	next.Boot.Listen = lo.MapValues(m.Boot.Listen, func(at, _ string) string { return moved(at, old, ip) })
+	return next
+}
+
+// become puts another, which may run, in this one's place, and among the seeds of who starts from now on.
+func (m *Master) become(next *Master) {
+	h := m.h
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old, ip := m.Boot.IP, next.Boot.IP
+	*m = *next
 	for _, x := range h.Masters {
 		x.Boot.Seeds = lo.Map(x.Boot.Seeds, func(at string, _ int) string { return moved(at, old, ip) })
 	}
--- a/internal/lab/basin/history_check_test.go
+++ b/internal/lab/basin/history_check_test.go
@@ -45,7 +45,7 @@
 	for _, id := range slices.Sorted(maps.Keys(seen)) {
 		c := w.contents[id]
 		if o := byContent[id]; o.status == 409 {
-			w.fault("refused and in force", "order %d, %s: %s", o.n, c.prefix, seen[id])
+			w.fault("refused and in force", "order %d, %s: %s; %+v, refused from %d to %d, then %+v", o.n, c.prefix, seen[id], o.items, o.began, o.ended, o.again)
 		}
 		if c.rivals < 0 {
 			continue
--- a/internal/lab/basin/history_harm_test.go
+++ b/internal/lab/basin/history_harm_test.go
@@ -7,6 +7,10 @@
 
 // trouble does a few harms of those that the settings tolerate, one after the other or two at once, and undoes them.
 func (w *watch) trouble() {
+	if w.seed > hard {
+		w.worst()
+		return
+	}
 	w.rest(500, 1500)
 	for range 1 + w.n(3) {
 		m := w.target()
--- a/internal/lab/basin/logbook_test.go
+++ b/internal/lab/basin/logbook_test.go
@@ -235,3 +235,29 @@
 	qt.Check(t, max(order[0], order[1], order[2]) < 10000, qt.IsTrue, qt.Commentf("%v", order))
 	qt.Check(t, cost[2] < 3*cost[0], qt.IsTrue, qt.Commentf("%v", cost))
 }
+
+// A disk without space refuses what it can't keep, and half a record stays behind. Once there is space the next write is
+// taken without a restart, and what was taken is there after a loss of power.
+func TestLogbookOnFullDisk(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		c := qt.New(t)
+		d := NewDisk()
+		book, _, _, _, err := logbook.Open(d.Handle())
+		c.Assert(err, qt.IsNil)
+		c.Assert(book.Write([]manifest.Item{item("r", 1)}, nil, true), qt.IsNil)
+		for version := uint64(2); version < 60; version += 2 {
+			d.fill(true)
+			c.Assert(book.Write([]manifest.Item{item("r", version)}, nil, false), qt.IsNotNil)
+			d.fill(false)
+			c.Assert(book.Write([]manifest.Item{item("r", version+1)}, nil, false), qt.IsNil)
+		}
+		d.fill(true)
+		c.Assert(book.Write([]manifest.Item{item("r", 90)}, nil, false), qt.IsNotNil)
+		d.PowerLoss(torn)
+		d.fill(false)
+		_, items, _, whole, err := logbook.Open(d.Handle())
+		c.Assert(err, qt.IsNil)
+		c.Check(newest(items), qt.Equals, uint64(59))
+		c.Check(whole, qt.IsTrue)
+	}
+}
--- a/internal/lab/basin/sea.go
+++ b/internal/lab/basin/sea.go
@@ -9,7 +9,9 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +31,7 @@
 	cuts      map[[2]string]bool // from, to
 	down      map[string]bool
 	frozen    map[string]bool
+	lossy     map[[2]string]float64 // from, to: the part of what is sent whose connection breaks instead
 	port      int
 	draw      chance.Source
 	Bytes     map[[2]string]int64 // from, to
@@ -37,7 +40,7 @@
 // NewSea makes a calm one.
 func NewSea(delay func(a, b string) time.Duration, seed uint64) *Sea {
 	return &Sea{Delay: delay, Silent: 1500 * time.Millisecond, listeners: map[string]*listener{}, packets: map[string]*packet{},
-		conns: map[*conn]bool{}, cuts: map[[2]string]bool{}, down: map[string]bool{}, frozen: map[string]bool{}, port: 20000, draw: chance.Source{Seed: seed},
+		conns: map[*conn]bool{}, cuts: map[[2]string]bool{}, down: map[string]bool{}, frozen: map[string]bool{}, lossy: map[[2]string]float64{}, port: 20000, draw: chance.Source{Seed: seed},
 		Bytes: map[[2]string]int64{}}
 }
 
@@ -86,6 +89,39 @@
 	}
 }
 
+// Reset breaks a part of a machine's connections, drawn by lot; both ends are told. It tells how many.
+func (s *Sea) Reset(ip string, part float64) (n int) {
+	s.mu.Lock()
+	all := s.all()
+	name := func(c *conn) string { return c.local.String() + " " + c.remote.String() }
+	slices.SortFunc(all, func(a, b *conn) int { return strings.Compare(name(a), name(b)) })
+	all = slices.DeleteFunc(all, func(c *conn) bool { return c.local.IP.String() != ip || s.draw.Next() >= part })
+	s.mu.Unlock()
+	for _, c := range all {
+		c.reset()
+	}
+	return len(all)
+}
+
+// Lossy has a part of what one machine sends another be lost, 0 for none: the connection breaks in its place, so that a call
+// was taken and its answer never comes.
+func (s *Sea) Lossy(from, to string, part float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.lossy, [2]string{from, to})
+	if part > 0 {
+		s.lossy[[2]string{from, to}] = part
+	}
+}
+
+// loses tells whether this piece is lost.
+func (s *Sea) loses(from, to string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part, lossy := s.lossy[[2]string{from, to}]
+	return lossy && s.draw.Next() < part
+}
+
 // To is how many bytes a machine was sent from others.
 func (s *Sea) To(ip string) (n int64) {
 	s.mu.Lock()
@@ -405,6 +441,10 @@
 	if closed || gone {
 		return 0, net.ErrClosed
 	}
+	if c.sea.loses(c.local.IP.String(), c.remote.IP.String()) {
+		c.reset()
+		return len(b), nil
+	}
 	h := c.out
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/lab/basin/sea_test.go
+++ b/internal/lab/basin/sea_test.go
@@ -49,3 +49,47 @@
 		c.Check(time.Since(began) < 10*time.Millisecond, qt.IsTrue)
 	})
 }
+
+// Connections that are reset, and answers that are lost: both sides are told, others' connections go on.
+func TestConnectionsBreak(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := NewSea(func(a, b string) time.Duration { return time.Millisecond }, 1)
+		l, err := s.Process("10.1.0.1").Listen("10.1.0.1:80")
+		c.Assert(err, qt.IsNil)
+		open := func(ip string) (here, there net.Conn) {
+			here, err := s.Process(ip).Dial(context.Background(), "tcp", "10.1.0.1:80")
+			c.Assert(err, qt.IsNil)
+			there, err = l.Accept()
+			c.Assert(err, qt.IsNil)
+			return here, there
+		}
+		broken := func(x net.Conn) bool {
+			x.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+			_, err := x.Read(make([]byte, 1))
+			return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
+		}
+		one, there := open("10.2.0.1")
+		two, _ := open("10.3.0.1")
+		c.Check(s.Reset("10.2.0.1", 1), qt.Equals, 1)
+		c.Check([]bool{broken(one), broken(there), broken(two)}, qt.DeepEquals, []bool{true, true, false})
+		c.Check(s.Reset("10.3.0.1", 0), qt.Equals, 0)
+
+		one, there = open("10.2.0.1")
+		s.Lossy("10.1.0.1", "10.2.0.1", 1)
+		one.Write([]byte("x")) // the way there is good
+		n, err := there.Read(make([]byte, 1))
+		c.Check(n, qt.Equals, 1)
+		c.Check(err, qt.IsNil)
+		there.Write([]byte("y"))
+		c.Check([]bool{broken(one), broken(two)}, qt.DeepEquals, []bool{true, false})
+		s.Lossy("10.1.0.1", "10.2.0.1", 0)
+		one, there = open("10.2.0.1")
+		there.Write([]byte("y"))
+		n, err = one.Read(make([]byte, 1))
+		c.Check(n, qt.Equals, 1)
+		c.Check(err, qt.IsNil)
+		l.Close()
+		time.Sleep(time.Second)
+	})
+}
