Lists that need no newcomer, a silent first passed over, starts that ask before they vote

Change: takes() goes by those who promised, a short wait for the others; lets(); recover keeps the vote; Hears() counts the list voted for; passing over goes by answers (a Confirm after 0.1 s) and decisions; stands(); who starts promises nothing and answers no reader before it has asked, and takes the highest vote it is told of. TestVoteToldOnceOnDisk and the small worlds begin with a process that has asked already, as they did in effect before.

--- a/internal/harbour/muster/muster.go
+++ b/internal/harbour/muster/muster.go
@@ -74,14 +74,17 @@
 }
 
 // Quorum tells whether those who said yes, by IP number with the IDs of their disks, are more than half.
-func (l List) Quorum(yes map[string]string) bool {
+func (l List) Quorum(yes map[string]string) bool { return len(l.Members) > 0 && l.Margin(yes) >= 0 }
+
+// Margin is by how many members those who said yes are more than a bare majority; below 0 they are none.
+func (l List) Margin(yes map[string]string) int {
 	n := 0
 	for ip, id := range yes {
 		if l.Has(ip, id) {
 			n++
 		}
 	}
-	return len(l.Members) > 0 && n >= l.Majority()
+	return n - l.Majority()
 }
 
 // Join is the next epoch's list with members that come in, each in the place of an older one of its IP number, and without
--- a/internal/harbour/quorum/drawn_test.go
+++ b/internal/harbour/quorum/drawn_test.go
@@ -483,6 +483,21 @@
 		}
 	}
 	w.run(w.now + 18*second)
+	if w.neverBegan() { // what operators do then, with nothing lost
+		w.tally["founded anew"]++
+		for _, m := range w.machines {
+			if w.off(m, false); slices.Contains(w.founders, m.ip) && !m.away {
+				w.wipe(m)
+				m.disk.Founders = w.founders
+			}
+		}
+		for _, m := range w.machines {
+			if !m.away {
+				w.on(m)
+			}
+		}
+		w.run(w.now + 18*second)
+	}
 	w.calm()
 	w.ends()
 	for _, m := range w.machines {
@@ -491,6 +506,27 @@
 	return w, nil
 }
 
+// neverBegan tells that the first list was voted on and lacks a majority for good: a founder's disk was lost within the round
+// trip, while another one was not heard. Anything else that keeps a core from its beginning is a fault, and so is an order
+// that was confirmed by then.
+func (w *world) neverBegan() bool {
+	if len(w.states) > 0 || w.told > 0 || w.tally["confirmed"] > 0 {
+		return false
+	}
+	for _, m := range w.machines {
+		l, n := listIn(m.disk.Value), 0
+		for _, x := range l.Members {
+			if o := w.byIP[x.IP]; o.up && o.disk.ID == x.ID {
+				n++
+			}
+		}
+		if m.up && m.disk.At == 1 && l.Epoch == 1 && n < l.Majority() {
+			return true
+		}
+	}
+	return false
+}
+
 // again sends an order, and once more as long as it isn't confirmed.
 func (w *world) again(g *group, times int) {
 	m := w.somebody()
--- a/internal/harbour/quorum/kept_test.go
+++ b/internal/harbour/quorum/kept_test.go
@@ -10,7 +10,7 @@
 	"portflow/internal/harbour/muster"
 )
 
-// three is a list of three members that stands at number 1, and the second of them.
+// three is a list of three members that stands at number 1, and the second of them, which has asked the others since its start.
 func three(now int64) (*Node, muster.List) {
 	l := muster.List{Epoch: 1}
 	for n, ip := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
@@ -18,7 +18,9 @@
 	}
 	set := manifest.NewSet()
 	set.Merge(l.Item())
-	return New(l.Members[1], "life", 1, Disk{ID: "b", Applied: 1}, set, now), l
+	x := New(l.Members[1], "life", 1, Disk{ID: "b", Applied: 1}, set, now)
+	x.whole, x.start = true, nil
+	return x, l
 }
 
 // A vote is told to those who read only once it is on disk: also where the same ballot had a vote on disk at the number before.
--- a/internal/harbour/quorum/mutant_test.go
+++ b/internal/harbour/quorum/mutant_test.go
@@ -17,7 +17,7 @@
 }
 
 // mutants are the mends, each taken out by what carries the messages and keeps the records. seeds is how many days are played
-// at the most until one finds it. That two lives use the same ballots is found by none of 4,000 days, and isn't among them; promises
+// at the most until one finds it. That two lives use the same ballots is found by none of 4,000 days, but by TestTwoLivesOneBallot; promises
 // that aren't kept on disk are found by the small worlds, votes that are told too early by TestVoteToldOnceOnDisk, and rarely here.
 var mutants = map[string]mutant{
 	"a wiped disk is the same member still":              {keepID: true},
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -27,12 +27,16 @@
 const (
 	sendAgain   = int64(250e6) // to those that have not answered a step of a proposal, or a read
 	giveUp      = int64(2e9)   // a proposal that gets no further: the next try has a higher ballot
-	handAgain   = int64(350e6) // one that was handed an order and says nothing for so long is passed over
+	askHand     = int64(100e6) // between askings of one that was handed an order whether it still answers
+	handAgain   = int64(250e6) // one that was handed an order and has answered nothing for so long is passed over
+	handStuck   = int64(700e6) // so is one that answers, and has decided nothing for so long
 	stuck       = int64(500e6) // a vote that nobody tells the end of is brought to its end by another
 	turn        = int64(150e6) // each member waits for those before it
 	fetchAgain  = int64(500e6)
 	fetchSoon   = int64(250e6) // a peer that has more is asked
 	foundWaits  = int64(400e6)
+	startWaits  = int64(400e6) // since the start, for the members that haven't told yet how far they are
+	listWaits   = int64(200e6) // for members that are heard and haven't promised yet, before a list is judged by those that have
 	listAgain   = int64(400e6) // between proposals of a list
 	silentFor   = int64(3e9)   // a member that has a successor in its zone goes
 	orderWaits  = int64(2500e6)
@@ -42,6 +46,7 @@
 	keptItems   = 16384
 	chunkBytes  = 256 << 10
 	mostBehind  = 64 // numbers by which one that comes in may be behind
+	mostLag     = 4  // numbers by which one that proposes for all may be behind: who does is ahead of the others
 )
 
 // Peer is another control process that is heard, as it last said of itself.
@@ -82,6 +87,9 @@
 	own    bool   // it is the node's own: nobody waits for its end
 }
 
+// noRead is the tag of a Confirm that no read waits for.
+const noRead = ^uint64(0)
+
 type read struct {
 	epoch  uint64
 	came   int64
@@ -99,16 +107,18 @@
 
 // Node is a control process's part in the agreement. It is not safe for two goroutines.
 type Node struct {
-	Set     *manifest.Set
-	self    muster.Member
-	life    string
-	perZone int
-	disk    Disk
-	list    muster.List
-	whole   bool    // since this life began, it has had all that was decided when it asked
-	kept    Message // the vote that is on disk: its number and its ballot
-	muted   bool    // its disk holds less than what it knows: it says nothing that must be on disk
-	began   int64
+	Set        *manifest.Set
+	self       muster.Member
+	life       string
+	perZone    int
+	disk       Disk
+	list       muster.List
+	whole      bool               // since this life began, it has had all that was decided when it asked
+	start      map[string]Message // what others told since this life began; nil once this process may promise and vote
+	startAsked int64              // when they were last asked
+	kept       Message            // the vote that is on disk: its number and its ballot
+	muted      bool               // its disk holds less than what it knows: it says nothing that must be on disk
+	began      int64
 
 	phase   Phase
 	number  uint64
@@ -135,9 +145,11 @@
 
 	peers  map[string]Peer
 	silent map[string]int64
-	said   map[string]int64 // when a member last said anything of the agreement
-	passed map[string]bool  // members that were handed an order and said nothing: passed over until they do
+	said   map[string]int64 // when another last answered this process
+	moved  map[string]int64 // when another last decided something, or ended an order of this process
+	passed map[string]bool  // members that were handed an order and are passed over: until they answer or, if true, decide something
 	listed int64            // when the next list may be proposed
+	probed int64            // when one that was handed an order was last asked whether it answers
 	apart  int64            // since when a peer has had more, 0 for none
 	fetch  struct {
 		from   string
@@ -163,8 +175,8 @@
 func New(self muster.Member, life string, perZone int, disk Disk, set *manifest.Set, now int64) *Node {
 	self.ID = disk.ID
 	return &Node{Set: set, self: self, life: life, perZone: max(1, perZone), disk: disk, list: muster.Of(set), seen: disk.Promised.N, began: now,
-		kept: Message{Number: disk.At, Ballot: disk.Vote}, unsaved: map[manifest.Key]*manifest.Item{},
-		reads: map[uint64]*read{}, peers: map[string]Peer{}, said: map[string]int64{}, passed: map[string]bool{}, silent: map[string]int64{}, last: 1 << 32}
+		kept: Message{Number: disk.At, Ballot: disk.Vote}, unsaved: map[manifest.Key]*manifest.Item{}, start: map[string]Message{},
+		reads: map[uint64]*read{}, peers: map[string]Peer{}, said: map[string]int64{}, moved: map[string]int64{}, passed: map[string]bool{}, silent: map[string]int64{}, last: 1 << 32}
 }
 
 // List is the membership as of what is applied here.
@@ -182,13 +194,18 @@
 // Member tells whether this process's vote counts.
 func (x *Node) Member() bool { return x.list.Has(x.self.IP, x.self.ID) }
 
-// Hears tells whether more than half of the members are heard, this process among them if it is one.
+// Hears tells whether more than half of the members are heard, this process among them if it is one; and of those of a list
+// that it has voted for, which may be decided already: without them nothing goes on.
 func (x *Node) Hears() bool {
 	yes := map[string]string{x.self.IP: x.self.ID}
 	for ip, p := range x.peers {
 		yes[ip] = p.Member.ID
 	}
-	return x.list.Quorum(yes)
+	next := muster.List{}
+	if x.disk.At == x.disk.Applied+1 {
+		next = listIn(x.disk.Value)
+	}
+	return x.list.Quorum(yes) && (next.Epoch == 0 || next.Quorum(yes))
 }
 
 // Down are the members that aren't heard.
@@ -203,7 +220,7 @@
 
 // Busy tells whether a tick should come soon.
 func (x *Node) Busy() bool {
-	return x.phase != Idle || len(x.wait) > 0 || len(x.reads) > 0 || x.disk.At == x.disk.Applied+1 || !x.whole || x.fetch.from != ""
+	return x.phase != Idle || len(x.wait) > 0 || len(x.reads) > 0 || x.disk.At == x.disk.Applied+1 || !x.whole || x.start != nil || x.fetch.from != ""
 }
 
 // Phase is where this process's own proposal stands.
@@ -217,8 +234,7 @@
 	x.out = &Effects{Send: map[string][]Message{}, Synced: map[string][]Message{}}
 	switch {
 	case e.Message != nil:
-		x.said[e.From] = e.Now
-		delete(x.passed, e.From)
+		x.alive(e, *e.Message)
 		x.receive(e, *e.Message)
 	case e.Peer != nil:
 		_, heard := x.peers[e.From]
@@ -231,6 +247,7 @@
 	case e.Lost:
 		delete(x.peers, e.From)
 		delete(x.said, e.From)
+		delete(x.moved, e.From)
 		delete(x.passed, e.From)
 		x.silent[e.From] = e.Now
 		x.lostHand(e.From)
@@ -255,6 +272,22 @@
 	return out
 }
 
+// alive notes what a message shows of its sender: that it hears this process, and that it gets on. What it says again and again
+// by itself shows neither.
+func (x *Node) alive(e Event, m Message) {
+	hears := m.Kind == Confirmed || m.Kind == Handed
+	moves := m.Kind == Commit || m.Kind == Handed && m.Result != nil && m.Result.Kind != faults.Unready
+	if hears {
+		x.said[e.From] = e.Now
+	}
+	if moves {
+		x.moved[e.From] = e.Now
+	}
+	if stuck, passed := x.passed[e.From]; passed && (moves || hears && !stuck) {
+		delete(x.passed, e.From)
+	}
+}
+
 // met says to one who has only just come to be heard what it is asked now, and not with the next repeat.
 func (x *Node) met(e Event) {
 	x.repeat(e.From)
@@ -264,6 +297,9 @@
 			x.say(e.From, Message{Kind: Confirm, Tag: tag})
 		}
 	}
+	if _, told := x.start[e.From]; x.disk.Applied > 0 && x.whole && x.start != nil && !told {
+		x.say(e.From, Message{Kind: Confirm})
+	}
 	if x.disk.Applied > 0 && !x.whole && x.reads[0] == nil {
 		x.read(e.Now, 0)
 	}
@@ -395,14 +431,20 @@
 	case Commit:
 		x.committed(e, m)
 	case Confirm:
-		x.say(e.From, x.confirmed(m.Tag))
+		if m.Tag == 0 || x.counts() { // who starts is told by all; who reads only by those that may vote
+			x.say(e.From, x.confirmed(m.Tag))
+		}
 	case Confirmed:
+		if m.Tag == 0 && x.start != nil {
+			x.start[e.From] = m
+			x.begins(e.Now)
+		}
 		if r := x.reads[m.Tag]; r != nil {
 			r.votes[e.From] = m
 			if !r.known && x.list.Has(e.From, m.ID) { // who only comes in may have voted, and counts for nothing yet
 				r.yes[e.From] = m.ID
 				r.target = max(r.target, m.Number)
-				r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch
+				r.known = x.list.Quorum(r.yes) && r.epoch == x.list.Epoch && (m.Tag == 0 || x.counts())
 			}
 			x.chosen(e, r)
 			x.readOn(e.Now, m.Tag, r)
@@ -437,19 +479,15 @@
 		x.say(e.From, Message{Kind: Behind, Number: m.Number, Ballot: m.Ballot})
 		x.ask(e.Now, e.From)
 		return
-	case !x.may(x.self.IP, x.self.ID, m.Value) || !x.may(e.From, m.ID, nil) || x.muted:
+	case !x.may(x.self.IP, x.self.ID, m.Value) || !x.may(e.From, m.ID, nil) || x.muted || !x.counts():
 		return
 	case m.Ballot.Less(x.disk.Promised):
 		x.say(e.From, Message{Kind: Beaten, Number: m.Number, Ballot: x.disk.Promised, Vote: m.Ballot})
 		return
 	}
-	x.disk.Promised = m.Ballot
-	x.seen = max(x.seen, m.Ballot.N)
+	x.ballots(e.Now, m)
 	if m.Kind == Accept {
-		x.disk.Vote, x.disk.At, x.disk.Value = m.Ballot, m.Number, m.Value
-		x.voted = e.Now
 		x.sayOn(e.From, Message{Kind: Voted, Number: m.Number, Ballot: m.Ballot})
-		x.sayOn(x.self.IP, Message{Kind: Kept, Number: m.Number, Ballot: m.Ballot})
 		return
 	}
 	r := Message{Kind: Promise, Number: m.Number, Ballot: m.Ballot}
@@ -466,6 +504,17 @@
 	x.sayOn(e.From, r)
 }
 
+// ballots notes a promise or a vote for the disk, the only place that does.
+func (x *Node) ballots(now int64, m Message) {
+	x.disk.Promised = m.Ballot
+	x.seen = max(x.seen, m.Ballot.N)
+	if m.Kind == Accept {
+		x.disk.Vote, x.disk.At, x.disk.Value = m.Ballot, m.Number, m.Value
+		x.voted = now
+		x.sayOn(x.self.IP, Message{Kind: Kept, Number: m.Number, Ballot: m.Ballot})
+	}
+}
+
 // told is the proposer, as answers come.
 func (x *Node) told(e Event, m Message) {
 	switch {
@@ -515,7 +564,7 @@
 }
 
 // promised goes on once more than half have promised; for the first list it waits a moment for the founders that are heard, as
-// one of a bare majority bears no loss.
+// one of a bare majority bears no loss, and for a later one for the members that are heard, as takes goes by who promised.
 func (x *Node) promised(e Event) {
 	if x.phase != Preparing || !x.enough(x.yes, nil) {
 		return
@@ -527,6 +576,13 @@
 			}
 		}
 	}
+	if x.disk.Applied > 0 && e.Now-x.since < listWaits && slices.ContainsFunc(x.wait, func(p *pending) bool { return p.local && p.order.Kind == orders.Join }) {
+		for _, m := range x.list.Members {
+			if p, heard := x.peers[m.IP]; x.yes[m.IP] == "" && (m.IP == x.self.IP && x.Member() || heard && p.Member.ID == m.ID) {
+				return
+			}
+		}
+	}
 	x.accept(e)
 }
 
@@ -534,6 +590,11 @@
 func (x *Node) idle(e Event, beaten bool) {
 	if x.phase != Idle && beaten {
 		x.retry = e.Now + int64(e.Chance*float64(turn)*float64(1+x.restarts))
+		if first := x.first(); first == x.self.IP && x.restarts == 0 { // it may have known too low a ballot
+			x.retry = e.Now
+		} else if first != x.self.IP && x.disk.Applied > 0 { // that one goes on
+			x.retry += 2 * turn
+		}
 		x.restarts = min(x.restarts+1, 4)
 	}
 	x.phase, x.sticky, x.value, x.mine, x.members, x.old, x.bestOf = Idle, false, nil, nil, nil, nil, nil
@@ -826,7 +887,8 @@
 		if m.IP == x.self.IP && x.Member() {
 			return m.IP
 		}
-		if p, heard := x.peers[m.IP]; heard && p.Whole && p.Member.ID == m.ID && !x.passed[m.IP] {
+		_, passed := x.passed[m.IP]
+		if p, heard := x.peers[m.IP]; heard && p.Whole && p.Member.ID == m.ID && !passed && p.Applied+mostLag >= x.disk.Applied {
 			return m.IP
 		}
 	}
@@ -890,20 +952,50 @@
 			return
 		}
 	}
+	if !left && !x.sticky && !x.stands() {
+		return
+	}
 	x.prepare(e)
 }
 
+// stands ends the changes that stand already, as another brought them to their end, and tells whether there are orders that
+// this process is to propose: a ballot that nothing needs would only beat the one that goes on. A change that stands does so
+// for ever, by its versions; of other orders that is known only by who has what is decided now.
+func (x *Node) stands() (others bool) {
+	x.wait = slices.DeleteFunc(x.wait, func(p *pending) bool {
+		if !p.local {
+			return false
+		}
+		if p.order.Kind == orders.Modify {
+			if items, err := orders.Apply(x.Set, p.order); err == nil && len(items) == 0 {
+				x.end(p, Result{Number: x.disk.Applied})
+				return true
+			}
+		}
+		others = true
+		return false
+	})
+	return others
+}
+
 // hand hands orders over to the member that proposes for all, and tells whether there are some that this process is to
 // propose itself: it is that member, or nobody is. That several propose at once beats them all, so an order stays handed as long
-// as the one that has it says anything; one that says nothing is passed over.
+// as the one that has it answers and decides something now and then; else that one is passed over. Who has had an order for
+// a while is asked by a Confirm whether it answers: in calm the order has ended before.
 func (x *Node) hand(e Event) (local bool) {
+	asked := map[string]bool{}
 	for _, p := range x.wait {
-		if p.handed != 0 && e.Now-p.handed > handAgain {
-			if x.said[p.to] < p.handed {
-				x.passed[p.to] = true
-				p.handed, p.to = 0, ""
-			} else if e.Now-p.handed > 2*handAgain { // it may have lost it
+		if p.handed != 0 {
+			silent, idle := e.Now-max(p.handed, x.said[p.to]), e.Now-max(p.handed, x.moved[p.to])
+			switch {
+			case silent > handAgain, idle > handStuck:
+				x.passed[p.to] = silent <= handAgain
+				x.lostHand(p.to) // with all else that it was handed
+			case e.Now-p.handed > handStuck: // it may have lost it
 				p.handed, p.to = 0, ""
+			case silent > askHand && !asked[p.to] && e.Now-x.probed > askHand:
+				asked[p.to] = true
+				x.say(p.to, Message{Kind: Confirm, Tag: noRead})
 			}
 		}
 		first := x.first()
@@ -919,6 +1011,9 @@
 		}
 		local = local || p.local
 	}
+	if len(asked) > 0 {
+		x.probed = e.Now
+	}
 	return local
 }
 
@@ -944,6 +1039,15 @@
 	}
 	x.promised(e)
 	x.behind(e.Now)
+	x.begins(e.Now)
+	if x.start != nil && x.whole && x.disk.Applied > 0 && e.Now-x.startAsked > sendAgain { // the members may be others since
+		x.startAsked = e.Now
+		for _, m := range x.list.Members {
+			if x.start[m.IP].ID != m.ID {
+				x.say(m.IP, Message{Kind: Confirm})
+			}
+		}
+	}
 	for _, tag := range x.asking() {
 		if e.Now-x.reads[tag].came > orderWaits {
 			delete(x.reads, tag)
@@ -1012,18 +1116,24 @@
 		}
 	}
 	out := x.list.Join(in, nil).Surplus(silent, x.perZone)
-	if len(out) > 1 {
-		out = out[:1]
-	}
-	if len(out) > 0 && x.bears(x.list.Join(in, out)) < max(1, x.bears(x.list)) {
-		out = nil
-	}
+	out = x.lets(in, out)
 	if len(in)+len(out) > 0 && e.Now >= x.listed && x.bears(x.list.Join(in, out)) >= 0 {
 		x.listed = e.Now + listAgain
 		x.order(e.Now, &pending{order: orders.Order{Kind: orders.Join, In: in, Out: out, Number: x.list.Epoch}})
 	}
 }
 
+// lets tells who of those that may go does: one at a time, or as many as it takes until the core bears a loss, as of five with
+// two lost that no list of four would.
+func (x *Node) lets(in []muster.Member, out []string) []string {
+	for n := range out {
+		if x.bears(x.list.Join(in, out[:n+1])) >= max(1, x.bears(x.list)) {
+			return out[:n+1]
+		}
+	}
+	return nil
+}
+
 // live is how many members of a zone are heard, with those that come in. Where a zone has enough, who comes is a learner that
 // stands by: it is voted in once one of them is lost.
 func (x *Node) live(zone string, in []muster.Member) (n int) {
@@ -1040,17 +1150,21 @@
 	return n
 }
 
-// takes tells whether those who have only just promised, and those that come in and are heard, are more than half of the
-// members that an order makes: else it might be decided and never taken over.
+// takes tells whether a list that an order makes may be voted on. A list that was voted on may have been decided, and so can't
+// be given up: once it lacks a majority, the core waits until enough are back. So those who have only just promised must be
+// more than half of it, whatever becomes of those that come in. Only where more losses are borne with them than without, or
+// where one member is all there is, may they be needed.
 func (x *Node) takes(o orders.Order) bool {
-	next, yes := x.list.Join(o.In, o.Out), map[string]string{x.self.IP: x.self.ID}
-	maps.Copy(yes, x.yes)
+	next, come := x.list.Join(o.In, o.Out), maps.Clone(x.yes)
+	if next.Quorum(x.yes) {
+		return true
+	}
 	for _, m := range o.In {
 		if p, heard := x.peers[m.IP]; heard {
-			yes[m.IP] = p.Member.ID
+			come[m.IP] = p.Member.ID
 		}
 	}
-	return next.Quorum(yes)
+	return next.Quorum(come) && (next.Margin(come) > x.list.Margin(x.yes) || len(x.list.Members) == 1)
 }
 
 // bears is how many members of a list may be lost beside those that aren't heard now. A list that could not lose one more,
@@ -1081,9 +1195,18 @@
 	x.idle(Event{Now: now}, false)
 	drawn := uint64(chance * recoveredDraw)
 	next := muster.List{Epoch: (x.list.Epoch>>recoveredEpoch+1)<<recoveredEpoch + drawn, Members: []muster.Member{x.self}, Held: x.list.Held}
+	items := []manifest.Item{next.Item()}
+	if x.disk.At == x.disk.Applied+1 { // what it voted for may have been decided, and confirmed: it is kept, but for its list
+		at := 0
+		if orders.IsWhole(x.disk.Value) {
+			at = 1
+		}
+		rest := slices.DeleteFunc(slices.Clone(x.disk.Value), func(i manifest.Item) bool { return i.Key() == muster.Key })
+		items = slices.Insert(rest, at, items...)
+	}
 	x.ring, x.ringed = nil, 0
-	x.whole = true
-	x.apply(now, (x.disk.Applied>>recoveredNumber+1)<<recoveredNumber+drawn<<16, []manifest.Item{next.Item()})
+	x.whole, x.start = true, nil
+	x.apply(now, (x.disk.Applied>>recoveredNumber+1)<<recoveredNumber+drawn<<16, items)
 }
 
 // read begins a read: it is answered once this process has all that was decided when it came.
@@ -1114,10 +1237,47 @@
 	m := Message{Kind: Confirmed, Tag: tag, Number: max(x.disk.Applied, x.disk.At)}
 	if x.disk.At == x.disk.Applied+1 && x.kept.Number == x.disk.At && x.kept.Ballot == x.disk.Vote {
 		m.Vote = x.disk.Vote
+		if tag == 0 { // of one that starts
+			m.Value = x.disk.Value
+		}
 	}
 	return m
 }
 
+// begins looks whether this process may promise and vote: since it started, it has asked the others, and lacks nothing that one
+// of them has applied. All members are waited for a moment, as an image of a disk that was put back, and one that is behind,
+// might be more than half. The highest vote that was told of is taken for this process's own, as if its Accept had come just
+// now: by an image it may have been forgotten.
+func (x *Node) begins(now int64) {
+	if x.start == nil || x.disk.Applied == 0 || x.muted {
+		return
+	}
+	yes, next, best := map[string]string{}, x.disk.Applied+1, Message{}
+	if x.disk.At == next {
+		best.Vote = x.disk.Vote
+	}
+	for _, ip := range slices.Sorted(maps.Keys(x.start)) {
+		m := x.start[ip]
+		if m.Applied > x.disk.Applied {
+			return
+		}
+		if yes[ip] = m.ID; m.Number == next && best.Vote.Less(m.Vote) && len(m.Value) > 0 {
+			best = m
+		}
+	}
+	all := !slices.ContainsFunc(x.list.Members, func(m muster.Member) bool { return yes[m.IP] != m.ID })
+	if !x.list.Quorum(yes) || !all && now-x.began < startWaits {
+		return
+	}
+	x.start = nil
+	if len(best.Value) > 0 && !best.Vote.Less(x.disk.Promised) && x.may(x.self.IP, x.self.ID, best.Value) {
+		x.ballots(now, Message{Kind: Accept, Number: next, Ballot: best.Vote, Value: best.Value})
+	}
+}
+
+// counts tells whether this process may promise and vote.
+func (x *Node) counts() bool { return x.start == nil || x.disk.Applied == 0 }
+
 // chosen finds out whether the vote of this process on the next number is one of those that have decided it already: more
 // than half have it on their disks. After a loss of power of all nobody need propose anything.
 func (x *Node) chosen(e Event, r *read) {
--- a/internal/harbour/quorum/raced_test.go
+++ b/internal/harbour/quorum/raced_test.go
@@ -4,6 +4,7 @@
 
 // Under the race detector a few days do, as the package starts no goroutines: drawn days, and days that are played again.
 const (
-	fewDays  = 24
-	fewAgain = 2
+	fewDays     = 24
+	fewSilences = 2
+	fewAgain    = 2
 )
--- a/internal/harbour/quorum/search_test.go
+++ b/internal/harbour/quorum/search_test.go
@@ -398,7 +398,9 @@
 		life = m.Name
 	}
 	s.node = New(m, life, 1, s.disk, set, s.now)
-	s.node.whole = s.disk.Applied > 0
+	if s.node.whole = s.disk.Applied > 0; s.node.whole {
+		s.node.start = nil
+	}
 	for _, n := range smallPeers[at] {
 		s.node.peers[everybody()[n].IP] = Peer{Member: everybody()[n], Epoch: 1, Applied: 1, Whole: true}
 	}
--- a/internal/harbour/quorum/unraced_test.go
+++ b/internal/harbour/quorum/unraced_test.go
@@ -4,7 +4,8 @@
 
 // What every run plays and searches: drawn days, days that are played again, and states of each small world.
 const (
-	fewDays   = 200
-	fewAgain  = 6
-	fewStates = 100000
+	fewDays     = 200
+	fewSilences = 6
+	fewAgain    = 6
+	fewStates   = 100000
 )
