An order's bytes are measured over five orders, and held to 6,000 in place of 10,000

Cause: TestRepairFollowsWhatChanged failed with 10,094 bytes in one run of the package. One order was held against one calm second of gossip by chance and of words by turns, each of some 2,000 bytes.

Change: five orders in the time, and as much calm.

--- a/internal/lab/basin/logbook_test.go
+++ b/internal/lab/basin/logbook_test.go
@@ -175,6 +175,7 @@
 // After a cut the bytes to the one that was cut off follow what changed, and not how much there is; and an order costs one
 // sync on each disk, and its own bytes to each.
 func TestRepairFollowsWhatChanged(t *testing.T) {
+	const orders = 5
 	var cost, order []int64
 	for _, routes := range []int{10, 100, 1000} {
 		synctest.Test(t, func(t *testing.T) {
@@ -197,18 +198,20 @@
 				syncs -= m.Disk.syncs()
 			}
 			before, _ := h.Sea.across()
-			time.Sleep(4 * time.Second)
+			time.Sleep(orders * 2400 * time.Millisecond)
 			calm, _ := h.Sea.across()
-			all[3].Version = "00000002"
-			status, _, _ = h.Order("configuration.modify", "", h.Configure(false, all[3]), 3*time.Second, 1)
-			c.Assert(status, qt.Equals, 200)
-			time.Sleep(4 * time.Second)
+			for n := range orders { // gossip by chance and words by turns are as much as one order, and not as five
+				all[3].Version = fmt.Sprintf("%08d", n+2)
+				status, _, _ = h.Order("configuration.modify", "", h.Configure(false, all[3]), 2400*time.Millisecond, 1)
+				c.Assert(status, qt.Equals, 200)
+				time.Sleep(2400 * time.Millisecond)
+			}
 			after, _ := h.Sea.across()
-			order = append(order, after-calm-(calm-before))
+			order = append(order, (after-calm-(calm-before))/orders)
 			for _, m := range h.Masters {
 				syncs += m.Disk.syncs()
 			}
-			c.Check(syncs, qt.Equals, len(h.Masters))
+			c.Check(syncs, qt.Equals, orders*len(h.Masters))
 
 			cut := h.Masters[5]
 			for _, m := range h.Masters[:5] {
@@ -232,7 +235,7 @@
 	}
 	t.Log("bytes to the one that was cut off, at 10, 100 and 1000 routes:", cost)
 	t.Log("bytes between regions for an order of one route, the calm's taken off:", order)
-	qt.Check(t, max(order[0], order[1], order[2]) < 10000, qt.IsTrue, qt.Commentf("%v", order))
+	qt.Check(t, max(order[0], order[1], order[2]) < 6000, qt.IsTrue, qt.Commentf("%v", order))
 	qt.Check(t, cost[2] < 3*cost[0], qt.IsTrue, qt.Commentf("%v", cost))
 }
 
