A control process that dials another is followed at once, and not when gossip names it again

Its control process stood in the core's list of nobody 42 s after the start, in 9 of 10 runs with 90 routers, once two of six: whoever isn't a seed is followed once the view of the convoy names it, and with so many routers the view, which holds few, forgets it before it is looked at. Its own line, and the hello on that, were there all the time. At 510 routers it would be worse: the core bears less, and its zone's hosts beat far away. Change: a hello of a control process begins to follow it (feed.go). TestCoreFoundAmongMany, 90 and 240 routers: all six are members after 1.6 s; without the change not within 3 s.

--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// found begins to follow another control process that follows here. Its word may be the only one of it: among many routers the
+// view that it is noted in forgets it before it is looked at, and it would be no member until gossip brings it up again. The
+// caller holds the lock.
+func (m *Master) found(ip string) {
+	if ip != "" && ip != m.Boot.IP && m.ends[ip] == nil {
+		m.ends[ip] = &end{ip: ip, poke: make(chan struct{}, 1)}
+		go m.follow(m.ends[ip])
+	}
+}
+
 // asked takes what a follower says.
 func (m *Master) asked(f *follower, w signals.Word) {
 	m.mu.Lock()
@@ -151,6 +161,7 @@
 		if w.Hello.Control {
 			kind = convoy.Control
 			f.line.SetPace(lines.Slow)
+			m.found(w.Hello.IP)
 			m.dialled(w.Hello.IP, f.line)
 			m.state.Renew()
 			m.wake()
--- a/internal/lab/basin/core_test.go
+++ b/internal/lab/basin/core_test.go
@@ -937,3 +937,18 @@
 		}
 	})
 }
+
+// Among many routers, of which each process knows a few, whoever of the core isn't named by the settings is found at once all
+// the same: it dials those that are.
+func TestCoreFoundAmongMany(t *testing.T) {
+	for _, routers := range []int{15, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			h := New(Layout{Zones: 6, Routers: routers, Services: []string{"desk"}, Seed: uint64(routers)})
+			c.Assert(h.Start(), qt.IsNil)
+			defer h.Stop()
+			took := until(c, 3*time.Second, "all are members", func() bool { return h.listed(6, false) })
+			c.Logf("%d routers: %v", 6*routers, took)
+		})
+	}
+}
