--- a/internal/lab/basin/hard_test.go
+++ b/internal/lab/basin/hard_test.go
@@ -277,11 +277,10 @@
 
 // seeds has the settings name other seeds, of as many zones; who starts from now on goes by them.
 func (x *worse) seeds() {
-	h := x.h
+	h, from := x.h, x.n(len(x.h.Masters))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var seeds []string
-	from := int(x.draw.Next() * float64(len(h.Masters)))
 	for i := range 3 {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", h.Masters[(from+i)%len(h.Masters)].Boot.IP, controlPort))
 	}
