What rests on the present is told after a promise; successors don't thin a core; refused stays out

An evacuation or a begin that stands already is confirmed after a fresh promise only. Who comes in for a member of its zone that isn't heard, and gains no margin alone, goes in by the step in which that one goes out. A call with a version older than all that are known of its item is refused where the rest of it would be news: taken before, all of it would stand.

Tests of orders, manifest, and the emulator's and quorum's directed ones pass.

--- a/internal/harbour/manifest/manifest.go
+++ b/internal/harbour/manifest/manifest.go
@@ -58,6 +58,12 @@
 	return false, false
 }
 
+// Forgot tells whether an item is of an earlier version of this one than is known: what its number was taken for, if it was,
+// can't be told any more.
+func (i Item) Forgot(x Item) bool {
+	return len(i.Past) == MostMarks && x.Version < i.Past[0].Version
+}
+
 // Key is an item's place.
 type Key struct{ Kind, Name string }
 
--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -146,6 +146,13 @@
 	return manifest.Key{}, false
 }
 
+// Rests tells whether that an order stands already rests on what stands now: a change's numbers have one content for ever, and a
+// restore's name is kept.
+func (o Order) Rests() bool {
+	_, ok := o.key()
+	return ok
+}
+
 // Bind is the order as it is handed to another process: it holds only while what it changes stands as it does here, so that
 // no copy of it comes into force after a later order.
 func Bind(s *manifest.Set, o Order) Order {
@@ -164,11 +171,13 @@
 }
 
 // modify takes a change as a whole or not at all: one number, one content. What is behind what stands changes nothing; a
-// rival of one of the versions that are still known is refused, with all that came with it.
+// rival of one of the versions that are still known is refused, with all that came with it. So is a call with a version that is
+// older than those, where the rest of it would be news: refused before for a rival, it would come into force in part.
 func modify(s *manifest.Set, change []manifest.Item) ([]manifest.Item, error) {
 	var rest []manifest.Item
+	var forgot *manifest.Item
 	size := 0
-	for _, i := range change {
+	for n, i := range change {
 		if size += len(i.Body) + len(i.Name) + 64; size > Most {
 			return nil, faults.New(faults.Oversized, "the change has %d items; from %s %s on it is over %d bytes", len(change), i.Kind, i.Name, Most)
 		}
@@ -181,11 +190,18 @@
 			return nil, faults.New(faults.Conflict, "%s %s: version %s was taken with another content; version %s stands as %s", i.Kind, i.Name,
 				manifest.Digits(i.Version), manifest.Digits(old.Version), stands(old))
 		}
+		if there && !known && forgot == nil && old.Forgot(i) {
+			forgot = &change[n]
+		}
 		if !(there && (old.Same(i) || known)) { // what was taken is no error, whatever stands now
 			rest = append(rest, i)
 		}
 	}
 	news, err := s.Check(rest)
+	if err == nil && len(news) > 0 && forgot != nil { // it may have been refused for that one; if it had been taken, all of it would stand
+		return nil, faults.New(faults.Conflict, "%s %s: version %s is older than the %d before the one that stands, and %s %s of its call was never taken: nothing of it is",
+			forgot.Kind, forgot.Name, manifest.Digits(forgot.Version), manifest.MostMarks, news[0].Kind, news[0].Name)
+	}
 	for n, i := range news {
 		if old, there := s.Get(i.Key()); there {
 			news[n] = i.After(old)
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -743,6 +743,9 @@
 			}
 			x.end(p, Result{Kind: k, Reason: err.Error(), Number: x.disk.Applied})
 			continue
+		case len(items) == 0 && p.order.Rests() && !x.fresh: // it may stand here alone, and be over where this process isn't heard
+			x.sticky = false
+			continue
 		case len(items) == 0:
 			left = left[:len(left)-1]
 			x.end(p, Result{Number: x.disk.Applied})
@@ -1124,12 +1127,23 @@
 	}
 	out := x.list.Join(in, nil).Surplus(silent, x.perZone)
 	out = x.lets(in, out)
+	if len(out) == 0 && x.bears(x.list) >= 0 && x.bears(x.list.Join(in, nil)) <= x.bears(x.list) && x.gap(in) {
+		in = nil // with its predecessor counted too it would be one more to lose, and bear none more: they go by turns in one step
+	}
 	if len(in)+len(out) > 0 && e.Now >= x.listed && x.bears(x.list.Join(in, out)) >= 0 {
 		x.listed = e.Now + listAgain
 		x.order(e.Now, &pending{order: orders.Order{Kind: orders.Join, In: in, Out: out, Number: x.list.Epoch}})
 	}
 }
 
+// gap tells whether a member of the zone of one that comes in isn't heard.
+func (x *Node) gap(in []muster.Member) bool {
+	return slices.ContainsFunc(x.list.Members, func(m muster.Member) bool {
+		_, heard := x.peers[m.IP]
+		return m.IP != x.self.IP && !heard && slices.ContainsFunc(in, func(n muster.Member) bool { return n.Zone == m.Zone && n.IP != m.IP })
+	})
+}
+
 // lets tells who of those that may go does: one at a time, or as many as it takes until the core bears a loss, as of five with
 // two lost that no list of four would.
 func (x *Node) lets(in []muster.Member, out []string) []string {
