--- a/internal/lab/basin/harbour.go
+++ b/internal/lab/basin/harbour.go
@@ -335,7 +335,7 @@
 	h.lastHost++
 	n := h.lastHost
 	h.mu.Unlock()
-	ip := fmt.Sprintf("10.%d.64.%d", z+1, n)
+	ip := fmt.Sprintf("10.%d.%d.%d", z+1, 64+n>>8, n&255)
 	q := &Quay{h: h, ID: fmt.Sprintf("i-%04d", n), Service: service, Zone: zone(z), Version: version, Address: ip + ":9000", Work: h.Work,
 		process: h.Sea.Process(ip), slots: make(chan struct{}, max(1, h.Slots)), state: "ready", coldUntil: time.Now().Add(cold)}
 	ctx, cancel := context.WithCancel(h.ctx)
