A rollout's order that was taken is confirmed again also while a later one runs

Cause: of a service's rollouts only the last was known. The copy of a begin that was taken, and ended by votes before the next one began, got 409 under_way while that ran, and began its version once more after it. Change: a rollout's item knows what the service's last eight orders asked for, by sums; a begin that asks for the same is confirmed without effect within acknowledge-s of the newest one's beginning, as whoever sends it again sent it first before that. Later than that it is a new order, as before. TestRollouts now also states what each order knows of those before it.

--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -259,19 +259,25 @@
 	settled := pilotage.Settled(first, was)
 	runs := was.Told() == pilotage.Running
 	// who doesn't know the last one yet has been handed the copy of an order that only just came
-	late := was.Order != o.Known || o.Age < was.Term+o.Again
+	behind := was.Order != o.Known
+	late := behind || o.Age < was.Term+o.Again
+	// a copy of one before the last: it was sent first before the last one was taken, and is sent again for o.Again at the most
+	passed := slices.Contains(was.Past[:], pilotage.Asked(o.Target, o.Term)) && (behind || o.Age < o.Again)
 	switch {
 	case runs && was.Target == o.Target: // the same once more
 		return nil, nil
 	case was.State > pilotage.Running && was.Target == o.Target && was.Term == o.Term && late: // a late copy of the last one
 		return nil, nil
+	case passed:
+		return nil, nil
 	case !ok || service.Dropped:
 		return nil, faults.New(faults.Invalid, "service: %s does not stand", o.Of)
 	case runs:
 		return nil, faults.New(faults.UnderWay, "%s is being moved to %s", o.Of, was.Target)
 	}
-	return []manifest.Item{pilotage.Rollout{Service: o.Of, Order: was.Order + 1, From: settled, Base: was.Build(), Target: o.Target,
-		Began: o.Now, Dated: o.Dated, Term: o.Term, State: pilotage.Running}.Item()}, nil
+	next := was.Next()
+	next.Service, next.From, next.Target, next.Term, next.Began, next.Dated = o.Of, settled, o.Target, o.Term, o.Now, o.Dated
+	return []manifest.Item{next.Item()}, nil
 }
 
 // String is the order in a log.
--- a/internal/harbour/orders/orders_test.go
+++ b/internal/harbour/orders/orders_test.go
@@ -36,6 +36,11 @@
 	return Order{Kind: Begin, Of: "desk", Target: target, Term: 10 * s, Again: 5 * s, Now: now, Known: 1, Age: now - 100*s}
 }
 
+// copyOf is a begin at one who knows a rollout, which began so long ago.
+func copyOf(target string, known uint64, age int64) Order {
+	return Order{Kind: Begin, Of: "desk", Target: target, Term: 10 * s, Again: 5 * s, Known: known, Age: age}
+}
+
 func told(number uint64) Order { return Order{Kind: Tell, Of: "desk", Number: number} }
 
 func ended(number uint64, state pilotage.State) Order {
@@ -195,6 +200,21 @@
 			{ended(1, pilotage.RolledBack), 1, faults.None, ""},
 			{told(1), 0, faults.None, ""},
 		},
+		"a copy of a begin, while the next one runs, and once that has ended": {
+			{began("v2", 100*s), 1, faults.None, ""},
+			{ended(1, pilotage.RolledBack), 1, faults.None, ""},
+			{began("v3", 101*s), 1, faults.None, ""},
+			{copyOf("v2", 2, 2*s), 0, faults.None, ""},  // it was taken: confirmed, and not begun once more
+			{copyOf("v2", 1, 99*s), 0, faults.None, ""}, // by one who doesn't know the next one yet
+			{copyOf("v4", 2, 2*s), 0, faults.UnderWay, "desk is being moved to v3"},
+			{Order{Kind: Begin, Of: "desk", Target: "v2", Term: 20 * s, Again: 5 * s, Known: 2, Age: 2 * s}, 0, faults.UnderWay, "v3"}, // of another term
+			{copyOf("v2", 2, 5*s), 0, faults.UnderWay, "desk is being moved to v3"},                                                    // nobody sends it again so late
+			{ended(2, pilotage.RolledBack), 1, faults.None, ""},
+			{copyOf("v2", 2, 4*s), 0, faults.None, ""},
+			{copyOf("v3", 2, 14*s), 0, faults.None, ""},
+			{copyOf("v2", 2, 5*s), 1, faults.None, ""}, // anew
+			{copyOf("v3", 3, s), 0, faults.None, ""},
+		},
 		"a begin handed over, and another since": {
 			{began("v2", 100*s), 1, faults.None, ""},
 			{ended(1, pilotage.Completed), 1, faults.None, ""},
@@ -358,16 +378,41 @@
 	}{
 		{began("v2", 1*s), pilotage.Rollout{Order: 1, From: "v1", Target: "v2", Began: 1 * s, State: pilotage.Running}},
 		{ended(1, pilotage.RolledBack), pilotage.Rollout{Order: 1, From: "v1", Target: "v2", Began: 1 * s, State: pilotage.RolledBack, Ended: 77 * s}},
-		{began("v3", 2*s), pilotage.Rollout{Order: 2, From: "v1", Target: "v3", Began: 2 * s, State: pilotage.Running}},
-		{ended(2, pilotage.Completed), pilotage.Rollout{Order: 2, From: "v1", Target: "v3", Began: 2 * s, State: pilotage.Completed, Ended: 77 * s, Switching: true}},
-		{told(2), pilotage.Rollout{Order: 2, From: "v1", Target: "v3", Began: 2 * s, State: pilotage.Completed, Ended: 77 * s}},
-		{began("v4", 3*s), pilotage.Rollout{Order: 3, From: "v3", Base: 2, Target: "v4", Began: 3 * s, State: pilotage.Running}},
+		{began("v3", 2*s), pilotage.Rollout{Order: 2, From: "v1", Target: "v3", Began: 2 * s, State: pilotage.Running, Past: past("v2")}},
+		{ended(2, pilotage.Completed), pilotage.Rollout{Order: 2, From: "v1", Target: "v3", Began: 2 * s, State: pilotage.Completed, Ended: 77 * s, Switching: true, Past: past("v2")}},
+		{told(2), pilotage.Rollout{Order: 2, From: "v1", Target: "v3", Began: 2 * s, State: pilotage.Completed, Ended: 77 * s, Past: past("v2")}},
+		{began("v4", 3*s), pilotage.Rollout{Order: 3, From: "v3", Base: 2, Target: "v4", Began: 3 * s, State: pilotage.Running, Past: past("v3", "v2")}},
 	} {
 		x.want.Service, x.want.Term = "desk", 10*s
 		c.Check(do(x.o), qt.Equals, x.want, qt.Commentf("step %d", n))
 	}
 }
 
+// past is what orders of the usual term asked for, the newest first.
+func past(targets ...string) (all [pilotage.MostPast]uint64) {
+	for n, x := range targets {
+		all[n] = pilotage.Asked(x, 10*s)
+	}
+	return all
+}
+
+// A rollout knows the orders before it, as many as are kept, also as it is read from its item.
+func TestRolloutsBefore(t *testing.T) {
+	c := qt.New(t)
+	r := pilotage.Rollout{Service: "desk"}
+	var targets []string
+	for n := range 12 {
+		r = r.Next()
+		r.Target, r.Term = fmt.Sprint("v", n), 10*s
+		c.Check(pilotage.Read(r.Item()), qt.Equals, r)
+		c.Check(r.Past, qt.Equals, past(targets[:min(len(targets), pilotage.MostPast)]...))
+		targets = append([]string{r.Target}, targets...)
+	}
+	c.Check(pilotage.Asked("v1", 1) != pilotage.Asked("v1", 2), qt.IsTrue)
+	c.Check(pilotage.Asked("1 v", 2) != pilotage.Asked("v", 21), qt.IsTrue)
+	c.Check(string(pilotage.Rollout{Order: 1, State: pilotage.Running}.Item().Body), qt.Not(qt.Contains), "past") // as before where there is none
+}
+
 // Differs names the first field by name.
 func TestDiffers(t *testing.T) {
 	a := manifest.Item{Body: []byte(`{"b":1,"c":[1,2]}`)}
--- a/internal/harbour/pilotage/pilotage.go
+++ b/internal/harbour/pilotage/pilotage.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 
 	"portflow/internal/harbour/manifest"
 	"portflow/internal/harbour/signals"
@@ -50,6 +51,29 @@
 	Ended   int64  `json:"ended,omitempty"` // Unix, when that was decided
 	// Switching is a rollout that is completed and not yet told to be: the routers leave the old hosts, which stop on the word.
 	Switching bool `json:"switching,omitempty"`
+	// Past is what the service's orders before this one asked for, as Asked has it, the newest first; 0 for none.
+	Past [MostPast]uint64 `json:"past,omitzero"`
+}
+
+// MostPast is how many earlier orders of a service are known. More don't come to an end within the time in which an operator
+// sends one of them again.
+const MostPast = 8
+
+// Asked is what an order asks for, as a sum: two orders of one service that ask for the same have the same sum. It is never 0.
+func Asked(target string, term int64) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %s", term, target)
+	return max(1, h.Sum64())
+}
+
+// Next is the order that comes after this one, whatever it asks for: it knows what this one asked for, and those before it.
+func (r Rollout) Next() Rollout {
+	next := Rollout{Service: r.Service, Order: r.Order + 1, Base: r.Build(), State: Running, Past: r.Past}
+	if r.Order > 0 {
+		copy(next.Past[1:], r.Past[:])
+		next.Past[0] = Asked(r.Target, r.Term)
+	}
+	return next
 }
 
 // Read is a rollout's item.
--- a/internal/lab/basin/history_test.go
+++ b/internal/lab/basin/history_test.go
@@ -40,10 +40,12 @@
 }
 
 const (
-	settled  = 6 * time.Second // from the last harm's end on nothing that was left unclear changes any more
-	workers  = 4               // of each operator: so many of its calls are under way at once
-	mostSent = 90              // orders of routes in one history, less those for hundreds of later changes
-	termFor  = 6               // seconds of a rollout
+	settled   = 6 * time.Second // from the last harm's end on nothing that was left unclear changes any more
+	workers   = 4               // of each operator: so many of its calls are under way at once
+	mostSent  = 90              // orders of routes in one history, less those for hundreds of later changes
+	termFor   = 6               // seconds of a rollout
+	oneSecond = int64(time.Second)
+	againFor  = 4 * oneSecond // an order for a rollout is sent again within this, and a call's time, of acknowledge-s
 )
 
 // order is a change of some routes, which is sent once or more often. Times are of the virtual day, nanoseconds.
@@ -415,6 +417,7 @@
 
 // voyages begins rollouts, two targets at once or one twice, looks at several processes, and has routers vote.
 func (w *watch) voyages() {
+	last, lastAt, taken := "", int64(0), false // the first target of the voyage before
 	for !w.done() {
 		w.rest(300, 1500)
 		w.mu.Lock()
@@ -424,7 +427,8 @@
 		first := fmt.Sprint("a", n)
 		second := lo.Ternary(w.n(3) == 0, first, fmt.Sprint("b", n))
 		var both sync.WaitGroup
-		both.Go(func() { w.begin(0, first, 1+w.n(3)) })
+		began, status := now(), 0
+		both.Go(func() { status = w.begin(0, first, 1+w.n(3)) })
 		if w.n(4) > 0 {
 			both.Go(func() {
 				time.Sleep(time.Duration(w.n(2)*w.n(300)) * time.Millisecond)
@@ -432,6 +436,10 @@
 			})
 		}
 		both.Wait()
+		if taken && w.n(2) == 0 && now()-lastAt < termFor*oneSecond+againFor && now()-began < againFor {
+			w.beginAgain(last)
+		}
+		last, lastAt, taken = first, began, status == 200
 		if w.n(2) == 0 {
 			w.begin(w.n(2), first, 1) // again
 		}
@@ -472,8 +480,8 @@
 }
 
 // begin sends one order for a rollout, to one process after the other, until there is a clear answer; it is one call in the
-// history, as a target is begun once.
-func (w *watch) begin(operator int, target string, tries int) {
+// history, as a target is begun once. It gives that answer's status, 0 for none.
+func (w *watch) begin(operator int, target string, tries int) int {
 	at := w.n(len(w.h.Masters))
 	op := rollOp{target: target, call: now(), ret: never}
 	for range tries {
@@ -492,6 +500,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.rolls = append(w.rolls, timed{op.call, op.ret, op})
+	return op.status
+}
+
+// beginAgain sends an order for a rollout again that was confirmed, while another may run since: it is never refused, and it is no
+// new order, so the history doesn't have it.
+func (w *watch) beginAgain(target string) {
+	at := w.n(len(w.h.Masters))
+	status, raw := w.call(w.n(2), at, "rollouts.begin", "", fmt.Appendf(nil, `{"service":"desk","target-version":%q,"duration-s":%d}`, target, termFor))
+	if status/100 == 4 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.fault("refused though it was taken", "rollout to %s got %d: %s", target, status, raw)
+	}
 }
 
 // rollout looks at one process how the rollout is, and tells whether it has ended.
