A call refused as older than what is known is told what stands

Read in the code: the one refusal of orders.modify that didn't say it. Change: it names the version that stands and its content, as the other conflicts do; TestRefusedStaysOut asks for both and fails without.

--- a/internal/harbour/orders/orders.go
+++ b/internal/harbour/orders/orders.go
@@ -199,8 +199,9 @@
 	}
 	news, err := s.Check(rest)
 	if err == nil && len(news) > 0 && forgot != nil { // it may have been refused for that one; if it had been taken, all of it would stand
-		return nil, faults.New(faults.Conflict, "%s %s: version %s is older than the %d before the one that stands, and %s %s of its call was never taken: nothing of it is",
-			forgot.Kind, forgot.Name, manifest.Digits(forgot.Version), manifest.MostMarks, news[0].Kind, news[0].Name)
+		old, _ := s.Get(forgot.Key())
+		return nil, faults.New(faults.Conflict, "%s %s: version %s is older than the %d before version %s, which stands as %s, and %s %s of its call was never taken: nothing of it is",
+			forgot.Kind, forgot.Name, manifest.Digits(forgot.Version), manifest.MostMarks, manifest.Digits(old.Version), stands(old), news[0].Kind, news[0].Name)
 	}
 	for n, i := range news {
 		if old, there := s.Get(i.Key()); there {
--- a/internal/harbour/orders/refused_test.go
+++ b/internal/harbour/orders/refused_test.go
@@ -33,7 +33,7 @@
 	_, there := set.Get(manifest.Key{Kind: manifest.Routes, Name: "r3"})
 	c.Check(there, qt.IsFalse, qt.Commentf("%v", err))
 	c.Check(faults.Of(err), qt.Equals, faults.Conflict)
-	c.Check(err, qt.ErrorMatches, "(?s).*r1: version 00000002 is older than the 8 before .*r3 of its call.*")
+	c.Check(err, qt.ErrorMatches, `(?s).*r1: version 00000002 is older than the 8 before version 00000016, which stands as \{.*"a".*r3 of its call.*`)
 	c.Check(take(won...), qt.IsNil)
 	c.Check(take(lost[:1]...), qt.IsNil, qt.Commentf("an older version alone changes nothing"))
 	c.Assert(take(route("r3", 9, "desk", "d")), qt.IsNil)
