An order that goes alone into its number copies no set

The copy is needed only by a second order of the same number, which is looked at as the first leaves the set. Change: it is made then, and what is in the value is merged when the next order comes. Copies are counted (Copied in the log). After: 20 orders one after the other copy nothing, 13 that wait together are two numbers and one copy (TestCopiesOfTheSet).

--- a/internal/harbour/quorum/doubts_test.go
+++ b/internal/harbour/quorum/doubts_test.go
@@ -203,3 +203,39 @@
 		})
 	}
 }
+
+// An order that goes alone into its number costs no copy of the set, which at size is tens of thousands of items; many that wait
+// together cost one.
+func TestCopiesOfTheSet(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(3, 0, 3)
+	for _, ip := range p.ips {
+		p.on(ip, "")
+	}
+	p.meet()
+	p.run(second)
+	for n := range 20 {
+		o := p.order("1", gate(fmt.Sprint("gate-", n%3), uint64(n+1), "x"))
+		p.run(100 * ms)
+		c.Assert(p.confirmed(o), qt.IsTrue)
+	}
+	x := p.at["1"].node
+	c.Check(x.Counts.Copied, qt.Equals, int64(0))
+	decided := x.Counts.Decided
+	held := true
+	p.may = func(string, string, Message) bool { return !held }
+	var all []uint64
+	for n := range 13 { // the first is under way, the others wait for it: of two keys, each of which several change
+		all = append(all, p.order("1", gate(fmt.Sprint("gate-", n%2), uint64(100+n), fmt.Sprint(n))))
+	}
+	held = false
+	p.run(second)
+	for n, o := range all {
+		c.Check(p.confirmed(o), qt.IsTrue, qt.Commentf("%d: %v", n, p.answers[o]))
+	}
+	c.Check(x.Counts.Decided-decided, qt.Equals, int64(2))
+	c.Check(x.Counts.Copied, qt.Equals, int64(1))
+	c.Check(p.body("3", "gate-0"), qt.Contains, `"/12"`)
+	c.Check(p.body("3", "gate-1"), qt.Contains, `"/11"`)
+	p.alike(c)
+}
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -168,7 +168,7 @@
 }
 
 // Counts are for the log.
-type Counts struct{ Decided, Prepared, Proposed, Beaten, Handed, Fetches, Cuts, Reads, TakenOver int64 }
+type Counts struct{ Decided, Prepared, Proposed, Beaten, Handed, Fetches, Cuts, Reads, TakenOver, Copied int64 }
 
 // New is a node that begins with what its disk held. perZone is how many members a zone has at the least before one that
 // is silent may go.
@@ -699,8 +699,8 @@
 
 // build makes a value of the orders that wait, and answers those that need none.
 func (x *Node) build(now int64) (value []manifest.Item, mine []uint64) {
-	var next *manifest.Set
-	at := map[manifest.Key]int{}
+	var next *manifest.Set // as it is with the value, which only a second order needs
+	at, merged := map[manifest.Key]int{}, 0
 	var left []*pending
 	for _, p := range x.wait {
 		alone := p.order.Kind == orders.Restore && len(value) > 0 || orders.IsWhole(value)
@@ -717,11 +717,18 @@
 			continue
 		}
 		set := x.Set
-		if next != nil {
-			set = next
+		if len(value) > 0 {
+			if next == nil {
+				next = x.Set.Clone()
+				x.Counts.Copied++
+			}
+			for _, i := range value[merged:] {
+				next.Merge(i)
+			}
+			set, merged = next, len(value)
 		}
 		items, err := orders.Apply(set, p.order)
-		if (err != nil || len(items) == 0) && next != nil { // by what is not decided yet: it is looked at again
+		if (err != nil || len(items) == 0) && set != x.Set { // by what is not decided yet: it is looked at again
 			if items, err = orders.Apply(x.Set, p.order); err == nil && len(items) > 0 {
 				continue
 			}
@@ -755,13 +762,11 @@
 			value, mine = items, append(mine, p.tag)
 			continue
 		}
-		if next == nil {
-			next = x.Set.Clone()
-		}
 		for _, i := range items {
-			next.Merge(i)
 			if n, there := at[i.Key()]; there {
-				value[n] = i
+				if value[n] = i; n < merged {
+					next.Merge(i)
+				}
 			} else {
 				at[i.Key()] = len(value)
 				value = append(value, i)
