A nearer control process is tried beside the line that a router has, and not in its place

Cause: each 1.5 s a router let its line go for a nearer control process that it hadn't found bad for 3 s. Seen in the emulator by changes one after the other at a healthy process while the one of the router's zone is of no use (6 zones): a confirmed change is in force there 600 ms later at the most while that is cut off, 560 ms while it hears nobody, 960 ms while it is without power or frozen. Change: the nearer one is dialled beside the line, is told that this is a trial, and says its status alone; the router turns to it once it says that it is whole and hears more than half, and only then lets the other go. Of several nearer ones that aren't avoided the nearest is tried.

--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -36,7 +35,8 @@
 	voteLife = pilotage.Life
 )
 
-// link is the held connection to the control process that this router follows.
+// link is a held connection to a control process, from the dial to its end. The one in Fairway.link is the one that this router
+// follows; another may be tried beside it.
 type link struct {
 	ip       string
 	line     *lines.Line[signals.Word]
@@ -44,6 +44,8 @@
 	offset   signals.Offset    // of its clock; under the lock
 	incoming *signals.Assembly // a snapshot that comes in; it goes on on the next line
 	came     time.Time         // when its last chunk did
+	chosen   chan struct{}     // closed once this router follows it
+	ended    chan error        // why it ended, once
 }
 
 const (
@@ -121,16 +123,18 @@
 			return int(min(1, max(0, time.Until(avoid[a])))) - int(min(1, max(0, time.Until(avoid[b]))))
 		})
 		if len(all) > 0 {
-			ip := all[0]
-			ctx, cancel := context.WithTimeout(f.ctx, dialIn)
-			c, err := f.Sea.Dial(ctx, "tcp", net.JoinHostPort(ip, strconv.Itoa(f.Boot.Ports[0])))
-			cancel()
-			if err == nil {
-				err = f.hang(ip, c, avoid)
+			k, err := f.dial(f.ctx, all[0], false)
+			if err != nil {
+				f.failed(avoid, all[0], err)
 			}
-			klog.InfoS("line ended", "to", ip, "why", err)
-			if err != errNearer {
-				avoid[ip] = time.Now().Add(avoidFor)
+			for err == nil && k != nil {
+				next := f.nearer(k, avoid) // until it ends, or a nearer one has taken its place
+				if why := <-k.ended; next != nil {
+					klog.InfoS("line ended", "to", k.ip, "why", why)
+				} else {
+					f.failed(avoid, k.ip, why)
+				}
+				k = next
 			}
 		}
 		select {
@@ -140,63 +144,149 @@
 	}
 }
 
+// failed notes that a control process is of no use for a while.
+func (f *Fairway) failed(avoid map[string]time.Time, ip string, why error) {
+	klog.InfoS("line ended", "to", ip, "why", why)
+	avoid[ip] = time.Now().Add(avoidFor)
+}
+
 var errBehind = errors.New("it is behind, or hears too few others")
 
-var errNearer = errors.New("a nearer one is known")
+var errNearer = errors.New("a nearer one is followed")
 
-// nearer ends the line once a nearer control process is known that has not failed this router of late. Who starts knows
-// seeds only, and would else follow one of another region for good.
-func (f *Fairway) nearer(l *lines.Line[signals.Word], ip string, avoid map[string]time.Time) {
+// nearer tries, every now and then, the nearest control process that is nearer than the one that this router follows and hasn't failed
+// it of late: who starts knows seeds only, and would else follow one of another region for good. It is tried beside the line that
+// there is, which ends only once the nearer one has said that it is whole and hears more than half of the core: one that is cut off,
+// dark or frozen for long costs the router nothing. It returns the one that is followed in the place of k, or nil once k has ended.
+func (f *Fairway) nearer(k *link, avoid map[string]time.Time) *link {
 	t := time.NewTicker(lookEvery)
 	defer t.Stop()
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-k.line.Done():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	for {
 		select {
 		case <-t.C:
-		case <-l.Done():
-			return
+		case <-k.line.Done():
+			return nil
 		}
-		all := f.candidates()
 		far := f.distances()
-		if len(all) > 0 && far(all[0]) < far(ip) && time.Now().After(avoid[all[0]]) {
-			l.Close(errNearer)
-			return
+		for _, ip := range f.candidates() {
+			if far(ip) >= far(k.ip) {
+				break
+			}
+			if time.Now().Before(avoid[ip]) {
+				continue
+			}
+			x, err := f.dial(ctx, ip, true)
+			if err == nil {
+				select {
+				case <-x.chosen:
+					return x
+				case <-k.line.Done():
+				case err = <-x.ended:
+				}
+				select {
+				case <-x.chosen: // which ended k
+					return x
+				default:
+				}
+				x.line.Close(errBehind)
+			}
+			if err != nil && ctx.Err() == nil {
+				f.failed(avoid, ip, err)
+			}
+			break // another one at the next look
 		}
 	}
 }
 
-// hang follows on one connection until it ends.
-func (f *Fairway) hang(ip string, c net.Conn, avoid map[string]time.Time) error {
+// dial opens a line to a control process, which this router follows at once; or, as a trial beside the one that there is, once it
+// has said that it may be followed.
+func (f *Fairway) dial(ctx context.Context, ip string, trial bool) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialIn)
+	c, err := f.Sea.Dial(ctx, "tcp", net.JoinHostPort(ip, strconv.Itoa(f.Boot.Ports[0])))
+	cancel()
+	if err != nil {
+		return nil, err
+	}
 	l := lines.Open[signals.Word](c, lines.Quick)
-	stop := context.AfterFunc(f.ctx, func() { l.Close(f.ctx.Err()) })
-	defer stop()
+	k := &link{ip: ip, line: l, incoming: &signals.Assembly{}, chosen: make(chan struct{}), ended: make(chan error, 1)}
 	f.mu.Lock()
-	k := &link{ip: ip, line: l, incoming: &signals.Assembly{}}
+	hello := signals.Hello{Name: f.Boot.Name, IP: f.Boot.IP, Zone: f.Boot.Zone}
 	if f.link != nil {
-		k.follower, k.incoming, k.came = f.link.follower, f.link.incoming, f.link.came
+		hello.Life, hello.Have = f.link.follower.Life, f.link.follower.Have
+	}
+	if f.link != nil && !trial { // a part of a snapshot goes on, by whoever has the rest
+		k.incoming, k.came = f.link.incoming, f.link.came
 	}
 	part := k.incoming.Part()
+	f.mu.Unlock()
+	l.Send(signals.Word{Hello: &hello, Part: &part, Trial: trial})
+	if !trial {
+		f.turnTo(k)
+	}
+	go func() { k.ended <- f.hang(k) }()
+	return k, nil
+}
+
+// turnTo has this router follow a line; the one before ends.
+func (f *Fairway) turnTo(k *link) {
+	f.mu.Lock()
+	old := f.link
+	if old != nil {
+		k.follower = old.follower
+	}
 	f.link = k
-	hello := signals.Hello{Name: f.Boot.Name, IP: f.Boot.IP, Zone: f.Boot.Zone, Life: k.follower.Life, Have: k.follower.Have}
 	f.since = time.Now().UnixNano()
 	f.mu.Unlock()
-	l.Send(signals.Word{Hello: &hello, Part: &part})
+	close(k.chosen)
+	if old != nil {
+		old.line.Close(errNearer)
+	}
 	f.tellSelf()
-	tried := maps.Clone(avoid)
-	go f.nearer(l, ip, tried)
+}
+
+// follows tells whether a line is the one that this router follows.
+func (f *Fairway) follows(k *link) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.link == k
+}
+
+// hang hears what is said on a line until it ends.
+func (f *Fairway) hang(k *link) error {
+	l := k.line
+	stop := context.AfterFunc(f.ctx, func() { l.Close(f.ctx.Err()) })
+	defer stop()
 	timer := time.AfterFunc(patience, func() { l.Close(errBehind) })
 	defer timer.Stop()
 	err := l.Run(func(w signals.Word) {
 		f.heard(k, w)
-		switch {
-		case w.Status != nil:
+		if w.Status != nil {
 			if w.Status.Whole && w.Status.Majority {
 				timer.Stop()
-				if f.cutOff.Swap(0) != 0 {
-					f.rejoined.Store(f.clock()) // others may have taken its parts over
+				select {
+				case <-k.chosen:
+				default:
+					f.turnTo(k)
 				}
 			} else {
 				timer.Reset(patience)
 			}
+		}
+		switch {
+		case !f.follows(k): // it is tried, or another has taken its place
+		case w.Status != nil && w.Status.Whole && w.Status.Majority:
+			if f.cutOff.Swap(0) != 0 {
+				f.rejoined.Store(f.clock()) // others may have taken its parts over
+			}
 		case w.News != nil:
 			f.hear(k, *w.News)
 		case w.Chunk != nil:
@@ -205,7 +295,9 @@
 			f.dealt(*w.Tons)
 		}
 	})
-	f.cutOff.CompareAndSwap(0, f.clock())
+	if f.follows(k) {
+		f.cutOff.CompareAndSwap(0, f.clock())
+	}
 	return err
 }
 
--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -75,6 +75,7 @@
 	acked uint64
 	part  *signals.Part // what it has of a snapshot, as it said last; nil where it takes no chunks
 	taken chan struct{} // a chunk was acknowledged
+	trial bool          // it is a router that follows another one still, until it says how it is
 	in    int64         // bytes that had come when it was last looked at
 }
 
@@ -120,7 +121,7 @@
 			}
 			said, saidAt = st, time.Now()
 		}
-		if who.Control || st.Whole {
+		if who.Control || st.Whole && !f.trial {
 			last := m.state.Ledger.Last()
 			if _, ok := m.state.Ledger.After(who.Have); !began && sent == nil && ok && who.Life == m.life { // it has been here before
 				at, began = who.Have, true
@@ -245,7 +246,7 @@
 	switch {
 	case w.Hello != nil:
 		if f.who.IP == "" && !w.Hello.Control {
-			f.part = w.Part
+			f.part, f.trial = w.Part, w.Trial
 		}
 		select {
 		case f.hello <- *w.Hello:
@@ -265,7 +266,7 @@
 	case w.Front != nil && f.who.Name != "" && !f.who.Control:
 		x := *w.Front
 		x.Name, x.Owner, x.Gone, x.Since = f.who.Name, m.Boot.Name, false, f.front.Since
-		f.front = m.state.Claim(m.clock(), x)
+		f.front, f.trial = m.state.Claim(m.clock(), x), false
 		m.wake()
 	case w.Polls != nil && !f.who.Control:
 		for _, p := range w.Polls {
--- a/internal/harbour/signals/words.go
+++ b/internal/harbour/signals/words.go
@@ -22,6 +22,7 @@
 	Now    int64                      `json:"u,omitempty"` // by a control process's clock, where the word holds times (see Offset)
 	Chunk  *Chunk                     `json:"k,omitempty"` // down, to a router that says Part with its hello
 	Part   *Part                      `json:"w,omitempty"` // up, from a router: with its hello, and as the acknowledgement of each chunk
+	Trial  bool                       `json:"y,omitempty"` // up, with a router's hello: it wants to hear the status alone, until it says how it is
 }
 
 // Tons is what is told of callers' shares; nothing is where there are none.
