A beat of a host that stays sets no timer

Change: whether the host leaves is looked up under the lock that is held already. Answers are as before (TestLeavesOnceMostHaveHeard, TestDrainsBesideACut).

--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -120,9 +120,12 @@
 		m.settling[h.Service] = true
 		go m.settle(h.Service, h.Version)
 	}
+	_, leaves := m.departing[id]
 	m.mu.Unlock()
-	if err := m.spread(ctx, id); err != nil {
-		return nil, err
+	if leaves { // few do: others need no timer
+		if err := m.spread(ctx, id); err != nil {
+			return nil, err
+		}
 	}
 	if to != "" {
 		return map[string]string{"heartbeat-address": to}, nil
