An order handed over is made once; answers to a life before are nobody's

Cause, read in the code and shown by tests of a few processes: (1) an evacuation that is handed to the member that proposes for all was bound to what stood at each handing over anew. Where its decision's word was lost, and a later order that undoes it was confirmed, the next handing over made it once more (version 3 begun again over a confirmed 2). (2) Tags of orders handed over, and of reads, begin at 1 with each life of a process: the end of an order of the life before was taken for another's of this one, which was confirmed though it lost; a late answer to a read of the life before counted for a read that came after it. Change: an order keeps what it was first bound to, and goes by what stands now only if its one copy ended unvoted (Result.Never). Who asks by a tag says its life, and the answer names it. After: TestHandedTakesEffectOnce, TestAnswersOfAnotherLife; each fails with its mend taken out (three mutations).

--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -82,9 +82,10 @@
 	at     uint64 // the number at which it was last voted on
 	to     string // whom
 	by     string // the IP number of the process that handed it over here, empty for this one
-	theirs uint64 // its tag there
-	local  bool   // it is proposed here
-	own    bool   // it is the node's own: nobody waits for its end
+	theirs uint64 // its tag there, in the life that asked
+	life   string
+	local  bool // it is proposed here
+	own    bool // it is the node's own: nobody waits for its end
 }
 
 // noRead is the tag of a Confirm that no read waits for.
@@ -311,6 +312,9 @@
 
 func (x *Node) say(to string, m Message) {
 	m.Epoch, m.ID, m.Applied = x.list.Epoch, x.self.ID, x.disk.Applied
+	if m.Kind == Confirm || m.Kind == Hand {
+		m.Life = x.life
+	}
 	if to == x.self.IP {
 		x.receive(Event{Now: x.sent, From: to}, m)
 		return
@@ -436,9 +440,12 @@
 		x.committed(e, m)
 	case Confirm:
 		if m.Tag == 0 || x.counts() { // who starts is told by all; who reads only by those that may vote
-			x.say(e.From, x.confirmed(m.Tag))
+			x.say(e.From, x.confirmed(m.Tag, m.Life))
 		}
 	case Confirmed:
+		if m.Life != x.life { // to one that had its disk before
+			return
+		}
 		if m.Tag == 0 && x.start != nil {
 			x.start[e.From] = m
 			x.begins(e.Now)
@@ -465,10 +472,12 @@
 		x.cut(e, m)
 	case Hand:
 		if m.Order != nil {
-			x.order(e.Now, &pending{order: *m.Order, by: e.From, theirs: m.Tag})
+			x.order(e.Now, &pending{order: *m.Order, by: e.From, theirs: m.Tag, life: m.Life})
 		}
 	case Handed:
-		x.handed(e, m)
+		if m.Life == x.life {
+			x.handed(e, m)
+		}
 	}
 }
 
@@ -748,7 +757,7 @@
 				x.end(p, Result{Kind: faults.Unready, Reason: "not clear yet: " + err.Error()})
 				continue
 			}
-			x.end(p, Result{Kind: k, Reason: err.Error(), Number: x.disk.Applied})
+			x.end(p, Result{Kind: k, Reason: err.Error(), Number: x.disk.Applied, Never: p.at == 0})
 			continue
 		case len(items) == 0 && p.order.Rests() && !x.fresh: // it may stand here alone, and be over where this process isn't heard
 			x.sticky = false
@@ -781,7 +790,7 @@
 // end tells how an order ended, here or where it came from.
 func (x *Node) end(p *pending, r Result) {
 	if p.by != "" {
-		x.say(p.by, Message{Kind: Handed, Tag: p.theirs, Result: &r})
+		x.say(p.by, Message{Kind: Handed, Tag: p.theirs, Life: p.life, Result: &r})
 		return
 	}
 	if !p.own {
@@ -885,11 +894,11 @@
 		p.tag = x.last
 	}
 	if len(x.wait) >= mostWaiting {
-		x.end(p, Result{Kind: faults.Unready, Reason: "too many orders wait"})
+		x.end(p, Result{Kind: faults.Unready, Reason: "too many orders wait", Never: true})
 		return
 	}
 	if p.by != "" && !x.Member() {
-		x.end(p, Result{Kind: faults.Unready, Reason: "no member of the core"})
+		x.end(p, Result{Kind: faults.Unready, Reason: "no member of the core", Never: true})
 		return
 	}
 	p.local = p.by != ""
@@ -925,6 +934,9 @@
 		if p.tag == m.Tag && p.to == e.From && m.Result != nil {
 			if m.Result.Kind == faults.Unready { // it was bound to what stands no more, or that one can't propose
 				p.handed, p.to, p.again = 0, "", e.Now+turn
+				if m.Result.Never && p.given == 1 { // no copy of it is anywhere: it may go by what stands now
+					p.given, p.order.Bound = 0, false
+				}
 				return
 			}
 			r := *m.Result
@@ -1021,7 +1033,10 @@
 		case p.handed == 0 && first != "" && e.Now >= p.again:
 			x.Counts.Handed++
 			p.handed, p.to, p.given = e.Now, first, p.given+1
-			o := orders.Bind(x.Set, p.order)
+			if !p.order.Bound { // else a copy is about, or a vote on it: all of them go by what stood before the first, so that one is made
+				p.order = orders.Bind(x.Set, p.order)
+			}
+			o := p.order
 			x.say(first, Message{Kind: Hand, Tag: p.tag, Order: &o})
 		}
 		local = local || p.local
@@ -1255,12 +1270,12 @@
 			x.say(m.IP, Message{Kind: Confirm, Tag: tag})
 		}
 	}
-	x.say(x.self.IP, x.confirmed(tag))
+	x.say(x.self.IP, x.confirmed(tag, x.life))
 }
 
-// confirmed is how far this process is.
-func (x *Node) confirmed(tag uint64) Message {
-	m := Message{Kind: Confirmed, Tag: tag, Number: max(x.disk.Applied, x.disk.At)}
+// confirmed is how far this process is, for who asked in a life of its own.
+func (x *Node) confirmed(tag uint64, life string) Message {
+	m := Message{Kind: Confirmed, Tag: tag, Life: life, Number: max(x.disk.Applied, x.disk.At)}
 	if x.disk.At == x.disk.Applied+1 && x.kept.Number == x.disk.At && x.kept.Ballot == x.disk.Vote {
 		m.Vote = x.disk.Vote
 		if tag == 0 { // of one that starts
--- a/internal/harbour/quorum/words.go
+++ b/internal/harbour/quorum/words.go
@@ -55,6 +55,7 @@
 	Value   []manifest.Item   `json:"i,omitempty"`
 	Member  *muster.Member    `json:"m,omitempty"`
 	Tag     uint64            `json:"t,omitempty"` // of a confirm, or of an order that was handed over
+	Life    string            `json:"w,omitempty"` // of who asks by that tag, and in the answer: tags begin anew with each life
 	Order   *orders.Order     `json:"o,omitempty"`
 	Result  *Result           `json:"r,omitempty"`
 	Batches [][]manifest.Item `json:"c,omitempty"`
@@ -68,6 +69,7 @@
 	Kind   faults.Kind `json:"k,omitempty"` // None: it stands, kept by more than half
 	Reason string      `json:"w,omitempty"`
 	Number uint64      `json:"n,omitempty"`
+	Never  bool        `json:"v,omitempty"` // of one that was handed over: nothing of it was voted on, and none will be
 }
 
 // Err is the result as an error.
