A host that leaves is told of by each process that answers it, and not by another's word

Cause, read in the code and shown in the emulator: of six control processes two are cut off together. A host says to one that it leaves, gets 503 as fewer than half hear of it, and goes to the other, which had heard of it from the first: 200 at once, in both forms of the call (a beat that comes again as it was; instances.leave). The host ends while the routers of the other four know nothing of it. Change: a process that knows of a leaving only by another's word tells it itself and answers once more than half have acknowledged that; once they have, it answers at once (departed, let go with the host). After: TestLeavesTwoCutOff holds, 503 at both until they are back; with the old calls.go it gets 200 where 503 is due, both calls.

--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -111,9 +111,7 @@
 		return nil, err
 	}
 	h, changed := m.state.Register.Beat(now, h)
-	if changed {
-		m.tellHost(h)
-	}
+	m.tellHost(h, changed)
 	_, known := m.state.Set.Get(manifest.Key{Kind: manifest.Settled, Name: h.Service})
 	to := m.near(h.Zone)
 	if !known && !m.settling[h.Service] { // the first hosts' version is the one that is not on trial
@@ -168,18 +166,24 @@
 		m.mu.Unlock()
 		return nil, err
 	}
-	if h, changed := m.state.Register.Leave(m.clock(), id); changed {
-		m.tellHost(h)
-	}
+	h, changed := m.state.Register.Leave(m.clock(), id)
+	m.tellHost(h, changed)
 	m.mu.Unlock()
 	return nil, m.spread(ctx, id)
 }
 
-// tellHost makes news of a host that beats here; the caller holds the lock.
-func (m *Master) tellHost(h berths.Host) {
+// tellHost makes news of a host that beats here and has changed. One that leaves is told of once more where this process only knows
+// by another's word that it does: that one may be cut off, and have told nobody else. The caller holds the lock.
+func (m *Master) tellHost(h berths.Host, changed bool) {
+	_, waits := m.departing[h.ID]
+	leaves := h.State != berths.Ready
+	if !changed && (!leaves || waits || m.departed[h.ID]) {
+		return
+	}
 	m.state.TellHost(h, true)
-	if h.State != berths.Ready {
+	if leaves {
 		m.departing[h.ID] = m.state.Ledger.Last()
+		delete(m.departed, h.ID)
 	}
 	m.wake()
 }
@@ -198,7 +202,7 @@
 		number, waits := m.departing[id]
 		if waits && m.taken(number) {
 			delete(m.departing, id)
-			waits = false
+			m.departed[id], waits = true, false
 		}
 		acks := m.acks
 		m.mu.Unlock()
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -56,6 +56,7 @@
 	news      chan struct{} // closed and made anew when there is news
 	ends      map[string]*end
 	departing map[string]uint64                    // hosts that say they leave, whose news more than half of the members haven't acknowledged: its number
+	departed  map[string]bool                      // hosts that leave, whose news from here they have
 	acks      chan struct{}                        // closed and made anew when one of the members acknowledges news, while such hosts wait
 	waits     map[uint64]chan quorum.Result        // orders and reads that are under way, by tag
 	hung      map[*follower]bool                   // who follows here
@@ -110,7 +111,7 @@
 	b := o.Boot
 	ctx, cancel := context.WithCancel(parent)
 	m := &Master{Options: o, ctx: ctx, cancel: cancel, news: make(chan struct{}), ends: map[string]*end{},
-		departing: map[string]uint64{}, acks: make(chan struct{}),
+		departing: map[string]uint64{}, departed: map[string]bool{}, acks: make(chan struct{}),
 		waits: map[uint64]chan quorum.Result{}, hung: map[*follower]bool{}, back: map[string]*lines.Line[signals.Word]{}, rounds: map[string]bool{}, settling: map[string]bool{},
 		dealer: tonnage.NewDealer(), watch: lookout.NewWatch(), draw: chance.Source{Seed: o.Seed},
 		clock: o.Clock, life: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(o.Seed%1e6, 36)}
@@ -215,7 +216,9 @@
 		}
 		if n%5 == 4 {
 			m.reclaim()
-			maps.DeleteFunc(m.departing, func(id string, _ uint64) bool { return m.state.Register.Host(id).ID == "" })
+			gone := func(id string) bool { return m.state.Register.Host(id).ID == "" }
+			maps.DeleteFunc(m.departing, func(id string, _ uint64) bool { return gone(id) })
+			maps.DeleteFunc(m.departed, func(id string, _ bool) bool { return gone(id) })
 		}
 		m.step(quorum.Event{Tick: true})
 		m.heal()
--- a/internal/lab/basin/departing_test.go
+++ b/internal/lab/basin/departing_test.go
@@ -88,3 +88,43 @@
 		})
 	}
 }
+
+// Two control processes are cut off together. The host's word comes to one, which can't tell more than half of it and answers 503, but
+// tells the other; to which the host goes next. That one answers 503 too, whatever it knows by the first: routers that hang on the
+// other four haven't heard. It does so for a beat that comes again as it was as well.
+func TestLeavesTwoCutOff(t *testing.T) {
+	for _, call := range []string{"instances.heartbeat", "instances.leave"} {
+		t.Run(call, func(t *testing.T) {
+			l := small
+			l.Zones, l.Rate = 6, 2
+			day(t, l, 14*time.Second, func(c *qt.C, h *Harbour) {
+				q := h.Quays[len(h.Quays)-1]
+				cut := func(on bool) {
+					for _, m := range h.Masters[:4] {
+						h.Sea.Cut(h.Masters[4].Boot.IP, m.Boot.IP, on)
+						h.Sea.Cut(h.Masters[5].Boot.IP, m.Boot.IP, on)
+					}
+				}
+				cut(true)
+				time.Sleep(50 * time.Millisecond)
+				for _, at := range []int{5, 4, 5} {
+					c.Check(h.Masters[at].Standing(), qt.Equals, "in touch") // as far as it knows
+					status, took := h.leaving(at, q, 1000, call)
+					c.Check(status, qt.Equals, 503, qt.Commentf("at %d", at))
+					c.Check(took < 900*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+				}
+				status, _ := h.leaving(0, q, 1000, call)
+				c.Check(status, qt.Equals, 200)
+				cut(false)
+				time.Sleep(4 * time.Second)
+				for _, at := range []int{4, 5} {
+					status, _ = h.leaving(at, q, 1000, call)
+					c.Check(status, qt.Equals, 200, qt.Commentf("at %d", at))
+				}
+				status, took := h.leaving(5, q, 1000, call)
+				c.Check(status, qt.Equals, 200)
+				c.Check(took < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v once more", took)) // it is known here: the connection and the call alone
+			}, 0.9)
+		})
+	}
+}
