--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -31,6 +31,7 @@
 	fronts  map[string]signals.Front
 	at      Mark                       // as of which the items are
 	of      map[string]map[string]bool // by service: ids of the hosts that are known
+	missing map[string]bool            // of them, those that the last snapshot didn't name, and no note since
 	began   map[string]signals.Since   // by service, when its newest rollout began, by this process's clock
 }
 
@@ -49,7 +50,7 @@
 // NewBoard makes an empty one.
 func NewBoard(name string, self Place, regions map[string]string) *Board {
 	return &Board{self: self, name: name, regions: regions, Set: manifest.NewSet(), Known: map[string]berths.Host{},
-		fronts: map[string]signals.Front{}, Asides: map[string]lookout.Judgement{}, lapsed: map[string]bool{}, of: map[string]map[string]bool{}, began: map[string]signals.Since{}}
+		fronts: map[string]signals.Front{}, Asides: map[string]lookout.Judgement{}, lapsed: map[string]bool{}, of: map[string]map[string]bool{}, missing: map[string]bool{}, began: map[string]signals.Since{}}
 }
 
 // Changes is what a batch of news touched.
@@ -122,7 +123,8 @@
 }
 
 // TakeAt takes news in; at is where its last change stands. After a snapshot, hosts and routers that it doesn't name are
-// silent or gone: they ended while this router followed nobody.
+// missing or gone: they ended while this router followed nobody. A host may also be one of which this control process hasn't heard
+// yet, as the former one had: it is missing until it is named, whatever its beats are then.
 func (b *Board) TakeAt(at Mark, notes []signals.Note, snapshot bool) Changes {
 	c := Changes{Services: map[string]bool{}}
 	b.items(&c, notes, snapshot, at)
@@ -133,6 +135,10 @@
 			h := *n.Host
 			named[h.ID] = true
 			old, known := b.Known[h.ID]
+			if b.missing[h.ID] {
+				delete(b.missing, h.ID)
+				c.Services[old.Service] = true
+			}
 			if known && !berths.Newer(h, old) {
 				continue
 			}
@@ -161,9 +167,8 @@
 	}
 	if snapshot {
 		for id, h := range b.Known {
-			if !named[id] && !h.Silent {
-				h.Silent = true
-				b.Known[id] = h
+			if !named[id] && !b.missing[id] {
+				b.missing[id] = true
 				c.Services[h.Service] = true
 			}
 		}
@@ -239,7 +244,7 @@
 		switch {
 		case h.State == berths.Gone:
 			x.Health = rules.Gone
-		case h.State == berths.Draining, h.Silent, h.Version != settled && !trial, evacuated[h.Zone], b.Asides[id].Aside > 0 && !b.lapsed[id]:
+		case h.State == berths.Draining, h.Silent, b.missing[h.ID], h.Version != settled && !trial, evacuated[h.Zone], b.Asides[id].Aside > 0 && !b.lapsed[id]:
 			x.Health = rules.Draining
 		}
 		all = append(all, x)
@@ -252,6 +257,7 @@
 	for id := range b.of[service] {
 		if b.Known[id].State == berths.Gone {
 			delete(b.Known, id)
+			delete(b.missing, id)
 			delete(b.of[service], id)
 		}
 	}
