A router that moves says so at the new control process before it leaves the former

Cause: read in the code: the line to the former one ended first, so that its word that the router has gone could come to others before the word that it hangs elsewhere, and the roster was one short for a moment. Change: the order of the two. Tests of routers that move pass as before.

--- a/internal/harbour/fairway/link.go
+++ b/internal/harbour/fairway/link.go
@@ -247,10 +247,10 @@
 	f.since = time.Now().UnixNano()
 	f.mu.Unlock()
 	close(k.chosen)
+	f.tellSelf() // first: others are to hear that it hangs here before they hear that it has left there
 	if old != nil {
 		old.line.Close(errNearer)
 	}
-	f.tellSelf()
 }
 
 // follows tells whether a line is the one that this router follows.
