Hosts that a process which starts again doesn't know are watched by the others

The others leave the hosts of a process that is heard to that one, which in its new life has never heard of them: one that went dark meanwhile was watched by nobody. Change: a control process's first word to another names all hosts that it hears; whoever hears it watches those of its hosts that it doesn't name, as it watches the hosts of a process that is lost. They beat elsewhere soon, or are silent.

--- a/internal/harbour/berths/berths.go
+++ b/internal/harbour/berths/berths.go
@@ -175,6 +175,16 @@
 	}
 }
 
+// Listed takes an owner's list of all that it hears: of its hosts, those that it doesn't name are this process's to watch from now on.
+// It has started again, and its new life hasn't heard of them: they beat elsewhere soon, or are silent.
+func (r *Register) Listed(now int64, owner string, named map[string]bool) {
+	for id, h := range r.hosts {
+		if _, watched := r.heard[id]; h.Owner == owner && owner != r.self && h.State != Gone && !named[id] && !watched {
+			r.heard[id] = now
+		}
+	}
+}
+
 // Tick finds hosts that have become silent, and forgets those that ended long ago. A process that hears too few others
 // can't judge the hosts that beat elsewhere: judge is false then, and their time begins anew.
 func (r *Register) Tick(now int64, judge bool) (silent []Host) {
--- a/internal/harbour/berths/berths_test.go
+++ b/internal/harbour/berths/berths_test.go
@@ -18,6 +18,15 @@
 	beat := func(now int64, h Host) step { return func(r *Register) { r.Beat(now, h) } }
 	merge := func(now int64, h Host) step { return func(r *Register) { r.Merge(now, h) } }
 	tick := func(now int64) step { return func(r *Register) { r.Tick(now, true) } }
+	lists := func(now int64, owner string, ids ...string) step {
+		return func(r *Register) {
+			named := map[string]bool{}
+			for _, id := range ids {
+				named[id] = true
+			}
+			r.Listed(now, owner, named)
+		}
+	}
 	for _, x := range []struct {
 		name   string
 		steps  []step
@@ -42,6 +51,17 @@
 			func(r *Register) { r.Orphan(s, "b") }, tick(5 * s)}, Ready, true, "b"},
 		{"its owner is lost and found", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
 			func(r *Register) { r.Orphan(s, "b"); r.Return("b") }, tick(9 * s)}, Ready, false, "b"},
+		{"its owner starts again, and doesn't name it", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
+			func(r *Register) { r.Orphan(s, "b"); r.Return("b") }, lists(2*s, "b"), tick(5 * s), tick(6 * s)}, Ready, true, "b"},
+		{"it isn't missed yet", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
+			func(r *Register) { r.Orphan(s, "b"); r.Return("b") }, lists(2*s, "b"), tick(5 * s)}, Ready, false, "b"},
+		{"and is beaten to", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
+			func(r *Register) { r.Orphan(s, "b"); r.Return("b") }, lists(2*s, "b"), merge(3*s, Host{ID: "i", Sequence: 4, Owner: "b"}), tick(9 * s)}, Ready, false, "b"},
+		{"and names it", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}), lists(2*s, "b", "i"), tick(9 * s)}, Ready, false, "b"},
+		{"another lists its own", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}), lists(2*s, "c"), tick(9 * s)}, Ready, false, "b"},
+		{"beats here, and its former owner lists none", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}), beat(s, at(2, Ready)), lists(2*s, "b"),
+			tick(3 * s)}, Ready, false, "a"},
+		{"gone, and not named", []step{merge(0, Host{ID: "i", Sequence: 1, State: Gone, Owner: "b"}), lists(2*s, "b"), tick(9 * s)}, Gone, false, "b"},
 		{"who hears too few judges nobody", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
 			func(r *Register) { r.Orphan(s, "b"); r.Tick(9*s, false) }, tick(10 * s)}, Ready, false, "b"},
 	} {
--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -114,6 +114,17 @@
 	s.Register.Return(name)
 }
 
+// Listed takes another control process's snapshot, once its notes are taken in: it names all hosts that this one hears.
+func (s *State) Listed(now int64, name string, notes []signals.Note) {
+	named := map[string]bool{}
+	for _, n := range notes {
+		if n.Host != nil {
+			named[n.Host.ID] = true
+		}
+	}
+	s.Register.Listed(now, name, named)
+}
+
 // adrift is for how long the routers that hung on a control process which isn't heard any more may be on their way to
 // another before they are taken for gone.
 const adriftFor = int64(1200e6)
--- a/internal/harbour/harbourmaster/core.go
+++ b/internal/harbour/harbourmaster/core.go
@@ -344,6 +344,9 @@
 			for _, n := range w.News.Notes {
 				m.state.Take(m.clock(), n.Here(e.offset))
 			}
+			if w.News.Snapshot {
+				m.state.Listed(m.clock(), e.name, w.News.Notes)
+			}
 			m.wake()
 			l.Send(signals.Word{Ack: w.News.To})
 		} else if w.News.Life != e.follower.Life || w.News.To > e.follower.Have {
