Routers that a process which starts again doesn't know leave the roster

Cause, as with hosts, shown in the emulator: a router goes dark for good while the control process that it hung on is down for less than 1.2 s. The others forgive the routers of a process that is heard again, which in its new life has never heard of this one: it stayed in their rosters for good (5 of 6 processes, for the 11 s that were looked at), so the directory named it, and votes and shares were counted with it. Change: a process's first word to another names the routers that hang on it too; its former ones that it doesn't name have 1.2 s to be heard of anew, there or elsewhere, as those of a process that is lost have. After: TestRouterLostWhileItsProcessRestarts (down for 0.3, 1, 4 s), TestListed.

--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -44,12 +44,19 @@
 	Views    map[PollKey]signals.Poll     // the newest figures of routers that hang here
 	Peers    map[string]*Peer             // by IP, those that are heard now
 	lost     map[string]int64             // by name, control processes that are not heard, since when
+	strays   map[string]stray             // by name, routers whose control process is heard, and has started again without them
 	Ages     pilotage.Ages                // for how long the rollouts have run
 }
 
 // Front is a router as control knows it.
 type Front = signals.Front
 
+// stray is a router as it was known when that was noted.
+type stray struct {
+	front Front
+	at    int64
+}
+
 // PollKey is whose vote on what.
 type PollKey struct{ Front, Service string }
 
@@ -60,7 +67,7 @@
 func NewState(self signals.Hello, node *quorum.Node, beat int64) *State {
 	return &State{Self: self, Node: node, Set: node.Set, Register: berths.New(self.Name, beat),
 		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{},
-		Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{}, Peers: map[string]*Peer{}, lost: map[string]int64{}, Ages: pilotage.Ages{}}
+		Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{}, Peers: map[string]*Peer{}, lost: map[string]int64{}, strays: map[string]stray{}, Ages: pilotage.Ages{}}
 }
 
 // Standing tells how far this process may be gone by.
@@ -114,19 +121,28 @@
 	s.Register.Return(name)
 }
 
-// Listed takes another control process's snapshot, once its notes are taken in: it names all hosts that this one hears.
+// Listed takes another control process's snapshot, once its notes are taken in: it names all hosts and routers that it hears. Those
+// that this one knows as the other's and that aren't named were heard in its former life: they are on their way elsewhere, or lost.
 func (s *State) Listed(now int64, name string, notes []signals.Note) {
-	named := map[string]bool{}
+	hosts, fronts := map[string]bool{}, map[string]bool{}
 	for _, n := range notes {
 		if n.Host != nil {
-			named[n.Host.ID] = true
+			hosts[n.Host.ID] = true
+		}
+		if n.Front != nil {
+			fronts[n.Front.Name] = true
+		}
+	}
+	s.Register.Listed(now, name, hosts)
+	for _, f := range s.Fronts {
+		if f.Owner == name && name != s.Self.Name && !f.Gone && !fronts[f.Name] {
+			s.strays[f.Name] = stray{f, now}
 		}
 	}
-	s.Register.Listed(now, name, named)
 }
 
-// adrift is for how long the routers that hung on a control process which isn't heard any more may be on their way to
-// another before they are taken for gone.
+// adriftFor is for how long the routers that hung on a control process which isn't heard any more, or has started again, may be on
+// their way to another before they are taken for gone.
 const adriftFor = int64(1200e6)
 
 // Tick finds routers that went down with the control process that they hung on.
@@ -137,6 +153,16 @@
 			changed = s.TellFront(f, false) || changed
 		}
 	}
+	for name, x := range s.strays {
+		f := s.Fronts[name]
+		if f != x.front { // something newer is known of it
+			delete(s.strays, name)
+		} else if now-x.at > adriftFor {
+			delete(s.strays, name)
+			f.Gone = true
+			changed = s.TellFront(f, false) || changed
+		}
+	}
 	return changed
 }
 
--- a/internal/harbour/bridge/state_test.go
+++ b/internal/harbour/bridge/state_test.go
@@ -138,6 +138,50 @@
 	c.Check(s.Fronts["x"].Gone, qt.IsTrue)
 }
 
+// A control process that starts again names who hangs on it; the others take its former routers that it doesn't name for gone, unless they
+// are heard of anew meanwhile, there or elsewhere.
+func TestListed(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		named []signals.Note
+		then  func(s *State)
+		want  bool // gone
+	}{
+		{"not named", nil, nil, true},
+		{"named", []signals.Note{{Front: &signals.Front{Name: "x", Owner: "b", Ready: true, Since: 10}}}, nil, false},
+		{"hangs there again", nil, func(s *State) {
+			s.Take(1000, signals.Note{Front: &signals.Front{Name: "x", Owner: "b", Ready: true, Since: 1000}})
+		}, false},
+		{"hangs elsewhere", nil, func(s *State) {
+			s.Take(1000, signals.Note{Front: &signals.Front{Name: "x", Owner: "c", Ready: true, Since: 1000}})
+		}, false},
+		{"hangs here", nil, func(s *State) { s.Claim(1000, signals.Front{Name: "x", Owner: s.Self.Name, Ready: true}) }, false},
+		{"its process is lost again", nil, func(s *State) { s.Lost(1000, "10.0.1.1", "b") }, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := state(6, true)
+			for _, f := range []signals.Front{{Name: "x", Owner: "b", Ready: true, Since: 10}, {Name: "y", Owner: "b", Ready: true, Since: 10}, {Name: "z", Owner: "c", Ready: true, Since: 10}} {
+				s.Take(900, signals.Note{Front: &f})
+			}
+			s.Heard("10.0.1.1", signals.Status{Member: true})
+			s.Lost(950, "10.0.1.1", "b")
+			s.Found("b")
+			notes := append(x.named, signals.Note{Front: &signals.Front{Name: "y", Owner: "b", Ready: true, Since: 10}})
+			s.Listed(1000, "b", notes)
+			if x.then != nil {
+				x.then(s)
+			}
+			c.Check(s.Tick(1000+adriftFor), qt.IsFalse)
+			c.Check(s.Roster(), qt.HasLen, 3)
+			s.Tick(1001 + adriftFor)
+			c.Check(s.Fronts["x"].Gone, qt.Equals, x.want)
+			c.Check(s.Fronts["z"].Gone, qt.IsFalse)
+			c.Check(s.strays, qt.HasLen, 0)
+		})
+	}
+}
+
 // A control process restarts with its router by a clock that is an hour behind that of its former life: its claim is older than
 // what the others know. It hears of that from them, and claims the router anew; then all have it as it is, in a bounded number
 // of notes.
--- a/internal/lab/basin/watched_test.go
+++ b/internal/lab/basin/watched_test.go
@@ -1,11 +1,15 @@
 package basin
 
 import (
+	"encoding/json"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"portflow/internal/harbour/harbourmaster"
 )
 
 // A control process is killed and starts again a second later. Of the hosts that beat to it one went dark meanwhile: the process has never
@@ -45,3 +49,53 @@
 		})
 	}
 }
+
+// The same of routers: one that hung on the process goes dark while that is down, and comes back nowhere. It leaves the roster, by which
+// routers count themselves, vote and are named to clients, at every control process; those that live stay.
+func TestRouterLostWhileItsProcessRestarts(t *testing.T) {
+	for name, down := range map[string]time.Duration{"300 ms": 300 * time.Millisecond, "1 s": time.Second, "4 s": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				l := small
+				l.Zones, l.Rate = 6, 2
+				h := opened(c, l)
+				time.Sleep(4 * time.Second)
+				routers := func(at int) (names []string) {
+					var s harbourmaster.Survey
+					_, raw := h.askOf(at, "harbour.read", "", nil)
+					c.Assert(json.Unmarshal(raw, &s), qt.IsNil)
+					for _, r := range s.Routers {
+						if r.Ready {
+							names = append(names, r.Name)
+						}
+					}
+					return names
+				}
+				for at := range h.Masters {
+					c.Assert(routers(at), qt.HasLen, 12)
+				}
+				m, lost := h.Masters[5], (*Fairway)(nil)
+				for _, f := range h.Fairways {
+					if f.Boot.Zone == m.Boot.Zone && f.Boot.IP != m.Boot.IP {
+						lost = f
+					}
+				}
+				m.Kill()
+				h.Sea.Down(lost.Boot.IP, true)
+				lost.Kill()
+				time.Sleep(down)
+				m.mustStart()
+				time.Sleep(5 * time.Second)
+				for range 6 {
+					for at := range h.Masters {
+						names := routers(at)
+						c.Check(names, qt.HasLen, 11, qt.Commentf("at %d", at))
+						c.Check(slices.Contains(names, lost.Boot.Name), qt.IsFalse, qt.Commentf("at %d: %v", at, names))
+					}
+					time.Sleep(time.Second)
+				}
+			})
+		})
+	}
+}
