What is known of hosts, routers and control processes that went has an end

Cause, read in the code: a host that crashed was forgotten by the control process that heard it and by no other, nor by routers; routers that went, their votes and figures, and control processes that went stayed in maps for a process's life, the last with a dial a second or two each. Change: ten minutes after a host was called silent, or a router gone, it is forgotten by each for itself, votes and figures after as long; nobody is told, as all may be heard again and are then known anew. A control process that nothing names any more is given up after 600 dials. After: TestForgottenWhenLongSilent, TestForget (2,000 routers come and go: 66 entries at the most), TestTidy.

--- a/internal/harbour/berths/berths.go
+++ b/internal/harbour/berths/berths.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -53,6 +54,7 @@
 const (
 	coldSlack = int64(300e6) // beats differ by so much in when they say the cold ends
 	keep      = int64(60e9)  // for so long an id that ended is known; late beats are over by then
+	quietFor  = int64(600e9) // for so long a host that is silent by another's word is known
 )
 
 // Register is what one control process knows. It is not safe for two goroutines.
@@ -62,11 +64,12 @@
 	hosts  map[string]Host
 	heard  map[string]int64 // of those that are its own, when they were last heard
 	ended  map[string]int64
+	quiet  map[string]int64 // hosts that are silent by another's word, since when that was seen
 }
 
 // New makes an empty register for the control process of this name.
 func New(self string, beat int64) *Register {
-	return &Register{self: self, missed: 3*beat - beat/4, hosts: map[string]Host{}, heard: map[string]int64{}, ended: map[string]int64{}}
+	return &Register{self: self, missed: 3*beat - beat/4, hosts: map[string]Host{}, heard: map[string]int64{}, ended: map[string]int64{}, quiet: map[string]int64{}}
 }
 
 // ReadBeat reads and checks a beat's body; the id stands in the call.
@@ -214,6 +217,24 @@
 	return silent
 }
 
+// Forget forgets hosts that others have called silent for long: who calls them so tells no end, as they may be heard again. It is to be
+// called now and then.
+func (r *Register) Forget(now int64) {
+	for id, h := range r.hosts {
+		_, own := r.heard[id]
+		at, known := r.quiet[id]
+		switch {
+		case own || !h.Silent || h.State == Gone:
+			delete(r.quiet, id)
+		case !known:
+			r.quiet[id] = now
+		case now-at > quietFor:
+			delete(r.hosts, id)
+		}
+	}
+	maps.DeleteFunc(r.quiet, func(id string, _ int64) bool { return r.hosts[id].ID == "" })
+}
+
 func byID(a, b Host) int { return strings.Compare(a.ID, b.ID) }
 
 // All are the hosts, by id; those that ended too.
--- a/internal/harbour/berths/berths_test.go
+++ b/internal/harbour/berths/berths_test.go
@@ -124,3 +124,37 @@
 		c.Check(err, qt.ErrorMatches, "(?s).*"+path+": .*", qt.Commentf(path))
 	}
 }
+
+// A host that another has called silent is known for ten minutes more, and one that is heard again for as long as it is.
+func TestForgottenWhenLongSilent(t *testing.T) {
+	c := qt.New(t)
+	r := New("a", 1300e6)
+	for _, id := range []string{"back", "dead", "own", "well"} {
+		r.Merge(0, Host{ID: id, Service: "desk", Sequence: 1, Owner: "b", Silent: id == "back" || id == "dead"})
+	}
+	r.Beat(0, Host{ID: "own", Service: "desk", Sequence: 2})
+	known := func() (ids []string) {
+		for _, h := range r.All() {
+			ids = append(ids, h.ID)
+		}
+		return ids
+	}
+	for at := int64(0); at <= 600*s; at += 60 * s {
+		r.Beat(at, Host{ID: "own", Service: "desk", Sequence: uint64(at/s) + 3})
+		if r.Forget(at); at == 300*s {
+			r.Merge(at, Host{ID: "back", Service: "desk", Sequence: 2, Owner: "b"})
+		}
+		c.Check(known(), qt.DeepEquals, []string{"back", "dead", "own", "well"}, qt.Commentf("%d s", at/s))
+	}
+	r.Merge(600*s, Host{ID: "back", Service: "desk", Sequence: 2, Owner: "b", Silent: true})
+	r.Forget(660 * s)
+	c.Check(known(), qt.DeepEquals, []string{"back", "own", "well"})
+	r.Forget(1200 * s)
+	c.Check(known(), qt.DeepEquals, []string{"back", "own", "well"})
+	r.Forget(1261 * s)
+	c.Check(known(), qt.DeepEquals, []string{"own", "well"})
+	c.Check(r.quiet, qt.HasLen, 0)
+	_, news := r.Beat(1300*s, Host{ID: "dead", Service: "desk", Sequence: 9}) // it was cut off from all
+	c.Check(news, qt.IsTrue)
+	c.Check(known(), qt.DeepEquals, []string{"dead", "own", "well"})
+}
--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -44,6 +44,7 @@
 	Views    map[PollKey]signals.Poll     // the newest figures of routers that hang here
 	Peers    map[string]*Peer             // by IP, those that are heard now
 	lost     map[string]int64             // by name, control processes that are not heard, since when
+	ended    map[string]int64             // by name, routers that are gone, since when that was seen
 	strays   map[string]stray             // by name, routers whose control process is heard, and has started again without them
 	Ages     pilotage.Ages                // for how long the rollouts have run
 }
@@ -67,7 +68,7 @@
 func NewState(self signals.Hello, node *quorum.Node, beat int64) *State {
 	return &State{Self: self, Node: node, Set: node.Set, Register: berths.New(self.Name, beat),
 		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{},
-		Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{}, Peers: map[string]*Peer{}, lost: map[string]int64{}, strays: map[string]stray{}, Ages: pilotage.Ages{}}
+		Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{}, Peers: map[string]*Peer{}, lost: map[string]int64{}, ended: map[string]int64{}, strays: map[string]stray{}, Ages: pilotage.Ages{}}
 }
 
 // Standing tells how far this process may be gone by.
@@ -166,6 +167,34 @@
 	return changed
 }
 
+// forgetAfter is for how long routers and control processes that are gone, and what was voted, are known: longer than any word of them
+// is on its way, or any line is silent before it ends.
+const forgetAfter = int64(600e9)
+
+// Forget forgets what has been over for long, so that what is known is bounded by what there is and by what went in that time. It is
+// to be called now and then.
+func (s *State) Forget(now int64) {
+	s.Register.Forget(now)
+	for _, polls := range []map[PollKey]signals.Poll{s.Polls, s.Views} {
+		maps.DeleteFunc(polls, func(_ PollKey, p signals.Poll) bool { return now-p.At > forgetAfter })
+	}
+	owners := map[string]bool{}
+	for name, f := range s.Fronts {
+		at, known := s.ended[name]
+		switch {
+		case !f.Gone:
+			delete(s.ended, name)
+			owners[f.Owner] = true
+		case !known:
+			s.ended[name] = now
+		case now-at > forgetAfter:
+			delete(s.Fronts, name)
+			delete(s.ended, name)
+		}
+	}
+	maps.DeleteFunc(s.lost, func(name string, at int64) bool { return now-at > forgetAfter && !owners[name] })
+}
+
 // Renew has this process's own routers told anew to another that was away: it may have taken them for gone.
 func (s *State) Renew() {
 	for _, f := range s.Fronts {
--- a/internal/harbour/bridge/state_test.go
+++ b/internal/harbour/bridge/state_test.go
@@ -283,3 +283,34 @@
 		c.Check(fmt.Sprint(s.Addresses(x.zone, x.region, regions)), qt.Equals, x.want)
 	}
 }
+
+// Thousands of routers come, vote and go in a day, and control processes with them: what is known is bounded by what is there and by
+// what went in the last ten minutes, and what lives is never forgotten.
+func TestForget(t *testing.T) {
+	c := qt.New(t)
+	s := state(6, true)
+	minute := int64(60e9)
+	s.Claim(1, signals.Front{Name: "stays", Owner: s.Self.Name, Ready: true})
+	most := 0
+	for n := range int64(2000) { // one a minute
+		now := (n + 1) * minute
+		f := signals.Front{Name: fmt.Sprint("r", n), Owner: "b", Ready: true, Since: now}
+		s.Take(now, signals.Note{Front: &f})
+		s.TellPoll(signals.Poll{Front: f.Name, Service: "desk", Order: 1, Verdict: uint8(rules.On), At: now, Figures: &signals.Figures{}}, true)
+		if n%2 == 0 {
+			f.Gone, f.Change = true, 1
+			s.Take(now+1, signals.Note{Front: &f})
+		} else { // its control process goes with it
+			name := fmt.Sprint("b", n)
+			f.Owner, f.Since = name, now+1
+			s.Take(now+1, signals.Note{Front: &f})
+			s.Lost(now+2, "10.0.9.9", name)
+			s.Tick(now + 2 + adriftFor + 1)
+		}
+		s.Forget(now + 10e9)
+		most = max(most, len(s.Fronts)+len(s.Polls)+len(s.Views)+len(s.lost)+len(s.ended)+len(s.strays))
+	}
+	c.Check(most <= 1+5*13, qt.IsTrue, qt.Commentf("%d", most))
+	c.Check(s.Roster(), qt.HasLen, 1)
+	c.Check(s.Fronts["stays"].Gone, qt.IsFalse)
+}
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -559,6 +559,15 @@
 	return n
 }
 
+// tidy lets hosts go that have been silent for long.
+func (f *Fairway) tidy() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if services := f.board.Tidy(f.clock()); len(services) > 0 {
+		f.publish(lanes.Changes{Services: services})
+	}
+}
+
 // tick looks whether this router is short, and writes the counters now and then.
 func (f *Fairway) tick() {
 	t := time.NewTicker(time.Duration(lanes.LookEvery))
@@ -576,6 +585,7 @@
 			f.tellSelf()
 		}
 		if n%20 == 0 {
+			f.tidy()
 			f.Log()
 		}
 	}
--- a/internal/harbour/harbourmaster/core.go
+++ b/internal/harbour/harbourmaster/core.go
@@ -255,6 +255,7 @@
 		for _, ip := range m.state.Members() {
 			ips[ip] = true
 		}
+		m.sought = ips
 		for ip := range ips {
 			if ip != m.Boot.IP && m.ends[ip] == nil {
 				m.ends[ip] = &end{ip: ip, poke: make(chan struct{}, 1)}
@@ -273,7 +274,10 @@
 	}
 }
 
-const dialIn = time.Second
+const (
+	dialIn   = time.Second
+	mostDead = 600 // dials of one that nothing names any more, a second or two each, before it is given up
+)
 
 // follow holds a line to another control process, for as long as this one runs.
 func (m *Master) follow(e *end) {
@@ -281,7 +285,15 @@
 		ctx, cancel := context.WithTimeout(m.ctx, dialIn)
 		m.mu.Lock()
 		e.again = cancel
+		dead := failures > mostDead && !m.sought[e.ip]
+		if dead { // should it come back, it dials this one, and is found
+			delete(m.ends, e.ip)
+		}
 		m.mu.Unlock()
+		if dead {
+			cancel()
+			return
+		}
 		c, err := m.Sea.Dial(ctx, "tcp", net.JoinHostPort(e.ip, strconv.Itoa(m.Boot.Ports[0])))
 		cancel()
 		if err == nil {
--- a/internal/harbour/harbourmaster/master.go
+++ b/internal/harbour/harbourmaster/master.go
@@ -55,6 +55,7 @@
 	state     *bridge.State
 	news      chan struct{} // closed and made anew when there is news
 	ends      map[string]*end
+	sought    map[string]bool                      // by IP number, control processes that are named by anything just now
 	departing map[string]uint64                    // hosts that say they leave, whose news more than half of the members haven't acknowledged: its number
 	departed  map[string]bool                      // hosts that leave, whose news from here they have
 	acks      chan struct{}                        // closed and made anew when one of the members acknowledges news, while such hosts wait
@@ -228,6 +229,11 @@
 		m.change()
 		m.mu.Unlock()
 		m.steer()
+		if n%300 == 299 {
+			m.mu.Lock()
+			m.state.Forget(m.clock())
+			m.mu.Unlock()
+		}
 		if n%50 == 49 {
 			m.Log()
 		}
--- a/internal/harbour/lanes/board.go
+++ b/internal/harbour/lanes/board.go
@@ -31,6 +31,7 @@
 	fronts  map[string]signals.Front
 	at      Mark                       // as of which the items are
 	of      map[string]map[string]bool // by service: ids of the hosts that are known
+	quiet   map[string]int64           // of them, those that are silent or missing, since when that was seen
 	missing map[string]bool            // of them, those that the last snapshot didn't name, and no note since
 	began   map[string]signals.Since   // by service, when its newest rollout began, by this process's clock
 }
@@ -50,7 +51,7 @@
 // NewBoard makes an empty one.
 func NewBoard(name string, self Place, regions map[string]string) *Board {
 	return &Board{self: self, name: name, regions: regions, Set: manifest.NewSet(), Known: map[string]berths.Host{},
-		fronts: map[string]signals.Front{}, Asides: map[string]lookout.Judgement{}, lapsed: map[string]bool{}, of: map[string]map[string]bool{}, missing: map[string]bool{}, began: map[string]signals.Since{}}
+		fronts: map[string]signals.Front{}, Asides: map[string]lookout.Judgement{}, lapsed: map[string]bool{}, of: map[string]map[string]bool{}, missing: map[string]bool{}, quiet: map[string]int64{}, began: map[string]signals.Since{}}
 }
 
 // Changes is what a batch of news touched.
@@ -223,6 +224,30 @@
 	return services
 }
 
+// quietFor is for how long a host that is silent or missing is known: nobody tells its end, as it may be heard again.
+const quietFor = int64(600e9)
+
+// Tidy takes hosts that have been silent or missing for long for gone, and tells their services. A word of one that comes later makes it
+// known anew. It is to be called now and then.
+func (b *Board) Tidy(now int64) map[string]bool {
+	services := map[string]bool{}
+	for id, h := range b.Known {
+		at, known := b.quiet[id]
+		switch {
+		case !h.Silent && !b.missing[id] || h.State == berths.Gone:
+			delete(b.quiet, id)
+		case !known:
+			b.quiet[id] = now
+		case now-at > quietFor:
+			h.State = berths.Gone
+			b.Known[id] = h
+			services[h.Service] = true
+		}
+	}
+	maps.DeleteFunc(b.quiet, func(id string, _ int64) bool { return b.Known[id].ID == "" })
+	return services
+}
+
 // Hosts are a service's as the rules are to have them: of versions that are neither settled nor on trial, of zones that are
 // evacuated, silent ones and those that are set aside take nothing.
 func (b *Board) Hosts(service string) (all []router.Host) {
--- a/internal/harbour/lanes/missing_test.go
+++ b/internal/harbour/lanes/missing_test.go
@@ -53,3 +53,32 @@
 		})
 	}
 }
+
+// A host that is silent or missing for ten minutes is taken for gone, and known anew by a later word.
+func TestTidy(t *testing.T) {
+	c := qt.New(t)
+	b := NewBoard("front", Place{Zone: "z0", Region: "r0"}, map[string]string{"z0": "r0"})
+	note := func(id string, sequence uint64, silent bool) signals.Note {
+		return signals.Note{Host: &berths.Host{ID: id, Service: "desk", Zone: "z0", Slots: 3, Sequence: sequence, Silent: silent, Owner: "a"}}
+	}
+	b.Take([]signals.Note{note("back", 1, true), note("missing", 1, false), note("silent", 1, true), note("well", 1, false)}, true)
+	b.Take([]signals.Note{note("back", 1, true), note("silent", 1, true), note("well", 1, false)}, true)
+	const minute = int64(60e9)
+	for n := range int64(11) {
+		if n == 5 {
+			b.Take([]signals.Note{note("back", 2, false)}, false)
+		}
+		c.Check(b.Tidy(n*minute), qt.HasLen, 0, qt.Commentf("minute %d", n))
+	}
+	c.Check(b.Tidy(11*minute), qt.DeepEquals, map[string]bool{"desk": true})
+	health := map[string]rules.Health{}
+	for _, h := range b.Hosts("desk") {
+		health[h.Name] = h.Health
+	}
+	c.Check(health, qt.DeepEquals, map[string]rules.Health{"back": rules.Ready, "missing": rules.Gone, "silent": rules.Gone, "well": rules.Ready})
+	b.Forget("desk")
+	c.Check(b.Tidy(12*minute), qt.HasLen, 0)
+	c.Check(len(b.Known)+len(b.quiet)+len(b.missing), qt.Equals, 2)
+	c.Check(b.Take([]signals.Note{note("silent", 7, false)}, false).Services["desk"], qt.IsTrue)
+	c.Check(b.Hosts("desk"), qt.HasLen, 3)
+}
