An order that its own process has voted on keeps what it found

Change: it is let go only where its own process hasn't voted on it. TestBoundUntilNothingIsAbout has the four cases; the last fails without.

--- a/internal/harbour/quorum/handed_test.go
+++ b/internal/harbour/quorum/handed_test.go
@@ -56,6 +56,31 @@
 	}
 }
 
+// What an order found at first may be let go only where nothing of it is about: its one copy ended unvoted, and its own process hasn't
+// voted on it, as another may bring that vote to its end.
+func TestBoundUntilNothingIsAbout(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		given  int
+		at     uint64
+		result Result
+		bound  bool
+	}{
+		{"its one copy was never voted on", 1, 0, Result{Kind: faults.Unready, Never: true}, false},
+		{"it may have been", 1, 0, Result{Kind: faults.Unready}, true},
+		{"another has one too", 2, 0, Result{Kind: faults.Unready, Never: true}, true},
+		{"it was voted on here", 1, 2, Result{Kind: faults.Unready, Never: true}, true},
+	} {
+		c := qt.New(t)
+		n, l := three(second)
+		p := &pending{tag: 9, order: orders.Bind(n.Set, orders.Order{Kind: orders.Evacuate, Of: "z", Begun: true}), given: x.given, at: x.at, handed: 1, to: l.Members[1].IP}
+		n.wait = []*pending{p}
+		n.handed(Event{Now: second, From: l.Members[1].IP}, Message{Kind: Handed, Tag: 9, Result: &x.result})
+		c.Check(p.order.Bound, qt.Equals, x.bound, qt.Commentf(x.name))
+		c.Check(p.to, qt.Equals, "")
+	}
+}
+
 // A process hands an order over, is killed, and in its next life has another order under the same tag: tags begin anew. The end of the
 // first is none of the second's, which would else be confirmed though it lost; nor is an answer to a read of the life before.
 func TestAnswersOfAnotherLife(t *testing.T) {
--- a/internal/harbour/quorum/node.go
+++ b/internal/harbour/quorum/node.go
@@ -934,7 +934,7 @@
 		if p.tag == m.Tag && p.to == e.From && m.Result != nil {
 			if m.Result.Kind == faults.Unready { // it was bound to what stands no more, or that one can't propose
 				p.handed, p.to, p.again = 0, "", e.Now+turn
-				if m.Result.Never && p.given == 1 { // no copy of it is anywhere: it may go by what stands now
+				if m.Result.Never && p.given == 1 && p.at == 0 { // no copy of it is anywhere, nor a vote: it may go by what stands now
 					p.given, p.order.Bound = 0, false
 				}
 				return
