--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -299,8 +299,9 @@
 		}
 	case n.Front != nil:
 		// who claims a router by a clock that is behind, after a restart or as it never heard of it, learns of the claim that
-		// stands from here: what it tells would else be passed over until its clock has come as far
-		if old := s.Fronts[n.Front.Name]; !s.TellFront(*n.Front, false) && old.Newer(*n.Front) {
+		// stands from here: what it tells would else be passed over until its clock has come as far. That a router has left is no
+		// claim: each one that moves is said to have left once others know where it is
+		if old := s.Fronts[n.Front.Name]; !s.TellFront(*n.Front, false) && !n.Front.Gone && old.Newer(*n.Front) {
 			s.Ledger.Add(signals.Note{Front: &old, First: true})
 		}
 	case n.Poll != nil:
@@ -382,13 +383,14 @@
 }
 
 // Fit leaves out of a batch what the follower knows otherwise: control processes tell each other what they hear
-// themselves, and items by orders and by repair. Of several notes on one thing the last is enough.
-func Fit(notes []signals.Note, control bool) (batch []signals.Note) {
+// themselves, and items by orders and by repair. Of several notes on one thing the last is enough, in its place.
+func Fit(notes []signals.Note, control bool) []signals.Note {
+	batch := make([]signals.Note, 0, len(notes))
 	for _, n := range notes {
 		if control && !n.First || !control && n.Poll != nil {
 			continue
 		}
 		batch = append(batch, n)
 	}
-	return batch
+	return signals.Last(batch)
 }
--- a/internal/harbour/bridge/state_test.go
+++ b/internal/harbour/bridge/state_test.go
@@ -1,6 +1,7 @@
 package bridge
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -227,6 +228,61 @@
 	}
 }
 
+// A router moves, and the word of its new process comes before the word of its former one that it has left. Nobody tells either once
+// more: each would tell all others and all its routers, for every router that moves.
+func TestMovesAreToldOnce(t *testing.T) {
+	c := qt.New(t)
+	s := state(6, true)
+	old := signals.Front{Name: "r", Owner: "b", Ready: true, Since: 10}
+	s.Take(20, signals.Note{Front: &old})
+	now := signals.Front{Name: "r", Owner: "c", Ready: true, Since: 20}
+	s.Take(30, signals.Note{Front: &now})
+	at := s.Ledger.Last()
+	left := old
+	left.Gone, left.Change = true, 1
+	s.Take(31, signals.Note{Front: &left})
+	c.Check(s.Ledger.Last(), qt.Equals, at)
+	c.Check(s.Fronts["r"], qt.Equals, now)
+	old.Change = 2 // a claim that is older, of who may not know better, is
+	s.Take(32, signals.Note{Front: &old})
+	notes, _ := s.Ledger.After(at)
+	c.Assert(notes, qt.HasLen, 1)
+	c.Check(*notes[0].Front, qt.Equals, now)
+	c.Check(notes[0].First, qt.IsTrue)
+}
+
+// Of several notes on one thing the last goes out, in its place; each kind of thing by itself.
+func TestFitLeavesTheLast(t *testing.T) {
+	c := qt.New(t)
+	front := func(name string, change int) signals.Note {
+		return signals.Note{Front: &signals.Front{Name: name, Change: change}, First: true}
+	}
+	host := func(id string, sequence uint64) signals.Note {
+		return signals.Note{Host: &berths.Host{ID: id, Sequence: sequence}, First: true}
+	}
+	item := func(kind, name string, version uint64) signals.Note {
+		return signals.Note{Item: &manifest.Item{Kind: kind, Name: name, Version: version}}
+	}
+	poll := func(front, service string, order uint64) signals.Note {
+		return signals.Note{Poll: &signals.Poll{Front: front, Service: service, Order: order}, First: true}
+	}
+	all := []signals.Note{front("a", 1), item(manifest.Routes, "a", 1), host("a", 1), front("b", 1), poll("a", "x", 1), front("a", 2), item(manifest.Services, "a", 1),
+		poll("a", "y", 1), host("b", 1), item(manifest.Routes, "a", 2), host("a", 2), poll("a", "x", 2), front("a", 3)}
+	kept := slices.Clone(all)
+	c.Check(fmt.Sprint(texts(Fit(all, false))), qt.Equals, fmt.Sprint(texts([]signals.Note{all[3], all[6], all[8], all[9], all[10], all[12]})))
+	c.Check(fmt.Sprint(texts(Fit(all, true))), qt.Equals, fmt.Sprint(texts([]signals.Note{all[3], all[7], all[8], all[10], all[11], all[12]})))
+	c.Check(all, qt.DeepEquals, kept) // the ledger's own
+	c.Check(Fit(nil, true), qt.HasLen, 0)
+}
+
+func texts(notes []signals.Note) (all []string) {
+	for _, n := range notes {
+		raw, _ := json.Marshal(n)
+		all = append(all, string(raw))
+	}
+	return all
+}
+
 // A vote stands until the router's next one, also one that takes it back; figures alone change no vote, and stay here.
 func TestPolls(t *testing.T) {
 	c := qt.New(t)
--- a/internal/harbour/signals/chunks.go
+++ b/internal/harbour/signals/chunks.go
@@ -55,6 +55,7 @@
 	Head
 	Words [][]byte // as pack laid them out
 	Bytes int      // of all of them
+	Laid  int      // bytes of the notes as JSON
 	ends  []int    // up to which note each chunk goes
 }
 
@@ -86,7 +87,8 @@
 			list.Truncate(list.Len() - 1) // the encoder ends each with a line
 		}
 		list.WriteByte(']')
-		if size += list.Len(); size > MostBytes {
+		size += list.Len()
+		if c.Laid = size; size > MostBytes {
 			return nil, fmt.Errorf("a snapshot of over %d bytes", MostBytes)
 		}
 		sum.Write(list.Bytes())
@@ -228,6 +230,8 @@
 	FreshChanges = 1024
 	FreshBytes   = 256 << 10
 	BatchBytes   = 1 << 20
+	freshPart    = 4       // of a cut's own size at the most is sent behind it, as each router is sent that anew
+	freshLeast   = 4 << 10 // or this, for a cut that is small itself
 )
 
 // Size is about how many bytes notes take as JSON: a bound for what items make of it.
@@ -240,6 +244,9 @@
 	return size
 }
 
+// behind is the size of what is sent behind a cut, where these notes came since: the last of each thing.
+func behind(notes []Note) int { return Size(Last(slices.Clone(notes))) }
+
 // Fresh is the newest cut, if little has come since or it is still being made: who asks then waits for it and takes it as Named
 // gives it, or where more comes than is fresh while one is made nobody would ever get one. None where a new one is to be made.
 func (s *Shelf) Fresh(now int64, life string, l *Ledger) *Making {
@@ -248,7 +255,11 @@
 		return nil
 	}
 	m := s.kept[len(s.kept)-1]
-	if notes, ok := l.After(m.To); m.Life != life || m.failed() || !m.underWay() && (!ok || len(notes) > FreshChanges || Size(notes) > FreshBytes) {
+	if m.Life != life || m.failed() {
+		return nil
+	}
+	if notes, ok := l.After(m.To); !m.underWay() && (!ok || len(notes) > FreshChanges ||
+		behind(notes) > min(FreshBytes, max(freshLeast, m.Cut.Laid/freshPart))) {
 		return nil
 	}
 	s.used = now
@@ -260,7 +271,7 @@
 func (s *Shelf) Named(now int64, name, life string, l *Ledger) *Making {
 	s.tidy(now)
 	for _, m := range s.kept {
-		if notes, ok := l.After(m.To); ok && m.Name == name && m.Life == life && Size(notes) <= BatchBytes && !m.failed() {
+		if notes, ok := l.After(m.To); ok && m.Name == name && m.Life == life && behind(notes) <= BatchBytes && !m.failed() {
 			s.used = now
 			return m
 		}
--- a/internal/harbour/signals/chunks_test.go
+++ b/internal/harbour/signals/chunks_test.go
@@ -199,8 +199,8 @@
 			for _, w := range cut.Words[:len(cut.Words)-1] {
 				c.Assert(r.take(w), qt.IsNil)
 			}
-			for range x.changes {
-				h.set("route-00001", h.number+1, x.size)
+			for n := range x.changes {
+				h.set(fmt.Sprintf("route-%05d", n%1000), h.number+1, x.size)
 			}
 			c.Assert(h.cut(r.Part()) != cut, qt.IsTrue)
 			r.whole(c, h)
@@ -209,6 +209,33 @@
 	}
 }
 
+// What is sent behind a cut is the last of each thing, and is little beside the cut itself: one route that changes hundreds of times
+// is one note; where a fourth of the cut's own size has changed, whoever comes next is sent a new one.
+func TestLittleFollowsACut(t *testing.T) {
+	c := qt.New(t)
+	h := newHeld("a", 1000)
+	cut := h.cut(Part{})
+	for range 500 {
+		h.set("route-00001", h.number+1, 400)
+	}
+	c.Check(h.cut(Part{}) == cut, qt.IsTrue)
+	c.Check(h.cut(Part{cut.Name, cut.ends[0]}) == cut, qt.IsTrue)
+	n := 2
+	for h.cut(Part{}) == cut {
+		h.set(fmt.Sprintf("route-%05d", n), h.number+1, 100)
+		n++
+	}
+	least, most := cut.Laid/4/400, cut.Laid/4/300
+	c.Check(n >= least && n <= most, qt.IsTrue, qt.Commentf("after %d of %d to %d", n, least, most))
+	c.Check(h.made, qt.Equals, 2)
+	small := newHeld("b", 3)
+	first := small.cut(Part{})
+	for range 100 {
+		small.set("route-00001", small.number+1, 100)
+	}
+	c.Check(small.cut(Part{}) == first, qt.IsTrue)
+}
+
 // The control process was restarted amid: what a router has of its old life is of no use, and nothing of it is in force.
 func TestControlRestartedAmid(t *testing.T) {
 	c := qt.New(t)
--- a/internal/harbour/signals/signals.go
+++ b/internal/harbour/signals/signals.go
@@ -67,6 +67,42 @@
 	First bool               `json:"-"`           // first-hand: other control processes don't know it yet
 }
 
+// thing is what a note is about.
+type thing struct{ kind, name, of string }
+
+func (n Note) thing() thing {
+	switch {
+	case n.Item != nil:
+		return thing{"item " + n.Item.Kind, n.Item.Name, ""}
+	case n.Host != nil:
+		return thing{"host", n.Host.ID, ""}
+	case n.Front != nil:
+		return thing{"front", n.Front.Name, ""}
+	case n.Poll != nil:
+		return thing{"poll", n.Poll.Front, n.Poll.Service}
+	case n.Aside != nil:
+		return thing{"aside", n.Aside.ID, ""}
+	}
+	return thing{}
+}
+
+// Last leaves of several notes on one thing the last one, and keeps the order of those that stay. It may use the list that it is given.
+func Last(notes []Note) []Note {
+	if len(notes) < 2 {
+		return notes
+	}
+	seen := make(map[thing]bool, len(notes))
+	at := len(notes)
+	for n := len(notes) - 1; n >= 0; n-- {
+		if k := notes[n].thing(); !seen[k] {
+			seen[k] = true
+			at--
+			notes[at] = notes[n]
+		}
+	}
+	return notes[at:]
+}
+
 // Ledger numbers the news of one life of a control process. It is not safe for two goroutines.
 type Ledger struct {
 	most int
