A router that ends takes no request that it may have to cut

A router got a SIGTERM at 3.468 s, took an unsafe request 3.65 s later and ended after 5.5 of its 6 s of grace, while the host still worked on it. Read in the code: requests were taken until 4.3 s after it. Change: from 2.8 s after the signal, or half of the grace, new requests get 503 at once, with Retry-After and the connection's end; what was taken before has the rest of the grace, as before. After: TestLeavingRefusesWhatCantEnd; without the change what is sent after 3 s is cut.

--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -65,6 +65,7 @@
 	cutOff   atomic.Int64 // since when no control process in touch is heard, 0 for not
 	ready    atomic.Bool  // a snapshot has come
 	leaving  atomic.Bool
+	ending   atomic.Bool  // it takes no more requests
 	rejoined atomic.Int64 // when one was heard again
 	open     atomic.Int64 // requests
 	held     atomic.Int64 // bytes of bodies
--- a/internal/harbour/fairway/serve.go
+++ b/internal/harbour/fairway/serve.go
@@ -244,7 +244,7 @@
 		f.refuse(w, faults.Overhead, 0)
 		return
 	}
-	if !f.ready.Load() {
+	if !f.ready.Load() || f.ending.Load() {
 		f.refuse(w, faults.Unready, 0)
 		return
 	}
@@ -504,13 +504,22 @@
 // Close lets the connections to hosts go; the context that it was started with has ended.
 func (f *Fairway) Close() { f.pool.End() }
 
-// Leave ends the service: out of the directory and not ready at once, connections closed after their next answer, what was
-// taken is finished, and who still comes is answered until shortly before the grace ends.
+// takesFor is for how long after Leave a router takes requests at the most: what is sent later than 3 s after a SIGTERM has a right to
+// its end, whatever is left of the grace.
+const takesFor = 2800 * time.Millisecond
+
+// Leave ends the service: out of the directory and not ready at once, connections closed after their next answer. Who still comes
+// is served for a while, then refused, with leave to go elsewhere at once, until shortly before the grace ends; what was taken has
+// at least half of the grace to be finished.
 func (f *Fairway) Leave() {
 	f.leaving.Store(true)
 	f.tellSelf()
-	time.Sleep(time.Duration(f.Boot.Bounds.Grace)*3/4 - 200*time.Millisecond)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(f.Boot.Bounds.Grace)/5)
+	grace := time.Duration(f.Boot.Bounds.Grace)
+	takes := min(takesFor, grace/2)
+	time.Sleep(takes)
+	f.ending.Store(true)
+	time.Sleep(grace*3/4 - 200*time.Millisecond - takes)
+	ctx, cancel := context.WithTimeout(context.Background(), grace/5)
 	defer cancel()
 	f.server.Load().Shutdown(ctx)
 	f.Log()
--- /dev/null
+++ b/internal/lab/basin/leaving_test.go
@@ -0,0 +1,72 @@
+package basin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A router is told to end, while clients that still have its address go on. Hosts take 1.9 s a request. What is sent within 3 s of that
+// is served, or may be cut where the grace doesn't suffice; what is sent later is never cut: the router refuses it at once, with leave
+// to come again, and what it refuses hasn't run.
+func TestLeavingRefusesWhatCantEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := small
+		l.Zones, l.Routers, l.Hosts, l.Slots, l.Work = 3, 1, 16, 8, 1900*time.Millisecond
+		h := opened(c, l)
+		time.Sleep(4 * time.Second)
+		f := h.Fairways[0]
+		client := h.client(h.Sea.Process("10.200.0.41"), 10*time.Second)
+		defer client.CloseIdleConnections()
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		served, refused := 0, 0
+		began := time.Now()
+		all.Go(f.Running.Leave)
+		for n := range 18 { // until 5.4 s
+			all.Go(func() {
+				sent := time.Since(began)
+				req, _ := http.NewRequest("GET", "http://"+f.Boot.Listen["front"]+look.Prefix+"x", nil)
+				req.Host = "desk.example"
+				req.Header.Set("Attempt-Id", fmt.Sprint("leaving-", n))
+				req.Header.Set("Time-Remaining", "9000")
+				resp, err := client.Do(req)
+				took := time.Since(began) - sent
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil { // not listened for any more is no cut
+					c.Check(sent <= 3*time.Second || took < 200*time.Millisecond, qt.IsTrue, qt.Commentf("sent after %v, cut after %v: %v", sent, took, err))
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				switch {
+				case resp.StatusCode == 200:
+					served++
+					c.Check(sent <= 3*time.Second, qt.IsTrue)
+				case resp.StatusCode == 503:
+					if sent < 2600*time.Millisecond { // as it takes its last ones, for want of room
+						break
+					}
+					refused++
+					c.Check(took < 200*time.Millisecond, qt.IsTrue, qt.Commentf("sent after %v, refused after %v", sent, took))
+					c.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+					c.Check(resp.Header.Get("Connection") == "close" || resp.Close, qt.IsTrue)
+				default:
+					c.Errorf("sent after %v: %d", sent, resp.StatusCode)
+				}
+			})
+			time.Sleep(300 * time.Millisecond)
+		}
+		all.Wait()
+		c.Check(served >= 6, qt.IsTrue, qt.Commentf("%d served", served))
+		c.Check(refused >= 5, qt.IsTrue, qt.Commentf("%d refused", refused))
+	})
+}
