--- a/internal/lab/basin/leaving_test.go
+++ b/internal/lab/basin/leaving_test.go
@@ -29,7 +29,7 @@
 		var all sync.WaitGroup
 		served, refused := 0, 0
 		began := time.Now()
-		all.Go(f.Running.Leave)
+		all.Go(func() { f.Running.Leave(); f.Kill() })
 		for n := range 18 { // until 5.4 s
 			all.Go(func() {
 				sent := time.Since(began)
