--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"portflow/internal/harbour/bridge"
@@ -239,6 +240,10 @@
 	}
 }
 
+// sameLife tells whether two names of lives are of one process that has run on: a mark is put behind the name where its news can't be
+// followed any more.
+func sameLife(a, b string) bool { return strings.TrimRight(a, "+") == strings.TrimRight(b, "+") }
+
 // asked takes what a follower says.
 func (m *Master) asked(f *follower, w signals.Word) {
 	m.mu.Lock()
@@ -259,8 +264,10 @@
 			f.line.SetPace(lines.Slow)
 			m.found(w.Hello.IP)
 			m.dialled(w.Hello.IP, f.line)
-			m.state.Renew()
-			m.wake()
+			if w.Hello.Life != "" && sameLife(w.Hello.Life, m.life) { // else it is told all anew, and takes none of it for gone
+				m.state.Renew()
+				m.wake()
+			}
 		}
 		m.convoy.Meet(convoy.Member{IP: w.Hello.IP, Kind: kind, Zone: w.Hello.Zone})
 	case w.Front != nil && f.who.Name != "" && !f.who.Control:
--- a/internal/lab/basin/watched_test.go
+++ b/internal/lab/basin/watched_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"portflow/internal/harbour/harbourmaster"
+	"portflow/internal/harbour/lines"
 )
 
 // A control process is killed and starts again a second later. Of the hosts that beat to it one went dark meanwhile: the process has never
@@ -99,3 +100,56 @@
 		})
 	}
 }
+
+// A control process is cut off for longer than the others' routers may be on their way elsewhere: it takes them for gone, and the others its
+// own, which hang on others meanwhile. Once it is back all have all routers; that is what a process tells its own once more for, and it does so
+// for nobody who starts, as who starts is told all.
+func TestRosterAfterACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := small
+		l.Zones, l.Rate = 6, 2
+		h := opened(c, l)
+		time.Sleep(4 * time.Second)
+		whole := func() bool {
+			for at := range h.Masters {
+				var s harbourmaster.Survey
+				_, raw := h.askOf(at, "harbour.read", "", nil)
+				if json.Unmarshal(raw, &s) != nil {
+					return false
+				}
+				ready := 0
+				for _, r := range s.Routers {
+					if r.Ready {
+						ready++
+					}
+				}
+				if ready != 12 {
+					return false
+				}
+			}
+			return true
+		}
+		c.Assert(whole(), qt.IsTrue)
+		h.part(h.Masters[5], true)
+		time.Sleep(7 * time.Second)
+		c.Check(whole(), qt.IsFalse)
+		h.part(h.Masters[5], false)
+		until(c, 5*time.Second, "all have all routers", whole)
+		time.Sleep(4 * time.Second) // routers move back
+		c.Check(whole(), qt.IsTrue)
+
+		said := lines.Said.Load()
+		time.Sleep(2 * time.Second)
+		calm := lines.Said.Load() - said
+		said = lines.Said.Load()
+		h.Masters[2].Kill()
+		time.Sleep(500 * time.Millisecond)
+		h.Masters[2].mustStart()
+		until(c, 5*time.Second, "all have all routers", whole)
+		time.Sleep(3 * time.Second)
+		c.Check(whole(), qt.IsTrue)
+		c.Logf("%d frames for a restart, %d in two calm seconds", lines.Said.Load()-said, calm)
+		c.Check(lines.Said.Load()-said < 560, qt.IsTrue, qt.Commentf("%d", lines.Said.Load()-said))
+	})
+}
