Hosts are sent to the control process of their zone only while it takes beats

Cause, read in the code: a process whose line is up was named to hosts of its zone also while it started, was alone or ended. It refused them; they came to any other process, which told all of them anew, and sent them back. Change: it is named where it last said that it is whole, hears a quorum and doesn't end. After: TestBeatsGoWhereTheyAreTaken (of five, one ends and starts again); without the change it is named while it ends.

--- a/internal/harbour/harbourmaster/calls.go
+++ b/internal/harbour/harbourmaster/calls.go
@@ -131,6 +131,13 @@
 	return map[string]string{}, nil
 }
 
+// takes tells whether another control process takes beats, as it last said: one that starts, is alone or ends refuses them, and a host
+// that is sent there comes back by way of any other, which is news of it to all each time. The caller holds the lock.
+func (m *Master) takes(ip string) bool {
+	p, e := m.state.Peers[ip], m.ends[ip]
+	return p != nil && e != nil && e.line != nil && p.Status.Whole && p.Status.Majority && !p.Status.Leaving
+}
+
 // near is the control process that a host of a zone should beat to, empty for this one; the caller holds the lock.
 func (m *Master) near(zone string) string {
 	if zone == m.Boot.Zone {
@@ -138,7 +145,7 @@
 	}
 	best := ""
 	for ip, of := range m.state.Set.Members() {
-		if e := m.ends[ip]; e != nil && e.line != nil && of == zone && (best == "" || ip < best) {
+		if of == zone && (best == "" || ip < best) && m.takes(ip) {
 			best = ip
 		}
 	}
--- a/internal/lab/basin/departing_test.go
+++ b/internal/lab/basin/departing_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -128,3 +129,47 @@
 		})
 	}
 }
+
+// A host is sent to the control process of its zone only while that takes beats: not while it ends, which it takes a while for, nor once it
+// has started and isn't in touch yet; then again. Else it would be told of anew to all by whoever it comes to each time.
+func TestBeatsGoWhereTheyAreTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := small
+		l.Zones, l.Rate = 5, 2 // of an odd core nobody is voted out for ending
+		h := opened(c, l)
+		time.Sleep(4 * time.Second)
+		m, sequence := h.Masters[4], 1000
+		to := func() string {
+			sequence++
+			status, raw := h.askOf(0, "instances.heartbeat", "i-more", fmt.Appendf(nil, `{"address":"10.5.64.250:9000","information":{"service":"desk","version":"v1",`+
+				`"zone-name":%q,"slot-count":3},"current-status":{"server-state":"ready","sequence":%d,"cold-remaining-s":0}}`, m.Boot.Zone, sequence))
+			c.Assert(status, qt.Equals, 200, qt.Commentf("%s", raw))
+			var v map[string]string
+			c.Assert(json.Unmarshal(raw, &v), qt.IsNil)
+			return v["heartbeat-address"]
+		}
+		c.Check(to(), qt.Equals, m.Boot.Listen["control"])
+		done := make(chan bool)
+		go func() { m.running.Leave(); close(done) }()
+		time.Sleep(100 * time.Millisecond) // the others have heard that it ends
+		for ended := false; !ended; {
+			c.Check(to(), qt.Equals, "")
+			select {
+			case <-done:
+				ended = true
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		m.Kill()
+		time.Sleep(300 * time.Millisecond)
+		m.mustStart()
+		for m.Standing() != "in touch" {
+			if at := to(); m.Standing() != "in touch" { // the call takes a while
+				c.Check(at, qt.Equals, "")
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		until(c, 3*time.Second, "sent there again", func() bool { return to() == m.Boot.Listen["control"] })
+	})
+}
