News that comes close together goes together: 40 ms between two batches at least

A frame cost a deflater of 1.2 MB until then; since they are kept each note went out by itself as it came, to each router: bytes, system calls and draws of a router by the note. Change: after a batch of news the next one waits until 40 ms have passed; a single change goes at once.

--- a/internal/harbour/harbourmaster/feed.go
+++ b/internal/harbour/harbourmaster/feed.go
@@ -31,8 +31,9 @@
 const (
 	statusEvery = 3 * time.Second // where nothing has changed
 	statusSoon  = 200 * time.Millisecond
-	told        = int64(time.Hour) // for so long the others are told when a rollout began
-	tidyEvery   = 10 * time.Second // of snapshots that were made for routers
+	told        = int64(time.Hour)      // for so long the others are told when a rollout began
+	gather      = 40 * time.Millisecond // at least between two batches of news: what comes close together goes together
+	tidyEvery   = 10 * time.Second      // of snapshots that were made for routers
 )
 
 // feed tells the news on one line until it ends.
@@ -95,7 +96,15 @@
 	saidAt, timedAt := time.Time{}, time.Time{}
 	var sent *signals.Transfer // of the snapshot that it is being sent
 	waits := ""                // for which snapshot
+	toldAt := time.Time{}      // news, the last time
 	for {
+		if rest := gather - time.Since(toldAt); rest > 0 {
+			select {
+			case <-time.After(rest):
+			case <-f.line.Done():
+				return
+			}
+		}
 		select {
 		case <-f.line.Done():
 			return
@@ -140,7 +149,7 @@
 						w.Now = m.clock()
 					}
 					f.line.Send(w)
-					at = last
+					at, toldAt = last, time.Now()
 				} // else nothing of it is for this one: the numbers go with the next batch
 			case f.part == nil:
 				f.line.Send(signals.Word{News: &signals.News{Life: m.life, To: last, Snapshot: true, Notes: m.state.Snapshot(m.clock(), who.Control), Epoch: epoch, Number: number}, Now: m.clock()})
