--- a/internal/harbour/bridge/state.go
+++ b/internal/harbour/bridge/state.go
@@ -44,12 +44,20 @@
 	Views    map[PollKey]signals.Poll     // the newest figures of routers that hang here
 	Peers    map[string]*Peer             // by IP, those that are heard now
 	lost     map[string]int64             // by name, control processes that are not heard, since when
+	ended    map[string]int64             // by name, routers that are gone, since when that was seen
+	strays   map[string]stray             // by name, routers whose control process is heard, and has started again without them
 	Ages     pilotage.Ages                // for how long the rollouts have run
 }
 
 // Front is a router as control knows it.
 type Front = signals.Front
 
+// stray is a router as it was known when that was noted.
+type stray struct {
+	front Front
+	at    int64
+}
+
 // PollKey is whose vote on what.
 type PollKey struct{ Front, Service string }
 
@@ -60,7 +68,7 @@
 func NewState(self signals.Hello, node *quorum.Node, beat int64) *State {
 	return &State{Self: self, Node: node, Set: node.Set, Register: berths.New(self.Name, beat),
 		Fronts: map[string]signals.Front{}, Ledger: signals.NewLedger(KeptNews), Polls: map[PollKey]signals.Poll{},
-		Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{}, Peers: map[string]*Peer{}, lost: map[string]int64{}, Ages: pilotage.Ages{}}
+		Views: map[PollKey]signals.Poll{}, Asides: map[string]lookout.Judgement{}, Peers: map[string]*Peer{}, lost: map[string]int64{}, ended: map[string]int64{}, strays: map[string]stray{}, Ages: pilotage.Ages{}}
 }
 
 // Standing tells how far this process may be gone by.
@@ -114,8 +122,28 @@
 	s.Register.Return(name)
 }
 
-// adrift is for how long the routers that hung on a control process which isn't heard any more may be on their way to
-// another before they are taken for gone.
+// Listed takes another control process's snapshot, once its notes are taken in: it names all hosts and routers that it hears. Those
+// that this one knows as the other's and that aren't named were heard in its former life: they are on their way elsewhere, or lost.
+func (s *State) Listed(now int64, name string, notes []signals.Note) {
+	hosts, fronts := map[string]bool{}, map[string]bool{}
+	for _, n := range notes {
+		if n.Host != nil {
+			hosts[n.Host.ID] = true
+		}
+		if n.Front != nil {
+			fronts[n.Front.Name] = true
+		}
+	}
+	s.Register.Listed(now, name, hosts)
+	for _, f := range s.Fronts {
+		if f.Owner == name && name != s.Self.Name && !f.Gone && !fronts[f.Name] {
+			s.strays[f.Name] = stray{f, now}
+		}
+	}
+}
+
+// adriftFor is for how long the routers that hung on a control process which isn't heard any more, or has started again, may be on
+// their way to another before they are taken for gone.
 const adriftFor = int64(1200e6)
 
 // Tick finds routers that went down with the control process that they hung on.
@@ -126,9 +154,47 @@
 			changed = s.TellFront(f, false) || changed
 		}
 	}
+	for name, x := range s.strays {
+		f := s.Fronts[name]
+		if f != x.front { // something newer is known of it
+			delete(s.strays, name)
+		} else if now-x.at > adriftFor {
+			delete(s.strays, name)
+			f.Gone = true
+			changed = s.TellFront(f, false) || changed
+		}
+	}
 	return changed
 }
 
+// forgetAfter is for how long routers and control processes that are gone, and what was voted, are known: longer than any word of them
+// is on its way, or any line is silent before it ends.
+const forgetAfter = int64(600e9)
+
+// Forget forgets what has been over for long, so that what is known is bounded by what there is and by what went in that time. It is
+// to be called now and then.
+func (s *State) Forget(now int64) {
+	s.Register.Forget(now)
+	for _, polls := range []map[PollKey]signals.Poll{s.Polls, s.Views} {
+		maps.DeleteFunc(polls, func(_ PollKey, p signals.Poll) bool { return now-p.At > forgetAfter })
+	}
+	owners := map[string]bool{}
+	for name, f := range s.Fronts {
+		at, known := s.ended[name]
+		switch {
+		case !f.Gone:
+			delete(s.ended, name)
+			owners[f.Owner] = true
+		case !known:
+			s.ended[name] = now
+		case now-at > forgetAfter:
+			delete(s.Fronts, name)
+			delete(s.ended, name)
+		}
+	}
+	maps.DeleteFunc(s.lost, func(name string, at int64) bool { return now-at > forgetAfter && !owners[name] })
+}
+
 // Renew has this process's own routers told anew to another that was away: it may have taken them for gone.
 func (s *State) Renew() {
 	for _, f := range s.Fronts {
@@ -233,8 +299,9 @@
 		}
 	case n.Front != nil:
 		// who claims a router by a clock that is behind, after a restart or as it never heard of it, learns of the claim that
-		// stands from here: what it tells would else be passed over until its clock has come as far
-		if old := s.Fronts[n.Front.Name]; !s.TellFront(*n.Front, false) && old.Newer(*n.Front) {
+		// stands from here: what it tells would else be passed over until its clock has come as far. That a router has left is no
+		// claim: each one that moves is said to have left once others know where it is
+		if old := s.Fronts[n.Front.Name]; !s.TellFront(*n.Front, false) && !n.Front.Gone && old.Newer(*n.Front) {
 			s.Ledger.Add(signals.Note{Front: &old, First: true})
 		}
 	case n.Poll != nil:
@@ -316,13 +383,14 @@
 }
 
 // Fit leaves out of a batch what the follower knows otherwise: control processes tell each other what they hear
-// themselves, and items by orders and by repair. Of several notes on one thing the last is enough.
-func Fit(notes []signals.Note, control bool) (batch []signals.Note) {
+// themselves, and items by orders and by repair. Of several notes on one thing the last is enough, in its place.
+func Fit(notes []signals.Note, control bool) []signals.Note {
+	batch := make([]signals.Note, 0, len(notes))
 	for _, n := range notes {
 		if control && !n.First || !control && n.Poll != nil {
 			continue
 		}
 		batch = append(batch, n)
 	}
-	return batch
+	return signals.Last(batch)
 }
--- a/internal/harbour/bridge/state_test.go
+++ b/internal/harbour/bridge/state_test.go
@@ -1,6 +1,7 @@
 package bridge
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -138,6 +139,50 @@
 	c.Check(s.Fronts["x"].Gone, qt.IsTrue)
 }
 
+// A control process that starts again names who hangs on it; the others take its former routers that it doesn't name for gone, unless they
+// are heard of anew meanwhile, there or elsewhere.
+func TestListed(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		named []signals.Note
+		then  func(s *State)
+		want  bool // gone
+	}{
+		{"not named", nil, nil, true},
+		{"named", []signals.Note{{Front: &signals.Front{Name: "x", Owner: "b", Ready: true, Since: 10}}}, nil, false},
+		{"hangs there again", nil, func(s *State) {
+			s.Take(1000, signals.Note{Front: &signals.Front{Name: "x", Owner: "b", Ready: true, Since: 1000}})
+		}, false},
+		{"hangs elsewhere", nil, func(s *State) {
+			s.Take(1000, signals.Note{Front: &signals.Front{Name: "x", Owner: "c", Ready: true, Since: 1000}})
+		}, false},
+		{"hangs here", nil, func(s *State) { s.Claim(1000, signals.Front{Name: "x", Owner: s.Self.Name, Ready: true}) }, false},
+		{"its process is lost again", nil, func(s *State) { s.Lost(1000, "10.0.1.1", "b") }, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := state(6, true)
+			for _, f := range []signals.Front{{Name: "x", Owner: "b", Ready: true, Since: 10}, {Name: "y", Owner: "b", Ready: true, Since: 10}, {Name: "z", Owner: "c", Ready: true, Since: 10}} {
+				s.Take(900, signals.Note{Front: &f})
+			}
+			s.Heard("10.0.1.1", signals.Status{Member: true})
+			s.Lost(950, "10.0.1.1", "b")
+			s.Found("b")
+			notes := append(x.named, signals.Note{Front: &signals.Front{Name: "y", Owner: "b", Ready: true, Since: 10}})
+			s.Listed(1000, "b", notes)
+			if x.then != nil {
+				x.then(s)
+			}
+			c.Check(s.Tick(1000+adriftFor), qt.IsFalse)
+			c.Check(s.Roster(), qt.HasLen, 3)
+			s.Tick(1001 + adriftFor)
+			c.Check(s.Fronts["x"].Gone, qt.Equals, x.want)
+			c.Check(s.Fronts["z"].Gone, qt.IsFalse)
+			c.Check(s.strays, qt.HasLen, 0)
+		})
+	}
+}
+
 // A control process restarts with its router by a clock that is an hour behind that of its former life: its claim is older than
 // what the others know. It hears of that from them, and claims the router anew; then all have it as it is, in a bounded number
 // of notes.
@@ -183,6 +228,61 @@
 	}
 }
 
+// A router moves, and the word of its new process comes before the word of its former one that it has left. Nobody tells either once
+// more: each would tell all others and all its routers, for every router that moves.
+func TestMovesAreToldOnce(t *testing.T) {
+	c := qt.New(t)
+	s := state(6, true)
+	old := signals.Front{Name: "r", Owner: "b", Ready: true, Since: 10}
+	s.Take(20, signals.Note{Front: &old})
+	now := signals.Front{Name: "r", Owner: "c", Ready: true, Since: 20}
+	s.Take(30, signals.Note{Front: &now})
+	at := s.Ledger.Last()
+	left := old
+	left.Gone, left.Change = true, 1
+	s.Take(31, signals.Note{Front: &left})
+	c.Check(s.Ledger.Last(), qt.Equals, at)
+	c.Check(s.Fronts["r"], qt.Equals, now)
+	old.Change = 2 // a claim that is older, of who may not know better, is
+	s.Take(32, signals.Note{Front: &old})
+	notes, _ := s.Ledger.After(at)
+	c.Assert(notes, qt.HasLen, 1)
+	c.Check(*notes[0].Front, qt.Equals, now)
+	c.Check(notes[0].First, qt.IsTrue)
+}
+
+// Of several notes on one thing the last goes out, in its place; each kind of thing by itself.
+func TestFitLeavesTheLast(t *testing.T) {
+	c := qt.New(t)
+	front := func(name string, change int) signals.Note {
+		return signals.Note{Front: &signals.Front{Name: name, Change: change}, First: true}
+	}
+	host := func(id string, sequence uint64) signals.Note {
+		return signals.Note{Host: &berths.Host{ID: id, Sequence: sequence}, First: true}
+	}
+	item := func(kind, name string, version uint64) signals.Note {
+		return signals.Note{Item: &manifest.Item{Kind: kind, Name: name, Version: version}}
+	}
+	poll := func(front, service string, order uint64) signals.Note {
+		return signals.Note{Poll: &signals.Poll{Front: front, Service: service, Order: order}, First: true}
+	}
+	all := []signals.Note{front("a", 1), item(manifest.Routes, "a", 1), host("a", 1), front("b", 1), poll("a", "x", 1), front("a", 2), item(manifest.Services, "a", 1),
+		poll("a", "y", 1), host("b", 1), item(manifest.Routes, "a", 2), host("a", 2), poll("a", "x", 2), front("a", 3)}
+	kept := slices.Clone(all)
+	c.Check(fmt.Sprint(texts(Fit(all, false))), qt.Equals, fmt.Sprint(texts([]signals.Note{all[3], all[6], all[8], all[9], all[10], all[12]})))
+	c.Check(fmt.Sprint(texts(Fit(all, true))), qt.Equals, fmt.Sprint(texts([]signals.Note{all[3], all[7], all[8], all[10], all[11], all[12]})))
+	c.Check(all, qt.DeepEquals, kept) // the ledger's own
+	c.Check(Fit(nil, true), qt.HasLen, 0)
+}
+
+func texts(notes []signals.Note) (all []string) {
+	for _, n := range notes {
+		raw, _ := json.Marshal(n)
+		all = append(all, string(raw))
+	}
+	return all
+}
+
 // A vote stands until the router's next one, also one that takes it back; figures alone change no vote, and stay here.
 func TestPolls(t *testing.T) {
 	c := qt.New(t)
@@ -239,3 +339,34 @@
 		c.Check(fmt.Sprint(s.Addresses(x.zone, x.region, regions)), qt.Equals, x.want)
 	}
 }
+
+// Thousands of routers come, vote and go in a day, and control processes with them: what is known is bounded by what is there and by
+// what went in the last ten minutes, and what lives is never forgotten.
+func TestForget(t *testing.T) {
+	c := qt.New(t)
+	s := state(6, true)
+	minute := int64(60e9)
+	s.Claim(1, signals.Front{Name: "stays", Owner: s.Self.Name, Ready: true})
+	most := 0
+	for n := range int64(2000) { // one a minute
+		now := (n + 1) * minute
+		f := signals.Front{Name: fmt.Sprint("r", n), Owner: "b", Ready: true, Since: now}
+		s.Take(now, signals.Note{Front: &f})
+		s.TellPoll(signals.Poll{Front: f.Name, Service: "desk", Order: 1, Verdict: uint8(rules.On), At: now, Figures: &signals.Figures{}}, true)
+		if n%2 == 0 {
+			f.Gone, f.Change = true, 1
+			s.Take(now+1, signals.Note{Front: &f})
+		} else { // its control process goes with it
+			name := fmt.Sprint("b", n)
+			f.Owner, f.Since = name, now+1
+			s.Take(now+1, signals.Note{Front: &f})
+			s.Lost(now+2, "10.0.9.9", name)
+			s.Tick(now + 2 + adriftFor + 1)
+		}
+		s.Forget(now + 10e9)
+		most = max(most, len(s.Fronts)+len(s.Polls)+len(s.Views)+len(s.lost)+len(s.ended)+len(s.strays))
+	}
+	c.Check(most <= 1+5*13, qt.IsTrue, qt.Commentf("%d", most))
+	c.Check(s.Roster(), qt.HasLen, 1)
+	c.Check(s.Fronts["stays"].Gone, qt.IsFalse)
+}
