--- a/internal/harbour/berths/berths_test.go
+++ b/internal/harbour/berths/berths_test.go
@@ -18,6 +18,15 @@
 	beat := func(now int64, h Host) step { return func(r *Register) { r.Beat(now, h) } }
 	merge := func(now int64, h Host) step { return func(r *Register) { r.Merge(now, h) } }
 	tick := func(now int64) step { return func(r *Register) { r.Tick(now, true) } }
+	lists := func(now int64, owner string, ids ...string) step {
+		return func(r *Register) {
+			named := map[string]bool{}
+			for _, id := range ids {
+				named[id] = true
+			}
+			r.Listed(now, owner, named)
+		}
+	}
 	for _, x := range []struct {
 		name   string
 		steps  []step
@@ -42,6 +51,17 @@
 			func(r *Register) { r.Orphan(s, "b") }, tick(5 * s)}, Ready, true, "b"},
 		{"its owner is lost and found", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
 			func(r *Register) { r.Orphan(s, "b"); r.Return("b") }, tick(9 * s)}, Ready, false, "b"},
+		{"its owner starts again, and doesn't name it", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
+			func(r *Register) { r.Orphan(s, "b"); r.Return("b") }, lists(2*s, "b"), tick(5 * s), tick(6 * s)}, Ready, true, "b"},
+		{"it isn't missed yet", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
+			func(r *Register) { r.Orphan(s, "b"); r.Return("b") }, lists(2*s, "b"), tick(5 * s)}, Ready, false, "b"},
+		{"and is beaten to", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
+			func(r *Register) { r.Orphan(s, "b"); r.Return("b") }, lists(2*s, "b"), merge(3*s, Host{ID: "i", Sequence: 4, Owner: "b"}), tick(9 * s)}, Ready, false, "b"},
+		{"and names it", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}), lists(2*s, "b", "i"), tick(9 * s)}, Ready, false, "b"},
+		{"another lists its own", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}), lists(2*s, "c"), tick(9 * s)}, Ready, false, "b"},
+		{"beats here, and its former owner lists none", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}), beat(s, at(2, Ready)), lists(2*s, "b"),
+			tick(3 * s)}, Ready, false, "a"},
+		{"gone, and not named", []step{merge(0, Host{ID: "i", Sequence: 1, State: Gone, Owner: "b"}), lists(2*s, "b"), tick(9 * s)}, Gone, false, "b"},
 		{"who hears too few judges nobody", []step{merge(0, Host{ID: "i", Sequence: 1, Owner: "b"}),
 			func(r *Register) { r.Orphan(s, "b"); r.Tick(9*s, false) }, tick(10 * s)}, Ready, false, "b"},
 	} {
@@ -104,3 +124,37 @@
 		c.Check(err, qt.ErrorMatches, "(?s).*"+path+": .*", qt.Commentf(path))
 	}
 }
+
+// A host that another has called silent is known for ten minutes more, and one that is heard again for as long as it is.
+func TestForgottenWhenLongSilent(t *testing.T) {
+	c := qt.New(t)
+	r := New("a", 1300e6)
+	for _, id := range []string{"back", "dead", "own", "well"} {
+		r.Merge(0, Host{ID: id, Service: "desk", Sequence: 1, Owner: "b", Silent: id == "back" || id == "dead"})
+	}
+	r.Beat(0, Host{ID: "own", Service: "desk", Sequence: 2})
+	known := func() (ids []string) {
+		for _, h := range r.All() {
+			ids = append(ids, h.ID)
+		}
+		return ids
+	}
+	for at := int64(0); at <= 600*s; at += 60 * s {
+		r.Beat(at, Host{ID: "own", Service: "desk", Sequence: uint64(at/s) + 3})
+		if r.Forget(at); at == 300*s {
+			r.Merge(at, Host{ID: "back", Service: "desk", Sequence: 2, Owner: "b"})
+		}
+		c.Check(known(), qt.DeepEquals, []string{"back", "dead", "own", "well"}, qt.Commentf("%d s", at/s))
+	}
+	r.Merge(600*s, Host{ID: "back", Service: "desk", Sequence: 2, Owner: "b", Silent: true})
+	r.Forget(660 * s)
+	c.Check(known(), qt.DeepEquals, []string{"back", "own", "well"})
+	r.Forget(1200 * s)
+	c.Check(known(), qt.DeepEquals, []string{"back", "own", "well"})
+	r.Forget(1261 * s)
+	c.Check(known(), qt.DeepEquals, []string{"own", "well"})
+	c.Check(r.quiet, qt.HasLen, 0)
+	_, news := r.Beat(1300*s, Host{ID: "dead", Service: "desk", Sequence: 9}) // it was cut off from all
+	c.Check(news, qt.IsTrue)
+	c.Check(known(), qt.DeepEquals, []string{"dead", "own", "well"})
+}
--- a/internal/harbour/fairway/fairway.go
+++ b/internal/harbour/fairway/fairway.go
@@ -65,6 +65,7 @@
 	cutOff   atomic.Int64 // since when no control process in touch is heard, 0 for not
 	ready    atomic.Bool  // a snapshot has come
 	leaving  atomic.Bool
+	ending   atomic.Bool  // it takes no more requests
 	rejoined atomic.Int64 // when one was heard again
 	open     atomic.Int64 // requests
 	held     atomic.Int64 // bytes of bodies
@@ -559,6 +560,15 @@
 	return n
 }
 
+// tidy lets hosts go that have been silent for long.
+func (f *Fairway) tidy() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if services := f.board.Tidy(f.clock()); len(services) > 0 {
+		f.publish(lanes.Changes{Services: services})
+	}
+}
+
 // tick looks whether this router is short, and writes the counters now and then.
 func (f *Fairway) tick() {
 	t := time.NewTicker(time.Duration(lanes.LookEvery))
@@ -576,6 +586,7 @@
 			f.tellSelf()
 		}
 		if n%20 == 0 {
+			f.tidy()
 			f.Log()
 		}
 	}
