--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -112,12 +112,12 @@
 func (m *machine) address(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
 
 // settings returns the settings file of a process.
-func (c *cluster) settings(m *machine, role, serves, data string) string {
+func (c *cluster) settings(m *machine, role, serves, data string, first bool) string {
 	var b strings.Builder
 	set := func(name string, v any) { fmt.Fprintf(&b, "%s=%v\n", name, v) }
 	for name, v := range map[string]any{
 		"node-name": m.name, "role": role, "machine-class": "front", "serves": serves, "ip-address": m.ip, "zone-name": m.zone,
-		"region-name": m.region, "counted": m.disk, "first-start": true, "limits.processor-share": 0.56, "limits.cores": 1,
+		"region-name": m.region, "counted": m.disk, "first-start": first, "limits.processor-share": 0.56, "limits.cores": 1,
 		"limits.memory-mb": 284, "limits.file-descriptors": 4100, "limits.link-mbps": 1000.0, "limits.disk-mb": 64,
 	} {
 		set("self-description."+name, v)
@@ -159,20 +159,25 @@
 		var err error
 		if m.disk {
 			data := filepath.Join(c.dir, "disk-"+m.name)
-			if m.control, err = c.startProcess(m, "control", "control,directory", data); err != nil {
+			if m.control, err = c.startProcess(m, "control", "control,directory", data, true); err != nil {
 				return err
 			}
 		}
-		if m.proxy, err = c.startProcess(m, "proxy", "front", ""); err != nil {
+		if m.proxy, err = c.startProcess(m, "proxy", "front", "", true); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (c *cluster) startProcess(m *machine, role, serves, data string) (*exec.Cmd, error) {
+// startAgain starts a machine's control process again, with the disk that it had.
+func (c *cluster) startAgain(m *machine) (*exec.Cmd, error) {
+	return c.startProcess(m, "control", "control,directory", filepath.Join(c.dir, "disk-"+m.name), false)
+}
+
+func (c *cluster) startProcess(m *machine, role, serves, data string, first bool) (*exec.Cmd, error) {
 	path := filepath.Join(c.dir, m.name+"-"+role+".conf")
-	if err := os.WriteFile(path, []byte(c.settings(m, role, serves, data)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(c.settings(m, role, serves, data, first)), 0o600); err != nil {
 		return nil, err
 	}
 	if data != "" {
@@ -184,7 +189,7 @@
 	cmd := exec.Command(filepath.Join(c.root, words[0]), words[1:]...)
 	cmd.Dir = c.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + c.dir, "PORTFLOW_BOOT=" + path}
-	out, err := os.Create(filepath.Join(c.dir, m.name+"-"+role+".log"))
+	out, err := os.OpenFile(filepath.Join(c.dir, m.name+"-"+role+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig/evacuation.go
+++ b/review/rig/evacuation.go
@@ -143,27 +143,31 @@
 	return nil
 }
 
-// startClients sends requests of a safe route to the proxies of the given zones, twenty a second each. The first part of each Attempt-Id
+const clientsPerProxy = 6 // together at work, so that all hosts of a zone get requests
+
+// startClients sends requests of a safe route to the proxies of the given zones, a few at a time. The first part of each Attempt-Id
 // names the machine that took the request.
 func (c *cluster) startClients(ctx context.Context, zones ...string) *sync.WaitGroup {
 	var done sync.WaitGroup
 	for _, m := range c.machines {
 		for _, zone := range zones {
-			if m.zone == zone {
-				done.Go(func() { c.sendRequests(ctx, m) })
+			for n := range clientsPerProxy {
+				if m.zone == zone {
+					done.Go(func() { c.sendRequests(ctx, m, n) })
+				}
 			}
 		}
 	}
 	return &done
 }
 
-func (c *cluster) sendRequests(ctx context.Context, m *machine) {
+func (c *cluster) sendRequests(ctx context.Context, m *machine, index int) {
 	client := &http.Client{Timeout: 3 * time.Second}
 	counts := map[int]int{}
 	for n := 0; ctx.Err() == nil; n++ {
 		req, _ := http.NewRequest(http.MethodGet, "http://"+m.address(c.ports.front)+"/look/1", nil)
 		req.Host = "desk.example"
-		req.Header.Set("Attempt-Id", fmt.Sprintf("%s-%06d", m.name, n))
+		req.Header.Set("Attempt-Id", fmt.Sprintf("%s-%d-%06d", m.name, index, n))
 		req.Header.Set("Time-Remaining", "3000")
 		status := 0
 		if resp, err := client.Do(req); err == nil {
@@ -174,5 +178,5 @@
 		counts[status]++
 		time.Sleep(50 * time.Millisecond)
 	}
-	c.log.add("clients at %s: answers by status %v", m.name, counts)
+	c.log.add("client %d at %s: answers by status %v", index, m.name, counts)
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,6 +8,7 @@
 
 // cases are the scripts by name.
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
+	"departure":  departureCase,
 	"evacuation": evacuationCase,
 	"upload":     uploadCase,
 }
