--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -20,7 +21,6 @@
 type machine struct {
 	name, zone, region, ip string
 	disk                   bool
-	procs                  []*exec.Cmd
 	control, proxy         *exec.Cmd
 }
 
@@ -29,6 +29,9 @@
 
 // cluster is a small deployment of the project's own programs.
 type cluster struct {
+	mu       sync.Mutex // guards started and ended
+	started  []*exec.Cmd
+	ended    bool
 	log      *record
 	dir      string
 	root     string // of the repository
@@ -195,10 +198,15 @@
 	}
 	defer out.Close()
 	cmd.Stdout, cmd.Stderr = out, out
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return nil, errSetup
+	}
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	m.procs = append(m.procs, cmd)
+	c.started = append(c.started, cmd)
 	go func() { _ = cmd.Wait() }()
 	return cmd, nil
 }
@@ -212,16 +220,15 @@
 	}
 }
 
-// stop ends all processes, by their IDs, and removes the temporary folder.
+// stop ends all processes that were started, by their IDs, and removes the temporary folder. None is started afterwards.
 func (c *cluster) stop() {
-	for _, m := range c.machines {
-		signal(syscall.SIGCONT, m.procs...)
-		signal(syscall.SIGKILL, m.procs...)
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	signal(syscall.SIGCONT, c.started...)
+	signal(syscall.SIGKILL, c.started...)
 	time.Sleep(200 * time.Millisecond)
-	if os.Getenv("KEEP") == "" {
-		os.RemoveAll(c.dir)
-	}
+	os.RemoveAll(c.dir)
 }
 
 // awaitReady waits until all proxies say that they are ready.
--- a/review/rig/evacuation.go
+++ b/review/rig/evacuation.go
@@ -70,7 +70,7 @@
 	frozenAt := time.Now()
 	if trouble {
 		c.log.add("trouble: machine %s stands still", m3.name)
-		signal(syscall.SIGSTOP, m3.procs...)
+		signal(syscall.SIGSTOP, m3.control, m3.proxy)
 	}
 	if _, err := c.order("evacuation.finish", "z1", nil, m3, m2, m1); err != nil {
 		return false, err
@@ -84,7 +84,7 @@
 	thawedAt := time.Now()
 	if trouble {
 		c.log.add("trouble: machine %s goes on after %.2f s", m3.name, time.Since(frozenAt).Seconds())
-		signal(syscall.SIGCONT, m3.procs...)
+		signal(syscall.SIGCONT, m3.control, m3.proxy)
 	}
 	// From here on the operator sends no order. The rule binds machines in touch: contact-s after the last trouble.
 	bindsFrom := beganAt.Add(evacuationBound)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"os"
+	signals "os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // cases are the scripts by name.
@@ -21,6 +24,10 @@
 	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
 }
 
+// longest is how long a case may take.
+const longest = 110 * time.Second
+
+// run plays a case and returns the exit status. Whatever ends it, all processes that it started are ended first.
 func run(name, root, folder string) (exit int) {
 	root, err := filepath.Abs(root)
 	if err != nil {
@@ -37,21 +44,44 @@
 		log.add("the case could not run: %v", err)
 		return 2
 	}
-	defer c.stop()
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.add("case %s, trouble %v", name, trouble)
-	broken, err := cases[name](c, trouble)
-	switch {
-	case err != nil:
-		log.add("the case could not run: %v", err)
-		fmt.Println("the case could not run:", err)
-		return 2
-	case broken:
-		log.add("the rule was broken")
-		fmt.Println("the rule was broken")
+	stopped := make(chan os.Signal, 1)
+	signals.Ignore(syscall.SIGPIPE)
+	signals.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	result := make(chan string, 1)
+	go func() {
+		broken, err := cases[name](c, trouble)
+		switch {
+		case err != nil:
+			result <- "the case could not run: " + err.Error()
+		case broken:
+			result <- ruleBroken
+		default:
+			result <- ruleHeld
+		}
+	}()
+	text := ""
+	select {
+	case text = <-result:
+	case s := <-stopped:
+		text = "the case could not run: " + s.String()
+	case <-time.After(longest):
+		text = "the case could not run: it took too long"
+	}
+	c.stop()
+	log.add("%s", text)
+	fmt.Println(text)
+	switch text {
+	case ruleBroken:
 		return 1
+	case ruleHeld:
+		return 0
 	}
-	log.add("the rule held")
-	fmt.Println("the rule held")
-	return 0
+	return 2
 }
+
+const (
+	ruleBroken = "the rule was broken"
+	ruleHeld   = "the rule held"
+)
