--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"os"
-	signals "os/signal"
+	osSignal "os/signal"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -47,8 +47,8 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.add("case %s, trouble %v", name, trouble)
 	stopped := make(chan os.Signal, 1)
-	signals.Ignore(syscall.SIGPIPE)
-	signals.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	osSignal.Ignore(syscall.SIGPIPE)
+	osSignal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	result := make(chan string, 1)
 	go func() {
 		broken, err := cases[name](c, trouble)
