--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -33,6 +33,7 @@
 	started  []*exec.Cmd
 	ended    bool
 	log      *record
+	lastRead error // of the last read without an answer
 	dir      string
 	root     string // of the repository
 	ports    ports
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -12,6 +12,7 @@
 // cases are the scripts by name.
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
 	"departure":  departureCase,
+	"dropped":    droppedCase,
 	"evacuation": evacuationCase,
 	"upload":     uploadCase,
 }
