--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -14,6 +14,7 @@
 	"departure":  departureCase,
 	"dropped":    droppedCase,
 	"evacuation": evacuationCase,
+	"refused":    refusedCase,
 	"upload":     uploadCase,
 }
 
