config: dropped names are never forgotten; tombstones in a compact hash trie

What callers saw: a route that was set with version 8 and dropped with version 9, both acknowledged, was in force again after some 10,360 other names had been dropped and the change with version 8 arrived again. A repeat of an acknowledged change whose service had been dropped and forgotten got 400.

Cause: config.Set evicted the tombstones with the lowest versions when there were more than 10,000. Versions belong to one name each, so that order says nothing of age, and without its tombstone an outdated version can't be distinguished from a new item. The rule is that per name the highest version holds; it names no limit.

The new tests failed before: TestOlderChangeHasNoEffectAfterManyDrops with "service bags does not stand", TestOlderChangeAfterManyDrops with r-late in the configuration of all three control processes.

Change: nothing is evicted. config.ItemMap keeps tombstones as name, version and packed history in immutable hash tries, which copies of the set share, so that neither a change nor a copy costs more with more of them (TestChangeCostWithTombstones); the store keeps its state in memory in the same form. The index visits live items only, and catch-up the tombstones of the differing partitions.

Tests that asserted the eviction were wrong, as they required the fault, and are replaced by ones as strict: no tombstone is lost (TestTombstoneKeptAfterManyDeletions, TestSetMatchesModel, TestDeleteMany, TestTombstonesInAnyOrder, TestItemDeletedAndSetAgain), the store's size is bounded per tombstone (TestStoreStaysSmall), a proxy's number of tombstones is bounded (TestTombstonesBounded).

--- a/internal/cluster/config/index.go
+++ b/internal/cluster/config/index.go
@@ -52,18 +52,18 @@
 		return
 	}
 	for key, item := range s.changed {
-		if stored, exists := s.items[key]; item == nil && exists && !stored.Deleted {
+		if stored, live := s.items.live[key]; item == nil && live {
 			s.changed[key] = parseItem(stored)
 			s.examined++
 		}
 	}
 }
 
-// buildIndex builds the index from the whole set. It reuses the parsed items of the previous index that haven't changed.
+// buildIndex builds the index from all live items. It reuses the parsed items of the previous index that haven't changed.
 func (s *Set) buildIndex() {
 	next := newIndex()
-	s.examined += len(s.items)
-	for key, stored := range s.items {
+	s.examined += len(s.items.live)
+	for key, stored := range s.items.live {
 		var item *parsedItem
 		if _, changed := s.changed[key]; s.index != nil && !changed {
 			item = s.index.parsed[key]
--- a/internal/cluster/config/partitions.go
+++ b/internal/cluster/config/partitions.go
@@ -19,13 +19,7 @@
 
 // DifferingItems returns the items in the partitions whose checksums differ from those of another set, sorted by key.
 func (s *Set) DifferingItems(theirs [Partitions]uint64) (all []Item) {
-	for k, i := range s.items {
-		if p := k.partition(); s.partitionSums[p] != theirs[p] {
-			all = append(all, i)
-		}
-	}
-	sortItems(all)
-	return all
+	return s.InPartitions(s.DifferingPartitions(theirs[:]))
 }
 
 // DifferingPartitions returns the indexes of the partitions whose checksums differ from those of another set. Partitions beyond the
@@ -40,25 +34,32 @@
 }
 
 // InPartitions returns the items in the given partitions, tombstones included, sorted by key.
-func (s *Set) InPartitions(partitions []int) (all []Item) {
-	for k, i := range s.items {
-		if slices.Contains(partitions, k.partition()) {
-			all = append(all, i)
-		}
-	}
+func (s *Set) InPartitions(partitions []int) []Item {
+	all := slices.Collect(s.items.inPartitions(markPartitions(partitions)))
 	sortItems(all)
 	return all
 }
 
+// markPartitions returns for each partition whether it is in the list. Indexes out of range are ignored.
+func markPartitions(partitions []int) *[Partitions]bool {
+	var marked [Partitions]bool
+	for _, p := range partitions {
+		if p >= 0 && p < Partitions {
+			marked[p] = true
+		}
+	}
+	return &marked
+}
+
 // ReplacePartitions replaces all items in the given partitions with those of another set, regardless of versions. It returns the items
 // that are new or changed, in the order given, and the removed keys, sorted.
 func (s *Set) ReplacePartitions(partitions []int, items []Item) (changed []Item, removed []Key) {
 	previous := map[Key]Item{}
-	for k, i := range s.items {
-		if slices.Contains(partitions, k.partition()) {
-			previous[k] = i
-			s.remove(k)
-		}
+	for i := range s.items.inPartitions(markPartitions(partitions)) {
+		previous[i.Key()] = i
+	}
+	for k := range previous {
+		s.remove(k)
 	}
 	for _, i := range items {
 		if old, exists := previous[i.Key()]; !exists || !old.Equal(i) {
--- a/internal/cluster/config/set.go
+++ b/internal/cluster/config/set.go
@@ -6,15 +6,13 @@
 	"strings"
 )
 
-// Set contains all known items. Deleted items are kept as tombstones, so that merging an older version doesn't restore them, until they
-// are evicted (see MaxDeleted). It is not safe for concurrent use.
+// Set contains all known items. Deleted items are kept as tombstones for good, so that an older version that arrives later doesn't
+// restore them. It is not safe for concurrent use.
 type Set struct {
-	items         map[Key]Item
+	items         *ItemMap
 	partitionSums [Partitions]uint64
 	quotaChecksum uint64            // see QuotaChecksum
 	liveCount     map[string]int    // number of live items by kind
-	deletedCount  int               // number of tombstones
-	evicted       []Key             // tombstones evicted since the last TakeEvicted
 	members       map[string]string // cached by Members; nil if it must be parsed again
 
 	// index contains the parsed items as of when it was built; nil until CheckChange needs it. Clones share it, as it is immutable.
@@ -27,28 +25,70 @@
 }
 
 // NewSet returns an empty set.
-func NewSet() *Set { return &Set{items: map[Key]Item{}, liveCount: map[string]int{}} }
+func NewSet() *Set { return &Set{items: NewItemMap(), liveCount: map[string]int{}} }
 
 // Merge adds an item if the set has none with its key or the item supersedes that one. It reports whether the item was added.
 func (s *Set) Merge(i Item) bool {
-	old, exists := s.items[i.Key()]
+	old, exists := s.items.Get(i.Key())
 	if exists && !i.Supersedes(old) {
 		return false
 	}
 	s.put(i)
-	s.evictDeleted()
 	return true
 }
 
+// Apply adds items regardless of their versions; the caller applies changes in the order in which they were committed. Sets that were
+// equal before are equal after applying the same items.
+func (s *Set) Apply(items []Item) {
+	for _, i := range items {
+		s.put(i)
+	}
+}
+
+// ReplaceAll replaces the contents of the set with the given items. It returns the items that are new or changed and the keys that were
+// removed, both sorted by key. Of several items with the same key, the last one is used.
+func (s *Set) ReplaceAll(items []Item) (changed []Item, removed []Key) {
+	byKey := make(map[Key]Item, len(items))
+	for _, i := range items {
+		byKey[i.Key()] = i
+	}
+	for i := range s.items.All() {
+		if _, exists := byKey[i.Key()]; !exists {
+			removed = append(removed, i.Key())
+		}
+	}
+	for k, i := range byKey {
+		if old, exists := s.items.Get(k); !exists || !old.Equal(i) {
+			changed = append(changed, i)
+		}
+	}
+	sortItems(changed)
+	sortKeys(removed)
+	for _, k := range removed {
+		s.remove(k)
+	}
+	for _, i := range changed {
+		s.put(i)
+	}
+	return changed, removed
+}
+
 // put adds an item, replacing the one with the same key.
 func (s *Set) put(i Item) {
-	s.remove(i.Key())
-	s.markChanged(i.Key())
-	if i.Kind == KindCore {
-		s.members = nil
+	if old, exists := s.items.Get(i.Key()); exists {
+		s.updateTotals(old, -1)
 	}
-	s.items[i.Key()] = i
+	s.items.Put(i)
 	s.updateTotals(i, 1)
+	s.itemChanged(i.Key())
+}
+
+// itemChanged updates what is cached after the item of a key was put or removed.
+func (s *Set) itemChanged(k Key) {
+	s.markChanged(k)
+	if k.Kind == KindCore {
+		s.members = nil
+	}
 }
 
 // updateTotals updates the checksums and counts for an item that is added (delta 1) or removed (delta -1).
@@ -58,42 +98,49 @@
 	if i.Kind == KindQuotas || i.Kind == KindServices {
 		s.quotaChecksum ^= sum
 	}
-	if i.Deleted {
-		s.deletedCount += delta
-	} else {
+	if !i.Deleted {
 		s.liveCount[i.Kind] += delta
 	}
 }
 
 // remove removes the item of a key without leaving a tombstone.
 func (s *Set) remove(k Key) {
-	old, exists := s.items[k]
+	old, exists := s.items.Get(k)
 	if !exists {
 		return
 	}
-	s.markChanged(k)
 	s.updateTotals(old, -1)
-	delete(s.items, k)
-	if k.Kind == KindCore {
-		s.members = nil
+	s.items.Delete(k)
+	s.itemChanged(k)
+}
+
+// DiscardTombstones removes all tombstones. Without them, Merge can't tell an outdated version of a deleted item from a new item.
+func (s *Set) DiscardTombstones() {
+	for i := range s.items.deleted.each {
+		s.updateTotals(i, -1)
 	}
+	s.items.deleted = tombstones{}
 }
 
 // Lookup returns the item of a key and whether it exists. The item may be a tombstone.
-func (s *Set) Lookup(k Key) (Item, bool) {
-	i, ok := s.items[k]
-	return i, ok
-}
+func (s *Set) Lookup(k Key) (Item, bool) { return s.items.Get(k) }
 
 // Len returns the number of items, including tombstones.
-func (s *Set) Len() int { return len(s.items) }
+func (s *Set) Len() int { return s.items.Len() }
+
+// Tombstones returns the number of tombstones.
+func (s *Set) Tombstones() int { return s.items.deleted.len() }
 
 // All returns all items, including tombstones, sorted by key.
 func (s *Set) All() []Item {
-	all := make([]Item, 0, len(s.items))
-	for _, i := range s.items {
-		all = append(all, i)
-	}
+	all := slices.AppendSeq(make([]Item, 0, s.Len()), s.items.All())
+	sortItems(all)
+	return all
+}
+
+// AllLive returns the items that are not deleted, sorted by key.
+func (s *Set) AllLive() []Item {
+	all := slices.AppendSeq(make([]Item, 0, len(s.items.live)), maps.Values(s.items.live))
 	sortItems(all)
 	return all
 }
@@ -101,11 +148,11 @@
 // Live returns the items of a kind that are not deleted, sorted by name.
 func (s *Set) Live(kind string) (all []Item) {
 	remaining := s.liveCount[kind] // often 0, which saves scanning tens of thousands of items of other kinds
-	for k, i := range s.items {
+	for k, i := range s.items.live {
 		if remaining == 0 {
 			break
 		}
-		if k.Kind == kind && !i.Deleted {
+		if k.Kind == kind {
 			all = append(all, i)
 			remaining--
 		}
@@ -116,25 +163,34 @@
 
 // HighestVersion returns the highest version among routes, services, quotas and limits, including tombstones.
 func (s *Set) HighestVersion() (version uint64) {
-	for k, i := range s.items {
-		if k.Kind == KindLimits || slices.Contains(tabularKinds, k.Kind) {
+	for k, i := range s.items.live {
+		if isVersioned(k.Kind) {
 			version = max(version, i.Version)
 		}
 	}
+	for kind := range s.items.deleted {
+		if isVersioned(kind) {
+			version = max(version, s.items.deleted.highestVersion(kind))
+		}
+	}
 	return version
 }
 
+// isVersioned reports whether operators choose the versions of the items of a kind.
+func isVersioned(kind string) bool {
+	return kind == KindLimits || slices.Contains(tabularKinds, kind)
+}
+
 // QuotaChecksum returns a checksum of the items that the quotas of a routing table are built from: quotas and services.
 func (s *Set) QuotaChecksum() uint64 { return s.quotaChecksum }
 
-// Clone returns a copy that can be modified independently of s.
+// Clone returns a copy that can be modified independently of s. Its cost does not depend on the number of tombstones.
 func (s *Set) Clone() *Set {
 	return &Set{
-		items:         maps.Clone(s.items),
+		items:         s.items.clone(),
 		partitionSums: s.partitionSums,
 		quotaChecksum: s.quotaChecksum,
 		liveCount:     maps.Clone(s.liveCount),
-		deletedCount:  s.deletedCount,
 		index:         s.index,
 		changed:       maps.Clone(s.changed),
 	}
--- a/internal/control/consensus/learner.go
+++ b/internal/control/consensus/learner.go
@@ -95,9 +95,6 @@
 	} else {
 		n.mergeItems(items)
 	}
-	for _, key := range n.Set.TakeEvicted() {
-		n.stageRemoval(key)
-	}
 	if items != nil && !operation.ReplacesAll(items) {
 		n.history.add(index, items)
 	}
--- a/internal/control/registry/updates.go
+++ b/internal/control/registry/updates.go
@@ -1,9 +1,12 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"portflow/internal/cluster/config"
 	"portflow/internal/cluster/instance"
 	"portflow/internal/cluster/outlier"
@@ -111,40 +114,82 @@
 	}
 }
 
-// Snapshot returns the changes of a snapshot for a proxy: all items, hosts, proxies and ejections. If forControl is set, it returns those
-// for another control process: the hosts and proxies that this process owns, and all known ejections and votes.
+// maxSnapshotTombstones is the number of tombstones that a snapshot for a proxy names at most.
+const maxSnapshotTombstones = 10000
+
+// Snapshot returns the changes of a snapshot that is sent in a single message: for a proxy all items, hosts, proxies and ejections; if
+// forControl is set, the hosts and proxies that this process owns, and all known ejections and votes, for another control process. Of
+// more than maxSnapshotTombstones tombstones a proxy gets those with the highest versions: one of a release without positions merges
+// the items, and needs tombstones to remove what was deleted while it was disconnected.
 func (s *State) Snapshot(now int64, forControl bool) (changes []update.Change) {
-	hosts := s.Instances.All()
 	if forControl {
-		hosts = s.Instances.Owned()
-	} else {
-		for _, i := range s.Set.All() {
-			changes = append(changes, s.itemChange(now, i))
-		}
+		return s.controlSnapshot()
+	}
+	items := s.Set.All()
+	if s.Set.Tombstones() > maxSnapshotTombstones {
+		items = limitTombstones(items, maxSnapshotTombstones)
 	}
-	for _, host := range hosts {
+	return s.proxySnapshot(now, items)
+}
+
+// ChunkedSnapshot is Snapshot for a proxy that accepts chunks, without tombstones if there are more than maxSnapshotTombstones. Such a
+// proxy knows positions and replaces all of its items by the snapshot's, so it depends on no tombstone. The cost is bounded by the
+// configuration in force, however many items were deleted since the cluster was founded.
+func (s *State) ChunkedSnapshot(now int64) (changes []update.Change) {
+	if s.Set.Tombstones() > maxSnapshotTombstones {
+		return s.proxySnapshot(now, s.Set.AllLive())
+	}
+	return s.proxySnapshot(now, s.Set.All())
+}
+
+// limitTombstones returns the live items and the given number of tombstones, those with the highest versions.
+func limitTombstones(items []config.Item, limit int) []config.Item {
+	live, tombstones := lo.FilterReject(items, func(item config.Item, _ int) bool { return !item.Deleted })
+	slices.SortStableFunc(tombstones, func(a, b config.Item) int { return cmp.Compare(b.Version, a.Version) })
+	return append(live, tombstones[:limit]...)
+}
+
+// proxySnapshot returns the items given and all hosts, proxies and ejections.
+func (s *State) proxySnapshot(now int64, items []config.Item) (changes []update.Change) {
+	for _, item := range items {
+		changes = append(changes, s.itemChange(now, item))
+	}
+	for _, host := range s.Instances.All() {
 		changes = append(changes, update.Change{Instance: &host})
 	}
-	var names []string
-	for name, proxy := range s.Proxies {
-		if !forControl || proxy.Owner == s.Self.Name {
-			names = append(names, name)
-		}
+	changes = s.appendProxies(changes, func(Proxy) bool { return true })
+	return s.appendEjections(changes)
+}
+
+// controlSnapshot returns the hosts and proxies that this process owns, and all ejections and votes.
+func (s *State) controlSnapshot() (changes []update.Change) {
+	for _, host := range s.Instances.Owned() {
+		changes = append(changes, update.Change{Instance: &host})
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		proxy := s.Proxies[name]
-		changes = append(changes, update.Change{Proxy: &proxy})
+	changes = s.appendProxies(changes, func(proxy Proxy) bool { return proxy.Owner == s.Self.Name })
+	changes = s.appendEjections(changes)
+	for _, vote := range s.Votes {
+		changes = append(changes, update.Change{Vote: &vote})
+	}
+	return changes
+}
+
+// appendProxies appends the selected proxies, sorted by name.
+func (s *State) appendProxies(changes []update.Change, selected func(Proxy) bool) []update.Change {
+	for _, name := range slices.Sorted(maps.Keys(s.Proxies)) {
+		if proxy := s.Proxies[name]; selected(proxy) {
+			changes = append(changes, update.Change{Proxy: &proxy})
+		}
 	}
+	return changes
+}
+
+// appendEjections appends all ejections, sorted by the ID of the host.
+func (s *State) appendEjections(changes []update.Change) []update.Change {
 	for _, id := range slices.Sorted(maps.Keys(s.Ejections)) {
 		ejection := s.Ejections[id]
 		changes = append(changes, update.Change{Ejection: &ejection})
 	}
-	if forControl {
-		for _, vote := range s.Votes {
-			changes = append(changes, update.Change{Vote: &vote})
-		}
-	}
 	return changes
 }
 
--- a/internal/control/server/hardstate.go
+++ b/internal/control/server/hardstate.go
@@ -55,7 +55,7 @@
 		}
 		set.Merge(item)
 	}
-	return set, formerMembers, append(removed, set.TakeEvicted()...)
+	return set, formerMembers, removed
 }
 
 // decodeHardState decodes the node record and reports whether it is usable.
--- a/internal/control/server/proxysnapshots.go
+++ b/internal/control/server/proxysnapshots.go
@@ -33,7 +33,7 @@
 	}
 	if snapshot == nil {
 		snapshot = cache.Start(now, header)
-		go snapshot.Encode(s.state.Snapshot(s.clock(), false), stream.EncodeFrame)
+		go snapshot.Encode(s.state.ChunkedSnapshot(s.clock()), stream.EncodeFrame)
 		s.scheduleEviction()
 	}
 	select {
--- a/internal/control/store/open.go
+++ b/internal/control/store/open.go
@@ -32,7 +32,7 @@
 	store = &Store{
 		backend: backend,
 		lock:    make(chan struct{}, 1),
-		items:   map[config.Key]config.Item{},
+		items:   config.NewItemMap(),
 		records: map[string][]byte{},
 	}
 	if store.db, store.Repaired, err = openDB(backend); err != nil {
@@ -54,7 +54,7 @@
 			store.Repaired = true
 			unreadable.Delete([]byte(key))
 		default:
-			store.items[item.Key()] = item
+			store.items.Put(item)
 			items = append(items, item)
 		}
 	})
@@ -153,8 +153,9 @@
 
 // writtenRows returns the last successfully written rows, by key.
 func (s *Store) writtenRows() (map[string][]byte, error) {
-	rows := make(map[string][]byte, len(s.items)+len(s.records)+1)
-	for key, i := range s.items {
+	rows := make(map[string][]byte, s.items.Len()+len(s.records)+1)
+	for i := range s.items.All() {
+		key := i.Key()
 		raw, err := json.Marshal(i)
 		if err != nil {
 			return nil, fmt.Errorf("%s %s: %w", key.Kind, key.Name, err)
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -32,10 +32,10 @@
 	backend      storage.Storage
 	db           *leveldb.DB // nil after a failed write and after Close
 	closed       bool
-	damageMarked bool                       // the damage marker is on disk
-	items        map[config.Key]config.Item // last successfully written
-	records      map[string][]byte          // last successfully written, by name
-	complete     bool                       // the disk holds the complete state
+	damageMarked bool              // the damage marker is on disk
+	items        *config.ItemMap   // last successfully written
+	records      map[string][]byte // last successfully written, by name
+	complete     bool              // the disk holds the complete state
 }
 
 // Row keys. Items and records have a prefix each. The row completeKey is written once the disk holds the complete state, and deleted when
@@ -66,8 +66,8 @@
 	}
 	s.lock <- struct{}{}
 	var removed []config.Key
-	for key := range s.items {
-		if !wanted[key] {
+	for item := range s.items.All() {
+		if key := item.Key(); !wanted[key] {
 			removed = append(removed, key)
 		}
 	}
@@ -75,7 +75,7 @@
 	return s.Replace(items, removed, records, complete)
 }
 
-// RemoveUnknown removes the given items for which known returns false, for example evicted tombstones. It writes nothing if all are known.
+// RemoveUnknown removes the given items for which known returns false. It writes nothing if all are known.
 func (s *Store) RemoveUnknown(items []config.Item, known func(config.Key) bool) error {
 	var unknown []config.Key
 	for _, i := range items {
@@ -149,10 +149,10 @@
 // noteWritten updates the state in memory after a successful write. The caller holds lock.
 func (s *Store) noteWritten(items []config.Item, removed []config.Key, records map[string][]byte, complete bool) {
 	for _, key := range removed {
-		delete(s.items, key)
+		s.items.Delete(key)
 	}
 	for _, i := range items {
-		s.items[i.Key()] = i
+		s.items.Put(i)
 	}
 	for name, raw := range records {
 		if raw == nil {
--- a/internal/proxy/endpoint/apply.go
+++ b/internal/proxy/endpoint/apply.go
@@ -56,13 +56,18 @@
 	return c
 }
 
-// applyItems applies the items of changes in order. A snapshot replaces all items of the table, which also removes items whose tombstones
-// were evicted while this proxy was disconnected. Items from an earlier position than the table's are skipped, because the table has
-// them or later versions. Items without a position are merged one by one, by version.
+// maxTombstones is the number of tombstones above which a table discards them, if the changes that it applies have positions.
+const maxTombstones = 10000
+
+// applyItems applies the items of changes in order. A snapshot replaces all items of the table, which also removes items that were deleted
+// while this proxy was disconnected. Items from an earlier position than the table's are skipped, because the table has them or later
+// versions. Items without a position, as sent by releases without positions, are merged one by one, by version.
+//
+// Only that merge depends on tombstones. Changes with positions are applied in the order in which they were committed, so the table then
+// discards the tombstones when there are more than maxTombstones.
 func (t *Table) applyItems(c *Changes, changes []update.Change, snapshot bool, at Position) {
 	outdated := at != Position{} && at.Before(t.position)
 	items := t.itemsOf(changes, outdated)
-	defer t.Set.TakeEvicted() // evicted keys are only needed to delete them from disk, and a proxy stores nothing
 	switch {
 	case at == Position{}:
 		for _, item := range items {
@@ -85,6 +90,9 @@
 		for _, item := range items {
 			c.addItem(t, item.Key())
 		}
+		if t.Set.Tombstones() > maxTombstones {
+			t.Set.DiscardTombstones()
+		}
 		t.position = at
 	}
 }
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -65,6 +65,13 @@
 // Ready reports whether the proxy has received a complete snapshot from control and is not draining.
 func (p *Proxy) Ready() bool { return p.ready.Load() && !p.draining.Load() }
 
+// Item returns the item of a key that the proxy has received from control, and whether it exists. The item may be deleted.
+func (p *Proxy) Item(k config.Key) (config.Item, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endpoints.Set.Lookup(k)
+}
+
 // RouteVersions returns the versions of the known routes by name, including deleted routes whose tombstones are kept.
 func (p *Proxy) RouteVersions() map[string]uint64 {
 	p.mu.Lock()
