consensus: a decided value is applied as decided, without comparing versions again

Need: earlier releases evict tombstones, so in a cluster that is being updated the members' sets differ in them. If such a member proposes an older change of a name that it has forgotten, the value is decided and acknowledged; members that have the tombstone then left the item out, and the members, and the proxies behind them, came to differ for good.

Change: every member applies the items of a decided value, as proxies do already. The proposer has compared the versions on the state before that index, so nothing changes where sets are equal. The founding value is still merged, because a founder's disk of a release without consensus may have newer items than those of the processes that promised.

Result: TestMembersAgreeDespiteEvictedTombstone failed before at members 2 and 3; the package's tests, with their exhaustive and random simulations, pass.

--- a/internal/control/consensus/acceptor.go
+++ b/internal/control/consensus/acceptor.go
@@ -63,7 +63,7 @@
 		reply.Accepted = n.hardState.Accepted
 		reply.Value = n.hardState.AcceptedValue
 	}
-	if m.Index != 1 {
+	if m.Index != foundingIndex {
 		return reply
 	}
 	self := n.self
--- a/internal/control/consensus/learner.go
+++ b/internal/control/consensus/learner.go
@@ -6,6 +6,10 @@
 	"portflow/internal/control/operation"
 )
 
+// foundingIndex is the log index of the value that founds the cluster. Sets are empty before it, except for items that releases without
+// consensus left on disk.
+const foundingIndex = 1
+
 // recentChange is a value that was decided recently.
 type recentChange struct {
 	index uint64
@@ -88,12 +92,15 @@
 
 // apply applies a decided value to the set. Values are applied in index order, each once.
 func (n *Node) apply(now int64, index uint64, items []config.Item) {
-	if operation.ReplacesAll(items) {
+	switch {
+	case operation.ReplacesAll(items):
 		n.stageChanges(n.Set.ReplaceAll(items[1:]))
 		n.effects.Replaced = true
 		n.clearHistory() // peers that are behind get a snapshot
-	} else {
+	case index == foundingIndex:
 		n.mergeItems(items)
+	default:
+		n.applyItems(items)
 	}
 	if items != nil && !operation.ReplacesAll(items) {
 		n.history.add(index, items)
@@ -102,7 +109,21 @@
 	n.Counts.Decided++
 }
 
-// mergeItems merges the items of a decided value into the set, and stages those that changed it.
+// applyItems applies the items of a decided value to the set, and stages those that change it. It doesn't compare versions: the proposer
+// did so on the state before this index, and every member must follow that decision. Sets may differ in their tombstones, as earlier
+// releases evict them; if each member compared for itself, the members' live items would come to differ as well.
+func (n *Node) applyItems(items []config.Item) {
+	for _, item := range items {
+		if old, exists := n.Set.Lookup(item.Key()); exists && old.Equal(item) {
+			continue
+		}
+		n.Set.Apply([]config.Item{item})
+		n.stageItem(item)
+	}
+}
+
+// mergeItems merges the items of the founding value into the set, and stages those that change it. The founding value has the newest
+// version of each item on the disks of the processes that promised; the disk of another founder may have a newer one.
 func (n *Node) mergeItems(items []config.Item) {
 	for _, item := range items {
 		if n.Set.Merge(item) {
