config: tombstones that no copy shares are updated in place; cost measured

Need: dropped names stay for good, so their cost has to be known and a start with many of them must be short. Path copying made each insertion allocate all nodes on its path, also where no copy shared them, three times for each name at a start.

Change: nodes belong to the set that made them and are copied only if another set may share them. The counters' log line has the number of dropped names (dropped).

--- a/internal/cluster/config/itemmap.go
+++ b/internal/cluster/config/itemmap.go
@@ -9,12 +9,12 @@
 // grows. It is not safe for concurrent use.
 type ItemMap struct {
 	live    map[Key]Item
-	deleted tombstones
+	deleted *tombstones
 }
 
 // NewItemMap returns an empty map.
 func NewItemMap() *ItemMap {
-	return &ItemMap{live: map[Key]Item{}, deleted: tombstones{}}
+	return &ItemMap{live: map[Key]Item{}, deleted: newTombstones()}
 }
 
 // Get returns the item of a key and whether it exists. The item may be deleted.
@@ -72,7 +72,7 @@
 }
 
 // clone returns a copy that can be modified independently. Its cost depends on the number of live items only: the copies share their
-// tombstones, which are immutable.
+// tombstones.
 func (m *ItemMap) clone() *ItemMap {
 	return &ItemMap{live: maps.Clone(m.live), deleted: m.deleted.clone()}
 }
--- a/internal/cluster/config/set.go
+++ b/internal/cluster/config/set.go
@@ -119,7 +119,7 @@
 	for i := range s.items.deleted.each {
 		s.updateTotals(i, -1)
 	}
-	s.items.deleted = tombstones{}
+	s.items.deleted = newTombstones()
 }
 
 // Lookup returns the item of a key and whether it exists. The item may be a tombstone.
@@ -168,7 +168,7 @@
 			version = max(version, i.Version)
 		}
 	}
-	for kind := range s.items.deleted {
+	for kind := range s.items.deleted.kinds {
 		if isVersioned(kind) {
 			version = max(version, s.items.deleted.highestVersion(kind))
 		}
--- a/internal/cluster/config/tombstones.go
+++ b/internal/cluster/config/tombstones.go
@@ -10,11 +10,18 @@
 // tombstones contains the deleted items of all kinds. They are never evicted: a change with a lower version than that of a deleted item
 // may arrive at any later time, and only the tombstone shows that it is outdated. Therefore a lookup and an update cost the
 // logarithm of the number of tombstones, and a copy costs the same whatever their number.
-type tombstones map[string]*tombstoneKind // by kind
+type tombstones struct {
+	kinds map[string]*tombstoneKind
+	owner *treeOwner // of the nodes that may be modified in place, because no copy shares them
+}
 
-// tombstoneKind contains the deleted items of one kind, by partition. It is modified in place, but the trees are immutable.
+// tombstoneKind contains the deleted items of one kind, by partition.
 type tombstoneKind [Partitions]*tombstoneTree
 
+func newTombstones() *tombstones {
+	return &tombstones{kinds: map[string]*tombstoneKind{}, owner: new(treeOwner)}
+}
+
 // tombstone is a deleted item without its kind.
 type tombstone struct {
 	name    string
@@ -22,8 +29,8 @@
 	details string // see encodeDetails
 }
 
-func (t tombstones) get(k Key) (Item, bool) {
-	kind := t[k.Kind]
+func (t *tombstones) get(k Key) (Item, bool) {
+	kind := t.kinds[k.Kind]
 	if kind == nil {
 		return Item{}, false
 	}
@@ -34,29 +41,29 @@
 	return found.item(k.Kind), true
 }
 
-func (t tombstones) put(i Item) {
-	kind := t[i.Kind]
+func (t *tombstones) put(i Item) {
+	kind := t.kinds[i.Kind]
 	if kind == nil {
 		kind = &tombstoneKind{}
-		t[i.Kind] = kind
+		t.kinds[i.Kind] = kind
 	}
 	tree := &kind[i.Key().partition()]
-	*tree = (*tree).with(tombstone{name: i.Name, version: i.Version, details: encodeDetails(i)})
+	*tree = (*tree).with(tombstone{name: i.Name, version: i.Version, details: encodeDetails(i)}, t.owner)
 }
 
-func (t tombstones) remove(k Key) {
-	kind := t[k.Kind]
+func (t *tombstones) remove(k Key) {
+	kind := t.kinds[k.Kind]
 	if kind == nil {
 		return
 	}
 	tree := &kind[k.partition()]
 	if (*tree).lookup(k.Name) != nil {
-		*tree = (*tree).without(k.Name)
+		*tree = (*tree).without(k.Name, t.owner)
 	}
 }
 
-func (t tombstones) len() (n int) {
-	for _, kind := range t {
+func (t *tombstones) len() (n int) {
+	for _, kind := range t.kinds {
 		for _, tree := range kind {
 			n += tree.len()
 		}
@@ -65,8 +72,8 @@
 }
 
 // highestVersion returns the highest version of the deleted items of a kind, 0 if there are none.
-func (t tombstones) highestVersion(kind string) (version uint64) {
-	trees := t[kind]
+func (t *tombstones) highestVersion(kind string) (version uint64) {
+	trees := t.kinds[kind]
 	if trees == nil {
 		return 0
 	}
@@ -79,8 +86,8 @@
 }
 
 // each calls yield for the items until it returns false.
-func (t tombstones) each(yield func(Item) bool) {
-	for name, kind := range t {
+func (t *tombstones) each(yield func(Item) bool) {
+	for name, kind := range t.kinds {
 		for _, tree := range kind {
 			if !tree.eachItem(name, yield) {
 				return
@@ -90,8 +97,8 @@
 }
 
 // eachIn is each for the items in the marked partitions.
-func (t tombstones) eachIn(marked *[Partitions]bool, yield func(Item) bool) {
-	for name, kind := range t {
+func (t *tombstones) eachIn(marked *[Partitions]bool, yield func(Item) bool) {
+	for name, kind := range t.kinds {
 		for partition, tree := range kind {
 			if marked[partition] && !tree.eachItem(name, yield) {
 				return
@@ -100,16 +107,18 @@
 	}
 }
 
-func (t tombstones) clone() tombstones {
-	copied := make(tombstones, len(t))
-	for name, kind := range t {
+// clone returns a copy that shares all nodes. From then on, neither the copy nor t modifies these nodes in place.
+func (t *tombstones) clone() *tombstones {
+	copied := newTombstones()
+	for name, kind := range t.kinds {
 		trees := *kind
-		copied[name] = &trees
+		copied.kinds[name] = &trees
 	}
+	t.owner = new(treeOwner)
 	return copied
 }
 
-// item returns the deleted item of the given kind.
+// item returns the tombstone as an item of the given kind.
 func (t tombstone) item(kind string) Item {
 	i := Item{Kind: kind, Name: t.name, Version: t.version, Deleted: true}
 	decodeDetails(t.details, &i)
@@ -161,13 +170,18 @@
 	joinLeafEntries = maxLeafEntries / 2
 )
 
-// tombstoneTree is an immutable hash trie: updates return a new tree that shares the unchanged nodes with the old one. The empty tree is
-// nil. A leaf has its entries sorted by name, an inner node has children by the next bits of the hash of the name.
+// treeOwner identifies the tombstones that created a node. Only its address matters, so it must not have size 0.
+type treeOwner struct{ _ byte }
+
+// tombstoneTree is a node of a hash trie, and the trie below it; the empty trie is nil. A leaf has its entries sorted by name, an inner
+// node has children by the next bits of the hash of the name. Updates modify the nodes of their own owner in place, and copy the
+// others on the path to the entry: a trie that shares nodes with a copy never changes through an update of that copy.
 type tombstoneTree struct {
+	owner    *treeOwner
 	children *[branches]*tombstoneTree // nil for a leaf
 	entries  []tombstone
-	count    int    // number of tombstones in the tree
-	highest  uint64 // highest version in the tree
+	count    int    // number of tombstones in the trie
+	highest  uint64 // highest version in the trie
 }
 
 func nameHash(name string) uint64 {
@@ -206,105 +220,129 @@
 	return &t.entries[at]
 }
 
-// with returns the tree with a tombstone added or replaced.
-func (t *tombstoneTree) with(entry tombstone) *tombstoneTree {
-	return t.withAt(entry, nameHash(entry.name), 0)
+// with returns the trie with a tombstone added or replaced.
+func (t *tombstoneTree) with(entry tombstone, owner *treeOwner) *tombstoneTree {
+	return t.withAt(entry, nameHash(entry.name), 0, owner)
 }
 
-func (t *tombstoneTree) withAt(entry tombstone, hash uint64, depth int) *tombstoneTree {
+func (t *tombstoneTree) withAt(entry tombstone, hash uint64, depth int, owner *treeOwner) *tombstoneTree {
 	if t == nil {
-		return newLeaf([]tombstone{entry})
+		return newLeaf([]tombstone{entry}, owner)
 	}
+	t = t.ownedBy(owner)
 	if t.children != nil {
-		children := *t.children
-		child := &children[branch(hash, depth)]
-		*child = (*child).withAt(entry, hash, depth+1)
-		return newInner(&children)
+		child := &t.children[branch(hash, depth)]
+		*child = (*child).withAt(entry, hash, depth+1, owner)
+		t.updateTotals()
+		return t
 	}
 	at, found := slices.BinarySearchFunc(t.entries, entry.name, compareName)
 	if found {
-		entries := slices.Clone(t.entries)
-		entries[at] = entry
-		return newLeaf(entries)
+		t.entries[at] = entry
+		t.updateTotals()
+		return t
 	}
 	entries := make([]tombstone, 0, len(t.entries)+1)
 	entries = append(entries, t.entries[:at]...)
 	entries = append(entries, entry)
 	entries = append(entries, t.entries[at:]...)
-	return splitLeaf(entries, depth)
+	return splitLeaf(entries, depth, owner)
+}
+
+// ownedBy returns t if the owner may modify it, otherwise a copy that it may modify.
+func (t *tombstoneTree) ownedBy(owner *treeOwner) *tombstoneTree {
+	if t.owner == owner {
+		return t
+	}
+	copied := *t
+	copied.owner = owner
+	copied.entries = slices.Clone(t.entries)
+	if t.children != nil {
+		children := *t.children
+		copied.children = &children
+	}
+	return &copied
+}
+
+// updateTotals recomputes count and highest from the entries or the children.
+func (t *tombstoneTree) updateTotals() {
+	t.count = len(t.entries)
+	t.highest = 0
+	for _, entry := range t.entries {
+		t.highest = max(t.highest, entry.version)
+	}
+	if t.children == nil {
+		return
+	}
+	for _, child := range t.children {
+		if child != nil {
+			t.count += child.count
+			t.highest = max(t.highest, child.highest)
+		}
+	}
 }
 
 // splitLeaf returns a leaf with the entries or, if there are too many, an inner node with several leaves.
-func splitLeaf(entries []tombstone, depth int) *tombstoneTree {
+func splitLeaf(entries []tombstone, depth int, owner *treeOwner) *tombstoneTree {
 	if len(entries) <= maxLeafEntries || depth == maxTreeDepth {
-		return newLeaf(entries)
+		return newLeaf(entries, owner)
 	}
 	var groups [branches][]tombstone
 	for _, entry := range entries {
 		group := &groups[branch(nameHash(entry.name), depth)]
 		*group = append(*group, entry)
 	}
-	var children [branches]*tombstoneTree
+	inner := &tombstoneTree{owner: owner, children: new([branches]*tombstoneTree)}
 	for n, group := range groups {
 		if len(group) > 0 {
-			children[n] = splitLeaf(slices.Clip(slices.Clone(group)), depth+1)
+			inner.children[n] = splitLeaf(slices.Clip(slices.Clone(group)), depth+1, owner)
 		}
 	}
-	return newInner(&children)
+	inner.updateTotals()
+	return inner
 }
 
-// without returns the tree without the tombstone of a name, which must exist.
-func (t *tombstoneTree) without(name string) *tombstoneTree {
-	return t.withoutAt(name, nameHash(name), 0)
+// without returns the trie without the tombstone of a name, which must exist.
+func (t *tombstoneTree) without(name string, owner *treeOwner) *tombstoneTree {
+	return t.withoutAt(name, nameHash(name), 0, owner)
 }
 
-func (t *tombstoneTree) withoutAt(name string, hash uint64, depth int) *tombstoneTree {
+func (t *tombstoneTree) withoutAt(name string, hash uint64, depth int, owner *treeOwner) *tombstoneTree {
 	if t.count == 1 {
 		return nil
 	}
+	t = t.ownedBy(owner)
 	if t.children == nil {
-		entries := slices.DeleteFunc(slices.Clone(t.entries), func(e tombstone) bool { return e.name == name })
-		return newLeaf(entries)
+		t.entries = slices.DeleteFunc(t.entries, func(e tombstone) bool { return e.name == name })
+		t.updateTotals()
+		return t
 	}
-	children := *t.children
-	child := &children[branch(hash, depth)]
-	*child = (*child).withoutAt(name, hash, depth+1)
-	if t.count-1 > joinLeafEntries {
-		return newInner(&children)
+	child := &t.children[branch(hash, depth)]
+	*child = (*child).withoutAt(name, hash, depth+1, owner)
+	t.updateTotals()
+	if t.count > joinLeafEntries {
+		return t
 	}
-	return joinLeaves(newInner(&children))
+	return t.joinLeaves(owner)
 }
 
-// joinLeaves returns a leaf with all entries of a tree.
-func joinLeaves(t *tombstoneTree) *tombstoneTree {
+// joinLeaves returns a leaf with all entries of the trie.
+func (t *tombstoneTree) joinLeaves(owner *treeOwner) *tombstoneTree {
 	entries := make([]tombstone, 0, t.count)
 	t.each(func(entry tombstone) bool {
 		entries = append(entries, entry)
 		return true
 	})
 	slices.SortFunc(entries, func(a, b tombstone) int { return strings.Compare(a.name, b.name) })
-	return newLeaf(entries)
+	return newLeaf(entries, owner)
 }
 
-func newLeaf(entries []tombstone) *tombstoneTree {
-	leaf := &tombstoneTree{entries: entries, count: len(entries)}
-	for _, entry := range entries {
-		leaf.highest = max(leaf.highest, entry.version)
-	}
+func newLeaf(entries []tombstone, owner *treeOwner) *tombstoneTree {
+	leaf := &tombstoneTree{owner: owner, entries: entries}
+	leaf.updateTotals()
 	return leaf
 }
 
-func newInner(children *[branches]*tombstoneTree) *tombstoneTree {
-	inner := &tombstoneTree{children: children}
-	for _, child := range children {
-		if child != nil {
-			inner.count += child.count
-			inner.highest = max(inner.highest, child.highest)
-		}
-	}
-	return inner
-}
-
 // each calls yield for the tombstones until it returns false, which each then returns as well.
 func (t *tombstoneTree) each(yield func(tombstone) bool) bool {
 	if t == nil {
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -235,6 +235,7 @@
 	klog.InfoS("counters",
 		"standing", s.state.Status(),
 		"items", s.state.Set.Len(),
+		"dropped", s.state.Set.Tombstones(),
 		"hosts", len(s.state.Instances.All()),
 		"routers", len(s.state.ReadyProxies()),
 		"core", len(s.state.Peers)+1,
