trial: a soak of seeded trials with signal series that overlap

Need: the trial sent single signals, at most two proxies or one control process at a time, its clients left each connection after 40 requests, and it had nine proxies.

Change: series.go draws signal series from a seed: SIGHUP several times, SIGTERM and more signals on top, SIGKILL also while a process starts, frozen control processes; to one process or several at once, overlapping. A fifth of the clients use a connection until the proxy closes it. Operators send any earlier change again, and names are never used twice where 800 routes are added and dropped. At the end each proxy must answer 404 on dropped routes and on no others.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run toy demo system peak trial
+.PHONY: build test lint run toy demo system peak trial soak
 
 build:
 	@sh -ec "$$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/balancer.toml)"
@@ -39,3 +39,9 @@
 trial:
 	@sh -ec "$$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/system.toml)"
 	@go run ./cmd/lab trial
+
+# runs short soaks of the deployed programs on loopback, three trials with fixed seeds at a time: clients that use connections until they are
+# closed, configuration changes and overlapping signal series
+soak:
+	@sh -ec "$$(sed -n 's/^build = "\([^"]*\)".*/\1/p' deploy/system.toml)"
+	@go run ./cmd/lab trial --seeds 3 --parallel 3
--- a/internal/lab/trial/attempt.go
+++ b/internal/lab/trial/attempt.go
@@ -24,7 +24,8 @@
 
 // Values of Style; reports contain them as they are.
 const (
-	KeepAlive  Style = "kept"      // one request after another on a connection
+	KeepAlive  Style = "kept"      // one request after another on a connection, up to a maximum
+	Persistent Style = "held"      // one request after another on a connection until the proxy closes it
 	Pipelined  Style = "pipelined" // several requests on a connection without waiting for responses
 	Idling     Style = "idle"      // long pauses between requests, some close to the idle timeout
 	OneRequest Style = "fresh"     // a new connection for each request
@@ -82,9 +83,20 @@
 	Hangup     SignalKind = iota // SIGHUP
 	Terminated                   // SIGTERM
 	Killed                       // SIGKILL
+	Stopped                      // SIGSTOP
+	Continued                    // SIGCONT
 )
 
-var signalNames = [...]string{Hangup: "SIGHUP", Terminated: "SIGTERM", Killed: "SIGKILL"}
+var signalNames = [...]string{
+	Hangup:     "SIGHUP",
+	Terminated: "SIGTERM",
+	Killed:     "SIGKILL",
+	Stopped:    "SIGSTOP",
+	Continued:  "SIGCONT",
+}
+
+// ends reports whether a process that receives the signal is to exit.
+func (k SignalKind) ends() bool { return k == Terminated || k == Killed }
 
 // Signal records one signal that was sent to a process.
 type Signal struct {
--- a/internal/lab/trial/change.go
+++ b/internal/lab/trial/change.go
@@ -39,7 +39,7 @@
 	{changeBulk, 1},
 	{changeRace, 6},
 	{changeAgain, 5},
-	{changeOlder, 3},
+	{changeOlder, 6},
 }
 
 const (
@@ -77,8 +77,8 @@
 			o.send(ctx, kind, o.last...)
 		}
 	case changeOlder:
-		if o.previous != nil {
-			o.send(ctx, kind, o.previous...)
+		if len(o.sent) > 0 {
+			o.send(ctx, kind, o.sent[o.rng.IntN(len(o.sent))]...)
 		}
 	}
 }
@@ -141,11 +141,14 @@
 	}
 }
 
-// toggleBulk adds or drops bulkRoutes routes in one call.
+// toggleBulk adds or drops bulkRoutes routes in one call. No names are used twice.
 func (o *operator) toggleBulk(ctx context.Context) {
+	if !o.bulkPresent {
+		o.bulkNumber++
+	}
 	var all []Item
 	for n := range bulkRoutes {
-		name := fmt.Sprintf("bulk-%d-%d", o.index, n)
+		name := fmt.Sprintf("bulk-%d-%d-%d", o.index, o.bulkNumber, n)
 		fields := idleRoute(name, o.rng)
 		if o.bulkPresent {
 			fields = nil
@@ -156,6 +159,14 @@
 	o.send(ctx, changeBulk, all...)
 }
 
+// dropNames adds routes with new names, bulkRoutes at a time, and drops them again.
+func (o *operator) dropNames(ctx context.Context, names int) {
+	for ; names > 0 && ctx.Err() == nil; names -= bulkRoutes {
+		o.toggleBulk(ctx)
+		o.toggleBulk(ctx)
+	}
+}
+
 // sendRace concurrently sends two contents with the same version to two control processes, which may apply at most one of them.
 func (o *operator) sendRace(ctx context.Context) {
 	name := fmt.Sprintf("race-%d", o.index)
--- a/internal/lab/trial/client.go
+++ b/internal/lab/trial/client.go
@@ -93,7 +93,19 @@
 	reusable := c.exchange(conn, requests)
 	conn.requests += n
 	conn.idleSince = c.rig.clock.now()
-	return reusable && c.style != OneRequest && conn.requests < maxRequestsPerConn
+	return reusable && c.keeps(conn)
+}
+
+// keeps reports whether the client sends another request on a connection. A persistent client uses a connection until the proxy closes it,
+// as long as the process runs.
+func (c *trialClient) keeps(conn *connection) bool {
+	switch c.style {
+	case OneRequest:
+		return false
+	case Persistent:
+		return true
+	}
+	return conn.requests < maxRequestsPerConn
 }
 
 // idlePause returns a random idle time that is either well below the shortest idle timeout or close to it.
@@ -118,7 +130,7 @@
 func (c *trialClient) connect() *connection {
 	proxy := c.rng.IntN(len(c.rig.proxies))
 	opened := c.rig.clock.now()
-	conn, err := net.DialTimeout("tcp", addressOf(proxyIP(proxy), frontPort), time.Second)
+	conn, err := net.DialTimeout("tcp", addressOf(c.rig.layout.proxyIP(proxy), frontPort), time.Second)
 	if err != nil {
 		c.rig.counters.refusedConnections.Add(1)
 		return nil
--- a/internal/lab/trial/disturb.go
+++ b/internal/lab/trial/disturb.go
@@ -3,94 +3,87 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"slices"
 	"sync"
-	"syscall"
 	"time"
 )
 
-const (
-	// Limits on processes of a role that are being signalled or restarted at a time.
-	maxProxiesDown = 2
-	maxControlDown = 1
+const startTimeout = 10 * time.Second // from the start of a process until it listens
 
-	// Bounds of the delay before a stopped process is restarted.
-	minDowntime  = 50 * time.Millisecond
-	maxDowntime  = 900 * time.Millisecond
-	startTimeout = 10 * time.Second // from the start of a process until it listens
-)
-
-// drawTimes returns n random times within a duration, sorted.
-func drawTimes(rng *rand.Rand, n int, duration time.Duration) (all []time.Duration) {
-	for range n {
-		all = append(all, time.Duration(rng.Int64N(int64(duration))))
-	}
-	slices.Sort(all)
-	return all
-}
-
-// signalProcesses sends signals to random processes at random times, and restarts those that exit. It returns when the last restart is
-// done.
-func (r *rig) signalProcesses(ctx context.Context, rng *rand.Rand, duration time.Duration) {
+// signalProcesses plays signal series and restarts the processes that exit. It returns when the last restart is done.
+func (r *rig) signalProcesses(ctx context.Context, all []series) {
 	var pending sync.WaitGroup
 	defer pending.Wait()
 	began := time.Now()
-	proxySlots := make(chan struct{}, maxProxiesDown)
-	controlSlots := make(chan struct{}, maxControlDown)
-	for _, at := range drawTimes(rng, r.options.Kills, duration) {
-		kind := SignalKind(rng.IntN(3))
-		downtime := minDowntime + time.Duration(rng.Int64N(int64(maxDowntime-minDowntime)))
-		p, slots := r.proxies[rng.IntN(len(r.proxies))], proxySlots
-		if rng.IntN(3) == 0 {
-			p, slots = r.control[rng.IntN(len(r.control))], controlSlots
-		}
+	for _, s := range all {
 		select {
-		case <-time.After(at - time.Since(began)):
+		case <-time.After(s.at - time.Since(began)):
 		case <-ctx.Done():
 			return
 		}
-		pending.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			r.signalProcess(p, kind, downtime)
-		})
+		r.countSeries(s.kind)
+		for _, t := range s.targets {
+			pending.Go(func() { r.playSeries(r.targetProcess(t), s) })
+		}
 	}
 }
 
-// signalProcess sends a process a signal and, unless it is SIGHUP, restarts the process after downtime.
-func (r *rig) signalProcess(p *process, kind SignalKind, downtime time.Duration) {
+func (r *rig) targetProcess(t target) *process {
+	if t.control {
+		return r.control[t.index]
+	}
+	return r.proxies[t.index]
+}
+
+// playSeries plays a series at one process, and restarts the process whenever it has exited.
+func (r *rig) playSeries(p *process, s series) {
 	p.signalling.Lock()
 	defer p.signalling.Unlock()
-	if r.loadDone.Load() || !p.awaitListening(startTimeout) {
-		return
+	for _, round := range s.rounds {
+		if r.loadDone.Load() || !s.whileStarting && !p.awaitListening(startTimeout) {
+			return
+		}
+		if !r.playRound(p, round) {
+			return
+		}
+		time.Sleep(round.downtime)
+		r.restart(p)
+	}
+}
+
+// playRound plays a round at a process. If one of them is to end the process, it waits for the exit and returns true.
+func (r *rig) playRound(p *process, round signalRound) (exited bool) {
+	var sent []Signal
+	ends := false
+	for _, step := range round.steps {
+		time.Sleep(step.after)
+		if p.hasExited() {
+			break
+		}
+		sent = append(sent, Signal{Proxy: p.proxyIndex(), Kind: step.kind, At: r.clock.now()})
+		p.signal(step.kind)
+		ends = ends || step.kind.ends()
 	}
-	s := Signal{Proxy: -1, Kind: kind, At: r.clock.now()}
-	if p.role == "proxy" {
-		s.Proxy = p.index
+	if ends && !r.awaitExit(p, sent) {
+		r.violate(Violation{"PROCESS: did not exit within the grace period", p.name})
+		sent = append(sent, Signal{Proxy: p.proxyIndex(), Kind: Killed, At: r.clock.now()})
+		p.kill()
 	}
-	r.deliver(p, kind)
-	s.Until = r.clock.now()
-	r.recordSignal(s, p.role)
-	if kind == Hangup {
-		return
+	for _, s := range sent {
+		s.Until = r.clock.now()
+		r.recordSignal(s, p.role)
 	}
-	time.Sleep(downtime)
-	r.restart(p)
+	return ends
 }
 
-// deliver sends a process a signal and, unless it is SIGHUP, waits until the process has exited.
-func (r *rig) deliver(p *process, kind SignalKind) {
-	switch kind {
-	case Hangup:
-		p.signal(syscall.SIGHUP)
-	case Terminated:
-		if !p.terminate(terms.Grace) {
-			r.violate(Violation{"PROCESS: did not exit within the grace period", p.name})
+// awaitExit waits until a process has exited, at most until the grace period after the first signal that ends it. It reports whether
+// the process exited.
+func (r *rig) awaitExit(p *process, sent []Signal) bool {
+	for _, s := range sent {
+		if s.Kind.ends() {
+			return p.exitsWithin(s.At + terms.Grace - r.clock.now())
 		}
-	case Killed:
-		p.kill()
 	}
+	return true
 }
 
 // recordSignal records a signal for the judge and the report.
@@ -101,6 +94,12 @@
 	r.signalCounts[role+" "+signalNames[s.Kind]]++
 }
 
+func (r *rig) countSeries(kind seriesKind) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seriesCounts[kind]++
+}
+
 // handleUnexpectedExit records a violation for a process that exited without being asked to, and restarts it in a goroutine, as the
 // platform would, unless the load is done.
 func (r *rig) handleUnexpectedExit(p *process, cause error) {
--- a/internal/lab/trial/host.go
+++ b/internal/lab/trial/host.go
@@ -56,7 +56,7 @@
 // run runs one instance after another until ctx is done. Instances leave before that only if leaves is true.
 func (h *host) run(ctx context.Context, leaves bool) error {
 	for n := 1; ctx.Err() == nil; n++ {
-		l, err := net.Listen("tcp", addressOf(hostIP(h.zone, h.index), 0))
+		l, err := net.Listen("tcp", addressOf(h.rig.layout.hostIP(h.zone, h.index), 0))
 		if err != nil {
 			return fmt.Errorf("listen for instance: %w", err)
 		}
@@ -133,7 +133,7 @@
 		},
 		"current-status": map[string]any{"server-state": state, "sequence": i.sequence.Add(1)},
 	})
-	control := client.Client{Addresses: controlAddressesFrom(i.zone), HTTP: i.rig.http, Timeout: hostCallTimeout}
+	control := client.Client{Addresses: i.rig.layout.controlAddressesFrom(i.zone), HTTP: i.rig.http, Timeout: hostCallTimeout}
 	_, _ = control.Call(ctx, call, i.id, body) // control may be down; the next heartbeat makes up for a failed one
 }
 
--- a/internal/lab/trial/operator.go
+++ b/internal/lab/trial/operator.go
@@ -16,8 +16,10 @@
 	rng          *rand.Rand
 	items        map[Key]Item  // last sent version of each item, dropped ones included
 	last         []Item        // items of the last call
-	previous     []Item        // items of the call before it
+	sent         [][]Item      // a random sample of the items of earlier calls, at most maxSampledCalls
+	calls        int           // number of calls that sent was sampled from
 	bulkPresent  bool          // the last bulk call added the routes
+	bulkNumber   int           // number of times that the bulk routes were added; each time they have new names
 	unanswered   [][]Item      // items of calls whose result is unknown
 	clientRoutes []clientRoute // routes with traffic that it changes
 }
@@ -62,13 +64,30 @@
 	if kind == changeAgain || kind == changeOlder || kind == changeUnanswered {
 		return err
 	}
-	o.previous, o.last = o.last, items
+	o.sample(o.last)
+	o.last = items
 	for _, i := range items {
 		o.items[i.Key] = i
 	}
 	return err
 }
 
+// maxSampledCalls is the number of earlier calls that an operator keeps to send them again.
+const maxSampledCalls = 200
+
+// sample adds a call to the sample of earlier calls, in which each call is with the same probability.
+func (o *operator) sample(items []Item) {
+	if items == nil {
+		return
+	}
+	o.calls++
+	if len(o.sent) < maxSampledCalls {
+		o.sent = append(o.sent, items)
+	} else if n := o.rng.IntN(o.calls); n < maxSampledCalls {
+		o.sent[n] = items
+	}
+}
+
 // item returns an item with the given fields and a new version; nil fields drop the item.
 func (o *operator) item(kind, name string, fields map[string]any) Item {
 	i := Item{Key: Key{kind, name}, Version: o.version.Add(uint64(1 + o.rng.IntN(4)))}
--- a/internal/lab/trial/operators.go
+++ b/internal/lab/trial/operators.go
@@ -42,7 +42,7 @@
 
 // call makes one call, trying the control process with index first before the others, and records the result.
 func (g *operatorGroup) call(ctx context.Context, kind changeKind, items []Item, first int) error {
-	control := client.Client{Addresses: controlAddressesFrom(first), HTTP: g.rig.http, Timeout: changeTimeout}
+	control := client.Client{Addresses: g.rig.layout.controlAddressesFrom(first), HTTP: g.rig.http, Timeout: changeTimeout}
 	g.mu.Lock()
 	g.changes.Sent(items)
 	g.mu.Unlock()
--- a/internal/lab/trial/process.go
+++ b/internal/lab/trial/process.go
@@ -51,7 +51,7 @@
 	defer log.Close() // the child process has its own descriptor
 	cmd := p.command(log)
 	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("start %s: %w", p.rig.options.Program, err)
+		return fmt.Errorf("start %s: %w", cmd.Path, err)
 	}
 	p.starts++
 	p.cmd = cmd
@@ -69,9 +69,17 @@
 	return nil
 }
 
+// program returns the program of the next incarnation: of two releases, each process runs one after the other. The caller holds p.mu.
+func (p *process) program() string {
+	if p.rig.options.Former != "" && (p.starts+p.index)%2 == 0 {
+		return p.rig.options.Former
+	}
+	return p.rig.options.Program
+}
+
 // command returns the command of a new incarnation. The kernel kills the incarnation if the trial's own process dies.
 func (p *process) command(log *os.File) *exec.Cmd {
-	cmd := exec.Command(p.rig.options.Program, p.role)
+	cmd := exec.Command(p.program(), p.role)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Env = append(os.Environ(), "PORTFLOW_BOOT="+p.settingsPath(), "GORACE=halt_on_error=0 atexit_sleep_ms=0")
@@ -93,36 +101,53 @@
 	close(exited)
 }
 
+var signalNumbers = [...]syscall.Signal{
+	Hangup:     syscall.SIGHUP,
+	Terminated: syscall.SIGTERM,
+	Killed:     syscall.SIGKILL,
+	Stopped:    syscall.SIGSTOP,
+	Continued:  syscall.SIGCONT,
+}
+
 // signal sends a signal to the current incarnation. It returns the channel that is closed when the incarnation exits, or nil if the
 // process was never started.
-func (p *process) signal(s syscall.Signal) (exited chan struct{}) {
+func (p *process) signal(kind SignalKind) (exited chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
 		return nil
 	}
-	p.stopRequested = p.stopRequested || s != syscall.SIGHUP
-	_ = p.cmd.Process.Signal(s) // fails only if the process has exited, which awaitExit handles
+	p.stopRequested = p.stopRequested || kind.ends()
+	_ = p.cmd.Process.Signal(signalNumbers[kind]) // fails only if the process has exited, which awaitExit handles
 	return p.exited
 }
 
 // kill sends SIGKILL and waits until the process has exited.
 func (p *process) kill() {
-	if exited := p.signal(syscall.SIGKILL); exited != nil {
+	if exited := p.signal(Killed); exited != nil {
 		<-exited
 	}
 }
 
-// terminate sends SIGTERM, and SIGKILL if the process has not exited after the grace period. It reports whether SIGTERM was enough.
-func (p *process) terminate(grace time.Duration) bool {
-	exited := p.signal(syscall.SIGTERM)
+// proxyIndex returns the index of a proxy, and -1 for a control process.
+func (p *process) proxyIndex() int {
+	if p.role == "proxy" {
+		return p.index
+	}
+	return -1
+}
+
+// exitsWithin waits until the current incarnation has exited, and reports whether it did so in time.
+func (p *process) exitsWithin(limit time.Duration) bool {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
 	select {
 	case <-exited:
 		return true
-	case <-time.After(grace):
+	case <-time.After(limit):
+		return false
 	}
-	p.kill()
-	return false
 }
 
 // hasExited reports whether the current incarnation has exited.
--- a/internal/lab/trial/report.go
+++ b/internal/lab/trial/report.go
@@ -27,8 +27,11 @@
 	s.Changes = r.operators.counts
 	s.Results = r.operators.results
 	s.SignalCounts = r.signalCounts
+	s.SeriesCounts = r.seriesCounts
+	s.Processes = len(r.processes())
 	s.SignalLog = j.SignalLog
 	s.Violated = r.violated
+	s.Rules = r.ruleCounts
 	s.Violations = r.violations
 	s.Others = map[string]int64{
 		"connections that the proxy closed while they were idle, nothing sent": r.counters.closedIdle.Load(),
@@ -47,7 +50,7 @@
 	for _, request := range r.Incomplete {
 		fmt.Fprintln(w, " ", request)
 	}
-	fmt.Fprintf(w, "violations: %d\n", r.Violated)
+	fmt.Fprintf(w, "violations: %d, by rule: %v\n", r.Violated, r.Rules)
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  %v\n", v)
 	}
@@ -61,6 +64,7 @@
 		changes += n
 	}
 	fmt.Fprintf(w, "%d changes: %v\n  by kind: %v\n", changes, r.Results, r.Changes)
+	fmt.Fprintf(w, "%d processes, signal series: %v\n", r.Processes, r.SeriesCounts)
 	fmt.Fprintf(w, "signals: %v\nstyles: %v\nstatuses of complete answers: %v\n", r.SignalCounts, r.Styles, r.Statuses)
 	for _, name := range slices.Sorted(maps.Keys(r.Others)) {
 		fmt.Fprintf(w, "%s: %d\n", name, r.Others[name])
--- a/internal/lab/trial/rig.go
+++ b/internal/lab/trial/rig.go
@@ -15,6 +15,7 @@
 
 const (
 	maxKeptViolations = 40 // further violations are only counted
+	maxKeptPerRule    = 8
 
 	hostsPerService          = 4
 	hostsPerTransientService = 2
@@ -28,6 +29,7 @@
 type rig struct {
 	options   Options
 	dir       string
+	layout    layout
 	clock     clock
 	recorder  *recorder
 	http      *http.Client
@@ -46,7 +48,9 @@
 	mu           sync.Mutex // guards the fields below
 	signalLog    []Signal
 	signalCounts map[string]int // by role and signal
-	violations   []Violation    // the first maxKeptViolations
+	seriesCounts map[seriesKind]int
+	violations   []Violation    // the first maxKeptViolations, at most maxKeptPerRule of a rule
+	ruleCounts   map[string]int // violations by rule
 	violated     int            // number of all violations
 }
 
@@ -56,7 +60,8 @@
 	defer r.mu.Unlock()
 	r.violated += len(all)
 	for _, v := range all {
-		if len(r.violations) < maxKeptViolations {
+		r.ruleCounts[v.Rule]++
+		if len(r.violations) < maxKeptViolations && r.ruleCounts[v.Rule] <= maxKeptPerRule {
 			r.violations = append(r.violations, v)
 		}
 	}
@@ -67,24 +72,31 @@
 	if err != nil {
 		return nil, err
 	}
-	o.Program, err = filepath.Abs(o.Program)
-	if err != nil {
+	if o.Program, err = filepath.Abs(o.Program); err != nil {
 		return nil, err
 	}
+	if o.Former != "" {
+		if o.Former, err = filepath.Abs(o.Former); err != nil {
+			return nil, err
+		}
+	}
 	r := &rig{
 		options:      o,
 		dir:          dir,
+		layout:       layout{block: o.Block, proxiesPerZone: o.ProxiesPerZone},
 		clock:        clock{time.Now()},
 		recorder:     newRecorder(o.Requests),
 		http:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}},
 		signalCounts: map[string]int{},
+		seriesCounts: map[seriesKind]int{},
+		ruleCounts:   map[string]int{},
 		traffic:      clientRoutes(),
 	}
 	r.operators = &operatorGroup{rig: r, changes: NewChanges(), counts: map[changeKind]int{}, results: map[string]int{}}
 	for z := range zones {
 		r.control = append(r.control, r.newControl(z))
 	}
-	for n := range zones * proxiesPerZone {
+	for n := range r.layout.proxies() {
 		r.proxies = append(r.proxies, r.newProxy(n))
 	}
 	return r, nil
@@ -100,14 +112,14 @@
 
 func (r *rig) newControl(zone int) *process {
 	return &process{
-		name: fmt.Sprintf("control-%d", zone+1), ip: controlIP(zone), role: "control", duties: "control,directory",
+		name: fmt.Sprintf("control-%d", zone+1), ip: r.layout.controlIP(zone), role: "control", duties: "control,directory",
 		zone: zone, index: zone, rig: r,
 	}
 }
 
 func (r *rig) newProxy(n int) *process {
 	return &process{
-		name: fmt.Sprintf("proxy-%d", n+1), ip: proxyIP(n), role: "proxy", duties: "front",
+		name: fmt.Sprintf("proxy-%d", n+1), ip: r.layout.proxyIP(n), role: "proxy", duties: "front",
 		zone: n % zones, index: n, rig: r,
 	}
 }
--- a/internal/lab/trial/routes.go
+++ b/internal/lab/trial/routes.go
@@ -100,12 +100,15 @@
 	return fields
 }
 
+// idlePrefix returns the path prefix of a route that no client uses.
+func idlePrefix(name string) string { return "/idle/" + name + "/" }
+
 // idleRoute returns random fields for a route that no client uses.
 func idleRoute(name string, rng *rand.Rand) map[string]any {
 	return map[string]any{
 		"name":             name,
 		"host-name":        siteName,
-		"path-prefix":      "/idle/" + name + "/",
+		"path-prefix":      idlePrefix(name),
 		"route-kind":       "safe_method",
 		"timeout-s":        1 + rng.IntN(5),
 		"target-s":         0.5,
--- a/internal/lab/trial/settings.go
+++ b/internal/lab/trial/settings.go
@@ -52,7 +52,7 @@
 		f.set("network.listen-addresses."+name, addressOf(p.ip, listenPorts[name]))
 	}
 	f.set("network.internal-port-range", "7660,7675")
-	f.set("network.seed-nodes", strings.Join(controlAddresses(), ","))
+	f.set("network.seed-nodes", strings.Join(p.rig.layout.controlAddresses(), ","))
 	for z := range zones {
 		f.set("network.zones."+zoneName(z), regionName(z))
 	}
--- a/internal/lab/trial/summary.go
+++ b/internal/lab/trial/summary.go
@@ -22,10 +22,13 @@
 	Changes      map[changeKind]int `json:"changes"`
 	Results      map[string]int     `json:"results"` // changes by response status
 	SignalCounts map[string]int     `json:"signals"` // number by role and signal
+	SeriesCounts map[seriesKind]int `json:"series"`
+	Processes    int                `json:"processes"`
 	SignalLog    []Signal           `json:"struck"`
 	Others       map[string]int64   `json:"others"`
 	Violated     int                `json:"violated"`
-	Incomplete   []string           `json:"cuts"` // first ones without a complete response, except ProxyKilled and BehindClose
+	Rules        map[string]int     `json:"rules"` // violations by rule
+	Incomplete   []string           `json:"cuts"`  // first ones without a complete response, except ProxyKilled and BehindClose
 	Violations   []Violation        `json:"violations"`
 	Dir          string             `json:"dir"`
 }
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -13,18 +13,29 @@
 	"time"
 )
 
-// Phases of the load as fractions of Options.Lasts: no changes, changes, changes with processes being signalled. The rest is without
-// changes again.
-const (
-	steadyFraction  = 0.12
-	changesFraction = 0.40
-	signalFraction  = 0.40
+// loadPhases are the phases of the load as fractions of Options.Lasts: no changes, changes, changes with processes being signalled. The
+// rest is without changes again.
+type loadPhases struct{ steady, changes, signalled float64 }
+
+var (
+	trialPhases  = loadPhases{steady: 0.12, changes: 0.40, signalled: 0.40}
+	seriesPhases = loadPhases{steady: 0.05, changes: 0.05, signalled: 0.85} // of a trial with signal series
 )
 
+func (p loadPhases) rest() float64 { return 1 - p.steady - p.changes - p.signalled }
+
+func (o Options) phases() loadPhases {
+	if o.Series > 0 {
+		return seriesPhases
+	}
+	return trialPhases
+}
+
 // Stream numbers for rig.rng. Each operator, restart, host and client has its own, in a range that begins at the first one.
 const (
 	firstOperatorStream = 1
 	signalStream        = 500
+	probeStream         = 501
 	firstRestartStream  = 600
 	firstHostStream     = 1000
 	firstClientStream   = 10_000
@@ -60,6 +71,7 @@
 	for n := range o.Restarts {
 		r.restartControl(ctx, operators, n)
 	}
+	r.probeProxies(ctx)
 	r.searchLogs()
 	return r.report(), nil
 }
@@ -74,6 +86,7 @@
 		return nil, err
 	}
 	r.progress("initial configuration acknowledged, all proxies ready")
+	first.dropNames(ctx, r.options.Drops)
 	all := []*operator{first}
 	for n := 1; n < operatorCount; n++ {
 		all = append(all, r.operators.newOperator(n, r.rng(uint64(firstOperatorStream+n))))
@@ -89,24 +102,34 @@
 		c := r.newClient(n)
 		clients.Go(func() { c.run(stopClients) })
 	}
+	phases := r.options.phases()
 	phase := func(fraction float64) time.Duration { return time.Duration(fraction * float64(r.options.Lasts)) }
-	wait(ctx, phase(steadyFraction))
+	wait(ctx, phase(phases.steady))
 	stopOperators := runOperators(ctx, operators)
 	r.progress("changes")
-	wait(ctx, phase(changesFraction))
+	wait(ctx, phase(phases.changes))
 	r.progress("changes and signals")
-	r.signalProcesses(ctx, r.rng(signalStream), phase(signalFraction))
+	r.signalProcesses(ctx, r.drawSeries(phase(phases.signalled)))
 	stopOperators()
 	r.progress("no more changes")
-	wait(ctx, phase(1-steadyFraction-changesFraction-signalFraction)+terms.Configuration+time.Second)
+	wait(ctx, phase(phases.rest())+terms.Configuration+time.Second)
 	close(stopClients)
 	clients.Wait()
 	wait(ctx, settleTime)
 }
 
+// drawSeries returns the signal series for a duration: those of a single signal, and longer ones.
+func (r *rig) drawSeries(duration time.Duration) []series {
+	drawer := seriesDrawer{rng: r.rng(signalStream), proxies: len(r.proxies), controls: len(r.control)}
+	all := drawer.drawSingle(r.options.Kills, duration)
+	all = append(all, drawer.draw(r.options.Series, duration)...)
+	sortSeries(all)
+	return all
+}
+
 // newClient returns client n. Styles are assigned round robin.
 func (r *rig) newClient(n int) *trialClient {
-	styles := []Style{KeepAlive, Pipelined, Idling, OneRequest}
+	styles := []Style{KeepAlive, Pipelined, Idling, OneRequest, Persistent}
 	return &trialClient{
 		rig:   r,
 		name:  fmt.Sprintf("%016x-%d", r.options.Seed, n),
