--- a/internal/lab/trial/change.go
+++ b/internal/lab/trial/change.go
@@ -26,10 +26,7 @@
 )
 
 // changeWeights are the relative frequencies of the kinds.
-var changeWeights = []struct {
-	kind   changeKind
-	weight int
-}{
+var changeWeights = []weighted[changeKind]{
 	{changeRoute, 40},
 	{changeDrop, 8},
 	{changeIdle, 12},
@@ -50,7 +47,7 @@
 
 // sendChange sends one random change.
 func (o *operator) sendChange(ctx context.Context) {
-	kind := o.drawKind()
+	kind := drawWeighted(o.rng, changeWeights)
 	r := o.clientRoutes[o.rng.IntN(len(o.clientRoutes))]
 	switch kind {
 	case changeRoute:
@@ -83,20 +80,6 @@
 	}
 }
 
-func (o *operator) drawKind() changeKind {
-	total := 0
-	for _, w := range changeWeights {
-		total += w.weight
-	}
-	drawn := o.rng.IntN(total)
-	for _, w := range changeWeights {
-		if drawn -= w.weight; drawn < 0 {
-			return w.kind
-		}
-	}
-	return changeRoute
-}
-
 // pause waits for a random time, so that some requests run under the current configuration.
 func (o *operator) pause(ctx context.Context) {
 	wait(ctx, time.Duration(o.rng.IntN(maxPauseMillis))*time.Millisecond)
--- a/internal/lab/trial/series.go
+++ b/internal/lab/trial/series.go
@@ -20,10 +20,7 @@
 )
 
 // seriesWeights are the relative frequencies of the kinds.
-var seriesWeights = []struct {
-	kind   seriesKind
-	weight int
-}{
+var seriesWeights = []weighted[seriesKind]{
 	{seriesReloads, 3},
 	{seriesTerminate, 6},
 	{seriesInsist, 5},
@@ -86,7 +83,7 @@
 // other.
 func (d seriesDrawer) draw(n int, duration time.Duration) (all []series) {
 	for range n {
-		s := series{at: d.upTo(duration), kind: d.drawKind()}
+		s := series{at: d.upTo(duration), kind: drawWeighted(d.rng, seriesWeights)}
 		s.targets = d.drawTargets(s.kind)
 		s.rounds = d.drawRounds(s.kind)
 		s.whileStarting = s.kind == seriesCrashLoop
@@ -118,20 +115,6 @@
 	return time.Duration(d.rng.Int64N(int64(limit)))
 }
 
-func (d seriesDrawer) drawKind() seriesKind {
-	total := 0
-	for _, w := range seriesWeights {
-		total += w.weight
-	}
-	drawn := d.rng.IntN(total)
-	for _, w := range seriesWeights {
-		if drawn -= w.weight; drawn < 0 {
-			return w.kind
-		}
-	}
-	return seriesTerminate
-}
-
 // drawTarget returns a control process in one of three cases, else a proxy.
 func (d seriesDrawer) drawTarget() target {
 	if d.rng.IntN(3) == 0 {
