--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -42,8 +42,7 @@
 	}
 }
 
-// sendCommand sends a command to a child and discards the answer. An error is only reported as progress: a child that does not accept the
-// command has exited, which the end of the run reports.
+// sendCommand sends a command to a child and discards the answer. An error is only reported as progress.
 func (r *run) sendCommand(child *childProcess, command string) {
 	if err := child.call(command, nil); err != nil {
 		r.progress("%s: %v", command, err)
