proxy: all waits at the end of a shutdown share one limit

Cause: finishConnections applied its limit of 1.2 s to two waits one after the other, so a shutdown may take 6.7 s of 6 s.

TestFinishConnectionsLimit failed before (2 s for a limit of 1 s) and passes now.

Change: the second wait ends with the limit of the first.

--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -31,7 +31,7 @@
 }
 
 // finishConnections closes the listener once no connection is waiting to be accepted, because closing it resets those. It then closes
-// idle connections and waits for the answers on those that are new or have a request. Each wait is limited by the given time.
+// idle connections and waits for the answers on those that are new or have a request. All waits together are limited by the given time.
 // http.Server.Shutdown is unsuitable: once it is called, a connection on which a request is read is closed without an answer.
 func (p *Proxy) finishConnections(within time.Duration) {
 	began := time.Now()
@@ -42,7 +42,7 @@
 	front.Close()
 	select { // the last accepted connections have been counted by then
 	case <-p.acceptDone:
-	case <-time.After(within):
+	case <-time.After(within - time.Since(began)):
 	}
 	p.server.Load().SetKeepAlivesEnabled(false) // closes idle connections, now and as soon as they become idle
 	for p.unfinished.Load() > 0 && time.Since(began) < within {
