--- a/internal/lab/trial/attempt.go
+++ b/internal/lab/trial/attempt.go
@@ -73,6 +73,8 @@
 	BrokeOff  bool          // a host aborted the request, or shut down while processing it
 	Abandoned time.Duration // when the proxy closed the connection to a host that was processing the request; 0 for never
 	Garbled   bool          // a host received a body that differs from the one sent
+
+	ShuttingDown bool // a host processed it while it was shutting down
 }
 
 // SignalKind is the kind of a signal that a process receives.
--- a/internal/lab/trial/hosthandler.go
+++ b/internal/lab/trial/hosthandler.go
@@ -38,6 +38,7 @@
 // ServeHTTP records the arrival of a request, and rejects, aborts or answers it.
 func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
+	beginRequest(r, id)
 	i.rig.recorder.updateHost(id, func(h *HostView) { h.Arrivals++ })
 	w.Header().Set("Attempt-Id", id)
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != i.id {
@@ -79,6 +80,7 @@
 	bodyBytes, answerBytes := parseSizes(r.URL.Path)
 	i.rig.recorder.updateHost(id, func(h *HostView) {
 		h.Ran++
+		h.ShuttingDown = h.ShuttingDown || i.shuttingDown.Load()
 		h.Garbled = h.Garbled || err == nil && (len(body) != bodyBytes || !matchesPattern(body, id))
 	})
 	if err != nil {
