upstream: a late connect timer no longer breaks off a response that has begun

Cause: one timer served as the connect timeout and then as the read timeout. If it expired before the first byte of the response and its function ran after it, the function took the attempt for one whose response was late and canceled it, also without a read timeout.

Change: two timers, each for one purpose. The one for the connection ends only attempts of which nothing was written.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -34,7 +34,7 @@
 	cancel          context.CancelCauseFunc
 	tracker         WriteTracker // nil if the request's Payload is not one
 	startedAt       time.Time
-	phaseTimer      *time.Timer // connect timeout, then read timeout once the response has started
+	readTimer       *time.Timer // runs from the first byte of the response; nil without a read timeout
 	state           atomic.Int32
 	responseStarted atomic.Bool
 	dialed          atomic.Bool          // a dial was started for this attempt
@@ -82,13 +82,32 @@
 	a.cancel(errCanceled)
 }
 
-// phaseTimedOut cancels an attempt whose connect or read timeout has expired. An attempt that has been written and
-// has no response yet keeps running until its own timeout.
-func (a *attempt) phaseTimedOut() {
-	if a.responseStarted.Load() {
-		a.cancel(errReadTimeout)
+// connectTimedOut cancels an attempt that has no connection within the connect timeout. An attempt that has been written keeps
+// running until its own timeout. As the timer may have expired long before this function runs, it must not depend on
+// whether the response has started.
+func (a *attempt) connectTimedOut() { a.cancelUnsent(errConnectTimeout) }
+
+// newReadTimer returns a stopped timer that cancels the attempt when it expires; startResponse starts it. It returns nil
+// without a read timeout.
+func (a *attempt) newReadTimer(timeout time.Duration) *time.Timer {
+	if timeout <= 0 {
+		return nil
+	}
+	timer := time.AfterFunc(timeout, func() {
+		if a.responseStarted.Load() {
+			a.cancel(errReadTimeout)
+		}
+	})
+	timer.Stop()
+	return timer
+}
+
+// startResponse records that the first byte of the response has arrived, and starts the read timer.
+func (a *attempt) startResponse(readTimeout time.Duration) {
+	a.responseStarted.Store(true)
+	if a.readTimer != nil {
+		a.readTimer.Reset(readTimeout)
 	}
-	a.cancelUnsent(errConnectTimeout)
 }
 
 // Forward implements dispatch.Upstream. It starts an attempt on a worker goroutine, which calls done with the outcome
@@ -112,8 +131,11 @@
 			outcome = dispatch.Outcome{Result: decision.ConnectionReset}
 		}
 	}()
-	a.phaseTimer = time.AfterFunc(p.ConnectTimeout, a.phaseTimedOut)
-	defer a.phaseTimer.Stop()
+	connectTimer := time.AfterFunc(p.ConnectTimeout, a.connectTimedOut)
+	defer connectTimer.Stop()
+	if a.readTimer = a.newReadTimer(p.ReadTimeout); a.readTimer != nil {
+		defer a.readTimer.Stop()
+	}
 	timer := time.AfterFunc(timeout, func() { a.cancel(errTimeout) })
 	defer timer.Stop()
 	return p.sendAttempt(ctx, a, to, r, timeout)
@@ -178,14 +200,7 @@
 			}
 			stopDial()
 		},
-		GotFirstResponseByte: func() {
-			if p.ReadTimeout > 0 {
-				a.phaseTimer.Reset(p.ReadTimeout)
-			} else {
-				a.phaseTimer.Stop()
-			}
-			a.responseStarted.Store(true)
-		},
+		GotFirstResponseByte: func() { a.startResponse(p.ReadTimeout) },
 	}
 }
 
