lab/trial: the record has the time that a request's header states; a lint finding

Without the time in the request's header the record can't show whether the proxy or the check is wrong.

Change: the record and its text have that time; the check is as before. TestTimersOfWrittenAttempt uses errors.Is.

--- a/internal/lab/trial/attempt.go
+++ b/internal/lab/trial/attempt.go
@@ -44,13 +44,14 @@
 	ConnectedAt time.Duration // when the client began to open the connection
 	BeganAt     time.Duration // when the client began to write the request
 
-	SentAt   time.Duration // when the write of the request returned
-	EndedAt  time.Duration
-	Deadline time.Duration // when the client gives up
-	Timeout  time.Duration // the shortest timeout that the route may have had
-	Outcome  Outcome
-	Status   int    // 0 if no response header was read
-	Detail   string // the error, or how the response differs from the expected one
+	SentAt    time.Duration // when the write of the request returned
+	EndedAt   time.Duration
+	Deadline  time.Duration // when the client gives up
+	Remaining time.Duration // what the request's header says of that, from when the proxy reads it
+	Timeout   time.Duration // the shortest timeout that the route may have had
+	Outcome   Outcome
+	Status    int    // 0 if no response header was read
+	Detail    string // the error, or how the response differs from the expected one
 
 	Host HostView
 }
@@ -61,7 +62,7 @@
 	fmt.Fprintf(&b, "%s %s safe=%v %s proxy %d: ", a.ID, a.Style, a.Idempotent, a.Path, a.Proxy)
 	fmt.Fprintf(&b, "idle for %.3f s, began at %.3f s, sent at %.3f s, ended at %.3f s, ", a.IdleFor.Seconds(), a.BeganAt.Seconds(),
 		a.SentAt.Seconds(), a.EndedAt.Seconds())
-	fmt.Fprintf(&b, "deadline %.3f s, timeout %.1f s, ", a.Deadline.Seconds(), a.Timeout.Seconds())
+	fmt.Fprintf(&b, "deadline %.3f s, remaining %.3f s, timeout %.1f s, ", a.Deadline.Seconds(), a.Remaining.Seconds(), a.Timeout.Seconds())
 	fmt.Fprintf(&b, "outcome %d, status %d, %q; hosts: %+v", a.Outcome, a.Status, a.Detail, a.Host)
 	return b.String()
 }
--- a/internal/lab/trial/request.go
+++ b/internal/lab/trial/request.go
@@ -60,6 +60,7 @@
 		Idempotent:  r.idempotent,
 		MaxAttempts: trafficAttempts,
 		Timeout:     r.minTimeout,
+		Remaining:   q.timeout,
 	}
 	if !r.idempotent || c.rng.IntN(safePostOneIn) == 0 {
 		c.drawBody(&q)
--- a/internal/upstream/connect_timeout_test.go
+++ b/internal/upstream/connect_timeout_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -93,7 +94,7 @@
 			time.Sleep(time.Second / 2)
 			c.Check(ctx.Err(), qt.IsNil)
 			time.Sleep(time.Second)
-			c.Check(context.Cause(ctx) == errReadTimeout, qt.Equals, readTimeout > 0)
+			c.Check(errors.Is(context.Cause(ctx), errReadTimeout), qt.Equals, readTimeout > 0)
 		})
 	}
 }
