proxy: the server for clients exists before Start returns

Cause: a goroutine of Start created the server; another one closed it at the end of the context without knowing whether it existed.

Change: startServers creates and stores server and listener before it starts goroutines. The fuzz test passes a server of its own.

--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -241,7 +241,7 @@
 	})
 	p, _ := startProxy(f, h)
 	l := fuzzListener{make(chan net.Conn)}
-	go p.serveClients(l)
+	go p.serveClients(p.newClientServer(), l)
 	f.Fuzz(func(t *testing.T, raw []byte, chunkSize int) {
 		if len(raw) > 16<<10 {
 			return
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -24,13 +24,16 @@
 // startServers starts to serve clients and the platform's readiness checks. Its goroutines end at the latest when the proxy's context is done.
 func (p *Proxy) startServers(front, readiness net.Listener) {
 	readinessServer := p.newReadinessServer()
+	server := p.newClientServer()
+	p.server.Store(server) // before any goroutine, and Drain, needs them
+	p.front.Store(&front)
 	go func() { logServeError("readiness", readinessServer.Serve(readiness)) }()
-	go p.serveClients(front)
+	go p.serveClients(server, front)
 	go func() {
 		<-p.ctx.Done()
 		readinessServer.Close()
 		front.Close()
-		p.server.Load().Close()
+		server.Close()
 	}()
 }
 
@@ -58,11 +61,11 @@
 	}
 }
 
-// serveClients serves clients until the listener is closed. The server is created before the configured limits are received; clientConn
-// replaces its timeouts with the current limits.
-func (p *Proxy) serveClients(l net.Listener) {
+// newClientServer returns the server for clients. It is created before the configured limits are received; clientConn replaces its timeouts
+// with the current limits.
+func (p *Proxy) newClientServer() *http.Server {
 	limits := p.snapshot.Load().routing.Limits
-	server := &http.Server{
+	return &http.Server{
 		Handler:                      p,
 		ReadHeaderTimeout:            time.Duration(limits.HeaderTimeout),
 		IdleTimeout:                  time.Duration(limits.IdleTimeout),
@@ -72,8 +75,10 @@
 		ConnContext:                  withClientConn,
 		DisableGeneralOptionsHandler: true, // net/http would answer OPTIONS * without ServeHTTP, which must consume the framing of each request
 	}
-	p.server.Store(server)
-	p.front.Store(&l)
+}
+
+// serveClients serves clients until the listener is closed.
+func (p *Proxy) serveClients(server *http.Server, l net.Listener) {
 	defer close(p.acceptDone)
 	logServeError("front", server.Serve(&limitedListener{
 		Listener: l,
