control: departures are recorded by the agreement, and late heartbeats don't undo them

Cause: a departure rested on the memory of a majority. A process without that memory took the late heartbeat for the first one of a new host, and the others ignored its announcement without correcting it. The same after a restart of all, a lost disk, and 60 s.

Change: the answer also waits for a record of the host's ID in the replicated set, a tombstone, which is never forgotten. Each process corrects by it what it knows, heartbeats and announcements of others; an owner that has forgotten its host is sent the known state. Heartbeats write nothing. Restores keep the records. New log line "late heartbeat", counters `departed` and `said_agreement`.

--- a/internal/cluster/config/item.go
+++ b/internal/cluster/config/item.go
@@ -24,6 +24,7 @@
 	KindEvacuations    = "evacuations" // by zone: begun or withdrawn
 	KindRollouts       = "rollouts"    // by service: the newest operation and its outcome
 	KindStableVersions = "settled"     // by service: the version that is not under trial
+	KindDepartures     = "departures"  // by host ID, always deleted: hosts that leave or have left, for good
 )
 
 // Item is one unit of configuration. Body is a JSON object with its fields sorted by name, so that equal items have equal bytes.
@@ -85,6 +86,11 @@
 	return len(i.History) == MaxHistory && past.Version < i.History[0].Version
 }
 
+// WithoutDepartures returns the items that are not of KindDepartures. It may overwrite the given slice, and the result shares its memory.
+func WithoutDepartures(items []Item) []Item {
+	return slices.DeleteFunc(items, func(i Item) bool { return i.Kind == KindDepartures })
+}
+
 // Key identifies an item in a set.
 type Key struct{ Kind, Name string }
 
--- a/internal/cluster/config/set.go
+++ b/internal/cluster/config/set.go
@@ -128,9 +128,24 @@
 // Len returns the number of items, including tombstones.
 func (s *Set) Len() int { return s.items.Len() }
 
-// Tombstones returns the number of tombstones.
+// Tombstones returns the number of tombstones of all kinds.
 func (s *Set) Tombstones() int { return s.items.deleted.len() }
 
+// TombstonesOf returns the number of tombstones of a kind.
+func (s *Set) TombstonesOf(kind string) int { return s.items.deleted.lenOf(kind) }
+
+// Deleted returns the tombstones of a kind, sorted by name.
+func (s *Set) Deleted(kind string) (all []Item) {
+	for _, tree := range s.items.deleted.treesOf(kind) {
+		tree.eachItem(kind, func(i Item) bool {
+			all = append(all, i)
+			return true
+		})
+	}
+	sortItems(all)
+	return all
+}
+
 // All returns all items, including tombstones, sorted by key.
 func (s *Set) All() []Item {
 	all := slices.AppendSeq(make([]Item, 0, s.Len()), s.items.All())
--- a/internal/cluster/config/tombstones.go
+++ b/internal/cluster/config/tombstones.go
@@ -63,21 +63,32 @@
 }
 
 func (t *tombstones) len() (n int) {
-	for _, kind := range t.kinds {
-		for _, tree := range kind {
-			n += tree.len()
-		}
+	for kind := range t.kinds {
+		n += t.lenOf(kind)
 	}
 	return n
 }
 
-// highestVersion returns the highest version of the deleted items of a kind, 0 if there are none.
-func (t *tombstones) highestVersion(kind string) (version uint64) {
+// lenOf returns the number of deleted items of a kind.
+func (t *tombstones) lenOf(kind string) (n int) {
+	for _, tree := range t.treesOf(kind) {
+		n += tree.len()
+	}
+	return n
+}
+
+// treesOf returns the tree of each partition of a kind, none if no item of it was deleted.
+func (t *tombstones) treesOf(kind string) []*tombstoneTree {
 	trees := t.kinds[kind]
 	if trees == nil {
-		return 0
+		return nil
 	}
-	for _, tree := range trees {
+	return trees[:]
+}
+
+// highestVersion returns the highest version of the deleted items of a kind, 0 if there are none.
+func (t *tombstones) highestVersion(kind string) (version uint64) {
+	for _, tree := range t.treesOf(kind) {
 		if tree != nil {
 			version = max(version, tree.highest)
 		}
--- a/internal/cluster/instance/table.go
+++ b/internal/cluster/instance/table.go
@@ -89,14 +89,26 @@
 	return i, true
 }
 
+// Drain marks a ready instance as draining, because its departure has become known by other means than a heartbeat. It returns the
+// instance, and whether it changed.
+func (t *Table) Drain(id string) (Instance, bool) {
+	i, known := t.instances[id]
+	if !known || i.State != Ready {
+		return i, false
+	}
+	i.State = Draining
+	t.instances[id] = i
+	return i, true
+}
+
 // Merge applies the state of an instance received from another control process, if it supersedes the known one. changed reports whether
-// it did. reannounce reports that other processes must be sent the state known here, because the received one says unresponsive
-// while this process receives heartbeats.
+// it did. reannounce reports that other processes must be sent the state known here: the received one says unresponsive while this process
+// receives heartbeats, or its sender has forgotten what it announced before as the owner.
 func (t *Table) Merge(now int64, i Instance) (changed, reannounce bool) {
 	old, known := t.instances[i.ID]
 	if known && !Supersedes(i, old) {
 		responsiveHere := old.Owner == t.self && !old.Unresponsive && old.State != Gone
-		return false, i.Unresponsive && responsiveHere
+		return false, i.Unresponsive && responsiveHere || forgotten(i, old)
 	}
 	if i.Owner != t.self {
 		delete(t.lastHeartbeat, i.ID)
@@ -105,6 +117,12 @@
 	return true, false
 }
 
+// forgotten reports whether the owner of an instance announces an older state than it did before. It has restarted since, and received a
+// heartbeat that was sent before the known one.
+func forgotten(announced, known Instance) bool {
+	return announced.Owner == known.Owner && (announced.Sequence < known.Sequence || announced.State < known.State)
+}
+
 // Lookup returns the instance of an ID, or the zero Instance if it is unknown.
 func (t *Table) Lookup(id string) Instance { return t.instances[id] }
 
--- a/internal/control/consensus/learner.go
+++ b/internal/control/consensus/learner.go
@@ -94,7 +94,7 @@
 func (n *Node) apply(now int64, index uint64, items []config.Item) {
 	switch {
 	case operation.ReplacesAll(items):
-		n.stageChanges(n.Set.ReplaceAll(items[1:]))
+		n.stageChanges(n.Set.ReplaceAll(operation.RestoredItems(n.Set, items)))
 		n.effects.Replaced = true
 		n.clearHistory() // peers that are behind get a snapshot
 	case index == foundingIndex:
--- a/internal/control/operation/members.go
+++ b/internal/control/operation/members.go
@@ -42,6 +42,12 @@
 	return restoreValue(list.WithRestored(o.Version), o.Items), nil
 }
 
+// RestoredItems returns the contents of the set after a value for which ReplacesAll is true. The departures in the set remain: a host does
+// not come back with the configuration of an earlier time.
+func RestoredItems(s *config.Set, value []config.Item) []config.Item {
+	return append(s.Deleted(config.KindDepartures), value[1:]...)
+}
+
 // restoreValue returns the value that replaces the set with a snapshot. The members are kept. The new epoch makes proxies accept lower
 // versions as well.
 func restoreValue(list membership.List, items []config.Item) []config.Item {
--- a/internal/control/registry/updates.go
+++ b/internal/control/registry/updates.go
@@ -21,9 +21,14 @@
 type VoteKey struct{ Proxy, Service string }
 
 // Publish publishes decided items to the proxies that subscribe to this process, except items that the set no longer has in this version.
-// live is set if they were decided, as far as known, while this process has been running.
+// Instead of the record of a departure it publishes the host. live is set if the items were decided, as far as known, while this process
+// has been running.
 func (s *State) Publish(now int64, items []config.Item, live bool) {
 	for _, i := range items {
+		if i.Kind == config.KindDepartures {
+			s.applyDeparture(i.Name)
+			continue
+		}
 		if i.Kind == config.KindRollouts && !i.Deleted {
 			s.RolloutAges.Observe(now, rollout.FromItem(i), live)
 		}
@@ -94,15 +99,6 @@
 	}
 }
 
-func (s *State) mergeInstance(now int64, host instance.Instance) {
-	updated, republish := s.Instances.Merge(now, host)
-	if updated {
-		s.PublishInstance(host, false)
-	} else if republish {
-		s.PublishInstance(s.Instances.Lookup(host.ID), true)
-	}
-}
-
 // mergeProxy applies another control process's state of a proxy. If the known state supersedes the received one, the known one is sent
 // to the other processes again: the sender may have claimed the proxy with a clock that is behind, after a restart or without knowing
 // the proxy, and its updates would be ignored until it claims the proxy with a later registration. An outdated Gone is not answered,
@@ -125,11 +121,8 @@
 	if forControl {
 		return s.controlSnapshot()
 	}
-	items := s.Set.All()
-	if s.Set.Tombstones() > maxSnapshotTombstones {
-		items = limitTombstones(items, maxSnapshotTombstones)
-	}
-	return s.proxySnapshot(now, items)
+	items := config.WithoutDepartures(s.Set.All())
+	return s.proxySnapshot(now, limitTombstones(items, maxSnapshotTombstones))
 }
 
 // ChunkedSnapshot is Snapshot for a proxy that accepts chunks, without tombstones if there are more than maxSnapshotTombstones. Such a
@@ -139,12 +132,15 @@
 	if s.Set.Tombstones() > maxSnapshotTombstones {
 		return s.proxySnapshot(now, s.Set.AllLive())
 	}
-	return s.proxySnapshot(now, s.Set.All())
+	return s.proxySnapshot(now, config.WithoutDepartures(s.Set.All()))
 }
 
-// limitTombstones returns the live items and the given number of tombstones, those with the highest versions.
+// limitTombstones returns the live items and at most the given number of tombstones, those with the highest versions.
 func limitTombstones(items []config.Item, limit int) []config.Item {
 	live, tombstones := lo.FilterReject(items, func(item config.Item, _ int) bool { return !item.Deleted })
+	if len(tombstones) <= limit {
+		return items
+	}
 	slices.SortStableFunc(tombstones, func(a, b config.Item) int { return cmp.Compare(b.Version, a.Version) })
 	return append(live, tombstones[:limit]...)
 }
--- a/internal/control/server/consensus.go
+++ b/internal/control/server/consensus.go
@@ -125,6 +125,7 @@
 				klog.ErrorS(err, "consensus message", "to", ip)
 				continue
 			}
+			s.consensusMessages++
 			peerStream.Send(update.Message{Consensus: raw})
 		}
 	}
@@ -171,6 +172,11 @@
 		return err
 	}
 	defer s.endCall(tag)
+	return s.awaitResult(ctx, result)
+}
+
+// awaitResult waits for the result of a call that has begun.
+func (s *Server) awaitResult(ctx context.Context, result <-chan consensus.Result) error {
 	select {
 	case answer := <-result:
 		return answer.Err()
@@ -184,6 +190,11 @@
 func (s *Server) beginCall(event consensus.Event) (tag uint64, result <-chan consensus.Result, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.beginCallLocked(event)
+}
+
+// beginCallLocked is beginCall for a caller that holds mu.
+func (s *Server) beginCallLocked(event consensus.Event) (tag uint64, result <-chan consensus.Result, err error) {
 	check := s.checkReady
 	if event.Operation != nil && event.Operation.Kind == operation.ChangeMembers { // a process that is shutting down may submit its own removal
 		check = s.checkQuorum
--- a/internal/control/server/hosts.go
+++ b/internal/control/server/hosts.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"net"
-	"time"
+
+	"k8s.io/klog/v2"
 
 	"portflow/internal/cluster/apierror"
 	"portflow/internal/cluster/config"
@@ -12,12 +13,7 @@
 	"portflow/internal/control/rpc"
 )
 
-const (
-	// leaveAckTimeout limits the wait of a leaving host, which moves on to the next control process after one second.
-	leaveAckTimeout = 700 * time.Millisecond
-
-	maxHostIDBytes = 256
-)
+const maxHostIDBytes = 256
 
 func checkHostID(id string) error {
 	if id == "" || len(id) > maxHostIDBytes {
@@ -44,8 +40,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if leaving { // rare; other heartbeats need no timer
-		if err := s.awaitMajorityAck(ctx, id); err != nil {
+	if leaving { // rare; other heartbeats need neither a timer nor an operation
+		if err := s.confirmDeparture(ctx, id); err != nil {
 			return nil, err
 		}
 	}
@@ -56,18 +52,22 @@
 }
 
 // acceptHeartbeat updates a host and publishes it if it has changed. It returns the address for the next heartbeat, empty for this
-// process, and whether the host's departure is pending. Without a quorum it returns an error, since nobody would receive the updates of
-// this process; the host then moves on to another one.
+// process, and whether the host is leaving and its departure is not confirmed yet. Without a quorum it returns an error, since nobody would
+// receive the updates of this process; the host then moves on to another one.
 func (s *Server) acceptHeartbeat(now int64, heartbeat instance.Instance) (redirect string, leaving bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.checkReady(); err != nil {
 		return "", false, err
 	}
-	host, changed := s.state.Instances.Heartbeat(now, heartbeat)
+	host, changed := s.state.Heartbeat(now, heartbeat)
 	s.announceInstance(host, changed)
 	s.proposeInitialVersion(host)
-	return s.controlForZone(host.Zone), s.departures.isPending(heartbeat.ID), nil
+	if heartbeat.State == instance.Ready && host.State != instance.Ready {
+		klog.InfoS("late heartbeat", "host", host.ID, "state", host.State, "sequence", heartbeat.Sequence)
+	}
+	leaving = s.departures.isPending(host.ID) || host.State != instance.Ready && !s.state.HasDeparted(host.ID)
+	return s.controlForZone(host.Zone), leaving, nil
 }
 
 // acceptsHeartbeats reports whether another control process accepts heartbeats according to its last status. A process that is catching
@@ -119,7 +119,7 @@
 	delete(s.pendingVersions, service)
 }
 
-// handleLeave deregisters a host. It answers once a majority of the members has acknowledged that.
+// handleLeave deregisters a host. It answers once its departure is confirmed.
 func (s *Server) handleLeave(ctx context.Context, id string, _ []byte) (any, error) {
 	if err := checkHostID(id); err != nil {
 		return nil, err
@@ -127,7 +127,7 @@
 	if err := s.deregister(id); err != nil {
 		return nil, err
 	}
-	return nil, s.awaitMajorityAck(ctx, id)
+	return nil, s.confirmDeparture(ctx, id)
 }
 
 func (s *Server) deregister(id string) error {
@@ -155,41 +155,3 @@
 	}
 	s.subscriptions.notify()
 }
-
-// awaitMajorityAck waits until a majority of the members, including this process, has acknowledged the departure of a host. The host
-// terminates after the answer, so proxies subscribed to any of these members must learn of the departure first, and a process that does
-// not know yet that it is partitioned must not answer. Other updates about hosts don't wait for acknowledgements.
-func (s *Server) awaitMajorityAck(ctx context.Context, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, leaveAckTimeout)
-	defer cancel()
-	for {
-		complete, changed := s.resolveDeparture(id)
-		if complete {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return apierror.Wrap(apierror.Unavailable, ctx.Err(), "of: the departure of %s has not been acknowledged by a majority of the voting members yet", id)
-		}
-	}
-}
-
-// resolveDeparture reports whether a host's departure is complete. If not, changed is closed when it should be called again.
-func (s *Server) resolveDeparture(id string) (complete bool, changed <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.departures.resolve(id, s.majorityAcked), s.departures.changed
-}
-
-// majorityAcked reports whether a majority of the members, including this process, has acknowledged all updates up to number. The caller
-// holds mu.
-func (s *Server) majorityAcked(number uint64) bool {
-	acks := map[string]string{s.Settings.IP: s.state.Self.ID}
-	for sub := range s.subscriptions.subscribers {
-		if sub.identity.Control && sub.acked >= number {
-			acks[sub.identity.IP] = sub.identity.ID
-		}
-	}
-	return s.state.Node.Membership().HasQuorum(acks)
-}
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -81,6 +81,8 @@
 	calls         pendingCalls
 	departures    departures
 
+	consensusMessages int64 // messages of the consensus node sent to other control processes
+
 	tickScheduled bool // a tick of the consensus node is due within busyTickInterval
 	diskBehind    bool // a write was dropped: nothing more is written until rewriteDisk has queued the complete state
 
@@ -218,6 +220,13 @@
 	return s.state.Status()
 }
 
+// ConsensusMessages returns the number of messages of the consensus node that this process has sent to others.
+func (s *Server) ConsensusMessages() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.consensusMessages
+}
+
 // Seeds returns the control processes listed as seeds in the settings, except this one.
 func Seeds(cfg settings.Settings) (seeds []gossip.Member) {
 	for _, address := range cfg.SeedNodes {
@@ -235,7 +244,8 @@
 	klog.InfoS("counters",
 		"standing", s.state.Status(),
 		"items", s.state.Set.Len(),
-		"dropped", s.state.Set.Tombstones(),
+		"dropped", s.state.Set.Tombstones()-s.state.Set.TombstonesOf(config.KindDepartures),
+		"departed", s.state.Set.TombstonesOf(config.KindDepartures),
 		"hosts", len(s.state.Instances.All()),
 		"routers", len(s.state.ReadyProxies()),
 		"core", len(s.state.Peers)+1,
@@ -245,6 +255,7 @@
 		"syncs", s.writer.store.Syncs.Load(),
 		"said", stream.FramesWritten.Load(),
 		"said_bytes", stream.FrameBytesWritten.Load(),
+		"said_agreement", s.consensusMessages,
 		"beats", stream.HeartbeatsWritten.Load(),
 		"foreign", stream.MalformedFrames.Load()+s.gossip.Rejected.Load(),
 		"disk_refusals", s.writeFailures.Load(),
--- a/internal/control/server/snapshots.go
+++ b/internal/control/server/snapshots.go
@@ -43,9 +43,10 @@
 	return s.operatorSnapshots.cache.Serve(s.clock(), req, s.snapshotItems)
 }
 
-// snapshotItems returns all items without their history, and the epoch and index that they correspond to. The caller holds mu.
+// snapshotItems returns all items except departures, without their history, and the epoch and index that they correspond to. A restore
+// leaves departures as they are. The caller holds mu.
 func (s *Server) snapshotItems() (items []config.Item, epoch, index uint64) {
-	items = s.state.Set.All()
+	items = config.WithoutDepartures(s.state.Set.All())
 	for i := range items {
 		items[i].History = nil
 	}
