lab/trial: hosts leave without draining, heartbeats come late, judged by DRAIN

The soak had hosts that drained and left with their heartbeats in order, and no check of what they got afterwards. A request that reaches a host later than the drain limit after the acknowledgement is a violation if its proxy was in touch: neither it nor a control process was signalled or started for contact-s. The load goes on undisturbed for 10 s at the end. Heartbeats are 1.3 s apart, as at the sites, for 0.5 s.

--- a/internal/lab/trial/attempt.go
+++ b/internal/lab/trial/attempt.go
@@ -88,6 +88,7 @@
 	Killed                       // SIGKILL
 	Stopped                      // SIGSTOP
 	Continued                    // SIGCONT
+	Started                      // no signal: the process was started
 )
 
 var signalNames = [...]string{
@@ -96,19 +97,26 @@
 	Killed:     "SIGKILL",
 	Stopped:    "SIGSTOP",
 	Continued:  "SIGCONT",
+	Started:    "start",
 }
 
 // ends reports whether a process that receives the signal is to exit.
 func (k SignalKind) ends() bool { return k == Terminated || k == Killed }
 
+// disturbs reports whether a process that receives the signal is out of touch for some time.
+func (k SignalKind) disturbs() bool { return k != Hangup }
+
 // Signal records one signal that was sent to a process.
 type Signal struct {
-	Proxy int // index of the proxy, -1 for a control process
+	Proxy int // index of the proxy, or controlProcess
 	Kind  SignalKind
 	At    time.Duration
 	Until time.Duration // when delivery returned, by which time a terminated or killed process had exited
 }
 
+// controlProcess stands for the index of a proxy if a signal was sent to a control process.
+const controlProcess = -1
+
 // Interval is a closed interval of time, as offsets from the start of the trial.
 type Interval struct{ From, To time.Duration }
 
--- a/internal/lab/trial/hosthandler.go
+++ b/internal/lab/trial/hosthandler.go
@@ -45,6 +45,7 @@
 		reject(w, http.StatusMisdirectedRequest)
 		return
 	}
+	i.recordDeparted(id)
 	defer i.open.Add(-1)
 	if i.open.Add(1) > hostSlots+hostQueue {
 		reject(w, http.StatusServiceUnavailable)
@@ -67,6 +68,14 @@
 	i.writeAnswer(w, id, answerBytes, aborts)
 }
 
+// recordDeparted records a request that arrives later than the drain limit after the instance's departure was acknowledged.
+func (i *instance) recordDeparted(id string) {
+	acked := time.Duration(i.departedAt.Load())
+	if now := i.rig.clock.now(); acked > 0 && now-acked > terms.Drain {
+		i.rig.recorder.recordDeparted(DepartedArrival{AttemptID: id, Instance: i.id, AckedAt: acked, At: now})
+	}
+}
+
 // reject responds with a status and the header that promises that the request did not run.
 func reject(w http.ResponseWriter, status int) {
 	w.Header().Set("Request-Not-Run", "1")
--- a/internal/lab/trial/judge.go
+++ b/internal/lab/trial/judge.go
@@ -11,6 +11,8 @@
 	LossSlack     time.Duration // time after sending within which a request may be lost to a concurrent close of its connection
 	Idle          time.Duration // shortest idle timeout that operators configure
 	Configuration time.Duration // time from the acknowledgement of a change until all proxies apply it
+	Drain         time.Duration // time from the acknowledgement of a host's departure until it gets no more requests
+	Contact       time.Duration // time without a disturbance after which a process is in touch
 }
 
 // Violation reports a broken rule.
--- a/internal/lab/trial/layout.go
+++ b/internal/lab/trial/layout.go
@@ -15,8 +15,7 @@
 	readinessPort = 8140
 	directoryPort = 8143
 
-	heartbeatInterval = 500 * time.Millisecond
-	drainLimit        = 3 * time.Second
+	heartbeatInterval = 1300 * time.Millisecond
 )
 
 // terms are configured in the processes and applied by Judge.
@@ -25,6 +24,8 @@
 	LossSlack:     200 * time.Millisecond,
 	Idle:          minIdleTimeout,
 	Configuration: 3 * time.Second,
+	Drain:         3 * time.Second,
+	Contact:       5 * time.Second,
 }
 
 func zoneName(zone int) string { return fmt.Sprintf("z%d", zone+1) }
--- a/internal/lab/trial/process.go
+++ b/internal/lab/trial/process.go
@@ -54,6 +54,8 @@
 		return fmt.Errorf("start %s: %w", cmd.Path, err)
 	}
 	p.starts++
+	now := p.rig.clock.now()
+	p.rig.recordSignal(Signal{Proxy: p.proxyIndex(), Kind: Started, At: now, Until: now}, p.role)
 	p.cmd = cmd
 	p.exited = make(chan struct{})
 	p.stopRequested = false
@@ -129,12 +131,12 @@
 	}
 }
 
-// proxyIndex returns the index of a proxy, and -1 for a control process.
+// proxyIndex returns the index of a proxy, and controlProcess for a control process.
 func (p *process) proxyIndex() int {
 	if p.role == "proxy" {
 		return p.index
 	}
-	return -1
+	return controlProcess
 }
 
 // exitsWithin waits until the current incarnation has exited, and reports whether it did so in time.
--- a/internal/lab/trial/recorder.go
+++ b/internal/lab/trial/recorder.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,8 +13,12 @@
 	mu        sync.Mutex           // guards the fields below
 	hostViews map[string]*HostView // by attempt ID
 	attempts  []Attempt
+	departed  []DepartedArrival // at most maxDepartedArrivals
 }
 
+// maxDepartedArrivals is the number of requests to departed hosts that are kept. Correct proxies send none once they are in touch.
+const maxDepartedArrivals = 100_000
+
 func newRecorder(limit int) *recorder {
 	return &recorder{hostViews: map[string]*HostView{}, limit: limit}
 }
@@ -43,6 +48,22 @@
 	change(v)
 }
 
+// recordDeparted records a request that reached a departed host.
+func (r *recorder) recordDeparted(a DepartedArrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.departed) < maxDepartedArrivals {
+		r.departed = append(r.departed, a)
+	}
+}
+
+// departedArrivals returns the recorded requests to departed hosts.
+func (r *recorder) departedArrivals() []DepartedArrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.departed)
+}
+
 // joinedAttempts returns all attempts, with the hosts' views filled in.
 func (r *recorder) joinedAttempts() []Attempt {
 	r.mu.Lock()
--- a/internal/lab/trial/report.go
+++ b/internal/lab/trial/report.go
@@ -19,6 +19,7 @@
 	for _, a := range all {
 		r.violate(j.Violations(a)...)
 	}
+	r.violate(j.DrainViolations(r.recorder.departedArrivals(), all)...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := Summarize(j, all, windows)
@@ -35,8 +36,11 @@
 	s.Violations = r.violations
 	s.Others = map[string]int64{
 		"connections that the proxy closed while they were idle, nothing sent": r.counters.closedIdle.Load(),
-		"connections refused":         r.counters.refusedConnections.Load(),
-		"hosts that drained and left": r.counters.hostsLeft.Load(),
+		"connections refused":                                  r.counters.refusedConnections.Load(),
+		"hosts whose departure was acknowledged":               r.counters.departuresAcked.Load(),
+		"hosts whose departure was not acknowledged":           r.counters.departuresUnacked.Load(),
+		"hosts that left without draining":                     r.counters.leftWithoutDrain.Load(),
+		"late heartbeats of departed hosts that were answered": r.counters.lateHeartbeats.Load(),
 	}
 	return s
 }
@@ -81,7 +85,7 @@
 // writeSignalLog writes the signal log without control processes.
 func (r *Report) writeSignalLog(w io.Writer) {
 	for _, signal := range r.SignalLog {
-		if signal.Proxy >= 0 {
+		if signal.Proxy != controlProcess && signal.Kind != Started {
 			fmt.Fprintf(w, "  proxy %d, %s from %.3f s to %.3f s\n",
 				signal.Proxy, signalNames[signal.Kind], signal.At.Seconds(), signal.Until.Seconds())
 		}
--- a/internal/lab/trial/rig.go
+++ b/internal/lab/trial/rig.go
@@ -42,7 +42,10 @@
 	counters struct {
 		closedIdle         atomic.Int64 // idle connections that proxies closed
 		refusedConnections atomic.Int64
-		hostsLeft          atomic.Int64
+		departuresAcked    atomic.Int64
+		departuresUnacked  atomic.Int64
+		leftWithoutDrain   atomic.Int64
+		lateHeartbeats     atomic.Int64 // that were answered
 	}
 
 	mu           sync.Mutex // guards the fields below
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -41,6 +41,9 @@
 	firstClientStream   = 10_000
 )
 
+// calmTime is how long the load goes on undisturbed: until all processes are in touch, and for as long again.
+var calmTime = 2 * terms.Contact
+
 // settleTime is the wait after the load for hosts to record late duplicates of requests.
 const settleTime = time.Second
 
@@ -112,7 +115,7 @@
 	r.signalProcesses(ctx, r.drawSeries(phase(phases.signalled)))
 	stopOperators()
 	r.progress("no more changes")
-	wait(ctx, phase(phases.rest())+terms.Configuration+time.Second)
+	wait(ctx, max(phase(phases.rest())+terms.Configuration+time.Second, calmTime))
 	close(stopClients)
 	clients.Wait()
 	wait(ctx, settleTime)
