control: a subscriber gets no further batch while four are unacknowledged

Cause: a batch went out every 40 ms whatever had been acknowledged, so a slower proxy had an ever longer queue before it, on the connection and in the sockets: `behind` of harbour.read showed 11,000 to 15,000 updates for 10 s.

Change: at most four batches are unacknowledged; what arises meanwhile is merged into the next one.

--- a/internal/control/server/subscribers.go
+++ b/internal/control/server/subscribers.go
@@ -58,7 +58,8 @@
 	proxy            update.Proxy      // as last announced; zero before that and for a control process
 	acked            uint64            // number of the last update that it has acknowledged
 	progress         *update.Progress  // the part of a snapshot that it has received; nil if it doesn't accept chunks
-	chunkAcked       chan struct{}     // has capacity 1; a value means that a chunk was acknowledged
+	ackReceived      chan struct{}     // has capacity 1; a value means that a chunk, or a batch while awaitsAck was set, was acknowledged
+	awaitsAck        bool              // no batch is sent to it until it acknowledges one
 	provisional      bool              // a proxy that still receives updates from another control process, until it announces itself
 	bytesAtLastCheck int64             // bytes received up to the last run of reclaimProxies
 }
@@ -86,7 +87,7 @@
 	self := s.state.Self // immutable, so mu is not needed
 	self.Now = s.clock()
 	subStream.Send(update.Message{Hello: &self})
-	sub := &subscriber{stream: subStream, helloReceived: make(chan update.Hello, 1), chunkAcked: make(chan struct{}, 1)}
+	sub := &subscriber{stream: subStream, helloReceived: make(chan update.Hello, 1), ackReceived: make(chan struct{}, 1)}
 	go s.sendUpdates(sub)
 	s.mu.Lock()
 	s.subscriptions.add(sub)
@@ -151,12 +152,13 @@
 		}
 	case msg.Progress != nil && sub.progress != nil:
 		sub.progress = msg.Progress
-		select {
-		case sub.chunkAcked <- struct{}{}:
-		default:
-		}
+		sub.wakeSender()
 	case msg.Ack != 0:
 		sub.acked = max(sub.acked, msg.Ack)
+		if sub.awaitsAck {
+			sub.awaitsAck = false
+			sub.wakeSender()
+		}
 		if isControl {
 			s.departures.notifyWaiters()
 		}
@@ -165,6 +167,14 @@
 	}
 }
 
+// wakeSender wakes the goroutine of sendUpdates after an acknowledgement that it waits for.
+func (sub *subscriber) wakeSender() {
+	select {
+	case sub.ackReceived <- struct{}{}:
+	default:
+	}
+}
+
 // handleSubscriberHello records the identity of a subscriber. The caller holds mu.
 func (s *Server) handleSubscriberHello(sub *subscriber, msg update.Message) {
 	hello := *msg.Hello
--- a/internal/control/server/updates.go
+++ b/internal/control/server/updates.go
@@ -13,6 +13,7 @@
 	statusChangeInterval = 200 * time.Millisecond  // minimum time between statuses to a control process, except for urgent changes
 	rolloutAnnounceTime  = int64(time.Hour)        // nanoseconds for which a rollout's start is announced to other control processes
 	batchInterval        = 40 * time.Millisecond   // minimum time between batches, so that changes in quick succession share one
+	maxUnackedBatches    = 4                       // sent to a subscriber; in batchIntervals, a round trip between regions
 	maxSkippedUpdates    = registry.MaxUpdates / 4 // consecutive updates that may be filtered out before an empty batch is sent
 )
 
@@ -27,6 +28,7 @@
 	statusSentAt time.Time
 	clockSentAt  time.Time
 	batchSentAt  time.Time
+	unacked      []uint64         // last update of each batch that the subscriber hasn't acknowledged, in order
 	transfer     *update.Transfer // the snapshot being sent; nil if there is none
 	awaited      string           // name of the last snapshot that was sent or whose encoding was awaited
 }
@@ -49,7 +51,7 @@
 		updated, snapshotReady, wait := sender.sendAvailable()
 		select {
 		case <-updated:
-		case <-sub.chunkAcked:
+		case <-sub.ackReceived:
 		case <-snapshotReady:
 		case <-time.After(wait):
 		case <-sub.stream.Done():
@@ -91,7 +93,7 @@
 	if u.statusDue(status, time.Now()) {
 		u.sendStatus(status)
 	}
-	if u.identity.Control || status.Complete && !u.sub.provisional {
+	if (u.identity.Control || status.Complete && !u.sub.provisional) && u.mayBatch() {
 		snapshotReady = u.sendChanges(at)
 	}
 	if status != u.sentStatus { // held back by statusDue because another one was sent recently
@@ -100,6 +102,23 @@
 	return updated, snapshotReady, statusInterval
 }
 
+// mayBatch reports whether fewer than maxUnackedBatches batches are unacknowledged. While a subscriber applies updates more slowly than they
+// arise, they are merged here into its next batch; batches queued on the connection would each be older by the time it takes them. The
+// caller holds mu.
+func (u *updateSender) mayBatch() bool {
+	for len(u.unacked) > 0 && u.unacked[0] <= u.sub.acked {
+		u.unacked = u.unacked[1:]
+	}
+	u.sub.awaitsAck = len(u.unacked) >= maxUnackedBatches
+	return !u.sub.awaitsAck
+}
+
+// batchSent records a batch that ends with the given update. The caller holds mu.
+func (u *updateSender) batchSent(to uint64) {
+	u.sentUpTo = to
+	u.unacked = append(u.unacked, to)
+}
+
 // statusDue reports whether to send a status. A proxy is sent each change immediately. A control process is sent urgent changes
 // immediately and others once statusChangeInterval has passed since the last status.
 func (u *updateSender) statusDue(status update.Status, now time.Time) bool {
@@ -185,7 +204,7 @@
 		msg.Now = u.server.clock()
 	}
 	u.sub.stream.Send(msg)
-	u.sentUpTo = at.last
+	u.batchSent(at.last)
 	u.batchSentAt = time.Now()
 }
 
@@ -201,7 +220,7 @@
 		Number:      at.index,
 	}
 	u.sub.stream.Send(update.Message{Batch: &batch, Now: s.clock()})
-	u.sentUpTo = at.last
+	u.batchSent(at.last)
 	u.following = true
 }
 
@@ -241,7 +260,7 @@
 		Number:      at.index,
 	}
 	u.sub.stream.Send(update.Message{Batch: &batch, Now: s.clock()})
-	u.sentUpTo = at.last
+	u.batchSent(at.last)
 	u.following = true
 	u.transfer = nil
 }
--- a/internal/lab/simulation/departure_test.go
+++ b/internal/lab/simulation/departure_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// killAllControl kills all control processes at once and starts them again.
+// killAllControl kills all control processes that are up at once, and starts all of them again.
 func (cl *Cluster) killAllControl() {
 	for _, node := range cl.Controls {
 		node.Kill()
@@ -110,10 +110,7 @@
 			node.Kill()
 			node.Disk.PowerLoss(i%2 == 0)
 		}
-		time.Sleep(500 * time.Millisecond)
-		for _, node := range cluster.Controls {
-			node.mustStart()
-		}
+		cluster.killAllControl() // all are down: only starts them
 	},
 	"all processes killed at once": func(cluster *Cluster, _ *ControlNode) {
 		for _, px := range cluster.Proxies {
