--- a/internal/lab/hollow/droppednames_test.go
+++ b/internal/lab/hollow/droppednames_test.go
@@ -146,20 +146,33 @@
 	for _, names := range []int{0, 10_000, 100_000, 400_000, 1_000_000} {
 		b.Run(fmt.Sprint(names), func(b *testing.B) {
 			for b.Loop() {
-				measureDroppedNames(b, names)
+				measureTombstones(b, names, droppedRoute)
 			}
 		})
 	}
 }
 
-func measureDroppedNames(b *testing.B, names int) {
+// Measures what recorded departures cost a control process, by their number, as BenchmarkDroppedNames does.
+func BenchmarkDepartures(b *testing.B) {
+	record := func(n int) config.Item { return operation.RecordDeparture(fmt.Sprintf("i-%08x", n)).Items[0] }
+	for _, hosts := range []int{0, 10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			for b.Loop() {
+				measureTombstones(b, hosts, record)
+			}
+		})
+	}
+}
+
+// measureTombstones measures what a number of tombstones cost; tombstone returns the one with an index.
+func measureTombstones(b *testing.B, names int, tombstone func(n int) config.Item) {
 	self := membership.Member{IP: "10.0.0.1", ID: "a", Zone: "z0"}
 	peer := membership.Member{IP: "10.0.0.2", ID: "b", Zone: "z1"}
 	before := heapBytes()
 	set := config.NewSet()
 	set.Merge(membership.List{Epoch: 1, Members: []membership.Member{self, peer}}.Item())
 	for n := range names {
-		set.Merge(droppedRoute(n))
+		set.Merge(tombstone(n))
 	}
 	setBytes := heapBytes() - before
 	node := consensus.New(self, "incarnation", 1, consensus.HardState{DiskID: "a", Applied: 900}, set, 0)
