--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -93,7 +93,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		responseErr := &ResponseError{Status: resp.StatusCode}
-		json.Unmarshal(raw, responseErr)
+		_ = json.Unmarshal(raw, responseErr) // the status remains if the body has no reason
 		return nil, responseErr
 	}
 	return raw, nil
@@ -102,7 +102,7 @@
 // CallEach sends a call to every control process once, and passes each successful response to handle, which may be nil. It stops at
 // the first error of handle and returns it. It returns ErrNoAnswer if no process responded with success.
 func (c *Client) CallEach(ctx context.Context, call string, handle func(raw []byte) error) error {
-	var lastErr error = ErrNoAnswer
+	lastErr := ErrNoAnswer
 	for _, address := range c.Addresses {
 		raw, err := c.callOne(ctx, address, call, "", nil)
 		if err != nil {
--- a/internal/client/locate.go
+++ b/internal/client/locate.go
@@ -113,7 +113,7 @@
 	}
 	items := tables[match[1]]
 	rowIndex := 0
-	fmt.Sscan(match[2], &rowIndex)
+	_, _ = fmt.Sscan(match[2], &rowIndex) // rowPath matches digits only
 	for i, column := range items.Columns {
 		if column == "name" && rowIndex < len(items.Rows) && i < len(items.Rows[rowIndex]) {
 			return fmt.Sprintf("%s %v", match[1], items.Rows[rowIndex][i])
@@ -133,7 +133,7 @@
 	var document struct {
 		Set map[string]json.RawMessage `json:"set-items"`
 	}
-	json.Unmarshal(raw, &document)
+	_ = json.Unmarshal(raw, &document) // without tables nothing is located
 	found := map[string]table{}
 	for kind, rawTable := range document.Set {
 		var parsed table
--- a/internal/client/quotas.go
+++ b/internal/client/quotas.go
@@ -20,7 +20,7 @@
 			delete(fields, name)
 		}
 	}
-	reader := settings.NewReader(settings.Tree(fields))
+	reader := settings.NewReader(fields)
 	config.ParseQuota(reader)
 	if err := reader.Err(); err != nil {
 		return nil, err
@@ -54,7 +54,7 @@
 	totals := map[string][]uint64{}
 	for _, response := range responses {
 		for _, history := range response[service] {
-			if caller != "" && history.Name != caller && !(caller == config.OtherCallers && history.Name == "") {
+			if caller != "" && history.Name != caller && (caller != config.OtherCallers || history.Name != "") {
 				continue
 			}
 			if totals[history.Name] == nil {
--- a/internal/client/snapshot.go
+++ b/internal/client/snapshot.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return snapshot.Header{}, err
 	}
-	defer os.Remove(partial)
+	defer func() { _ = os.Remove(partial) }() // renamed after a complete download
 	defer file.Close()
 	for starts := 0; ; starts++ {
 		header, err := c.download(ctx, file)
--- a/internal/cluster/apierror/apierror.go
+++ b/internal/cluster/apierror/apierror.go
@@ -12,6 +12,7 @@
 // Kind classifies an error by its HTTP response. The zero value is None.
 type Kind uint8
 
+// The kinds of errors.
 const (
 	None    Kind = iota
 	NoRoute      // no route matches the request
--- a/internal/cluster/gossip/gossiper.go
+++ b/internal/cluster/gossip/gossiper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"strconv"
 	"sync"
@@ -117,7 +118,8 @@
 	for {
 		n, from, err := g.conn.ReadFrom(buffer)
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			var netErr net.Error
+			if errors.As(err, &netErr) && netErr.Timeout() {
 				continue
 			}
 			return
--- a/internal/cluster/network/network.go
+++ b/internal/cluster/network/network.go
@@ -32,7 +32,7 @@
 	}
 	return c.Control(func(fd uintptr) {
 		// best effort: users of the connection have timeouts of their own
-		syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(h.UserTimeout.Milliseconds()))
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(h.UserTimeout.Milliseconds()))
 	})
 }
 
--- a/internal/cluster/rollout/rollout.go
+++ b/internal/cluster/rollout/rollout.go
@@ -138,7 +138,7 @@
 	var body struct {
 		Version string `json:"version"`
 	}
-	json.Unmarshal(initial.Body, &body)
+	_ = json.Unmarshal(initial.Body, &body) // without a body there is no version
 	return body.Version
 }
 
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -39,6 +39,7 @@
 // Headroom is the spare capacity of a service as seen by a proxy. It decides which requests over the quota are admitted.
 type Headroom uint8
 
+// The amounts of headroom.
 const (
 	AmpleHeadroom  Headroom = iota // admit all requests over the quota
 	ScarceHeadroom                 // admit only non-idempotent ones
