portflowctl: one way to print a result; commands take no functions to call

Found on reading the change again: newClient and readFile are functions of the package since the split into files, and were still handed to four commands; four commands printed a result as JSON or a table each in its own lines. printResult and printTable serve them all.

--- a/cmd/portflowctl/calls.go
+++ b/cmd/portflowctl/calls.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"strings"
+	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
 
@@ -45,6 +47,21 @@
 	}
 }
 
+// printResult prints a result: as a table that render writes, or with --json as JSON.
+func printResult[T any](c *cli.Command, out io.Writer, result T, render func(io.Writer, T)) error {
+	if c.Bool("json") {
+		return json.NewEncoder(out).Encode(result)
+	}
+	return printTable(out, result, render)
+}
+
+// printTable prints a result as a table that render writes.
+func printTable[T any](out io.Writer, result T, render func(io.Writer, T)) error {
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	render(table, result)
+	return table.Flush()
+}
+
 // readFile reads the file that the argument names, or standard input.
 func readFile(c *cli.Command) ([]byte, error) {
 	name := c.StringArg("file")
--- a/cmd/portflowctl/core.go
+++ b/cmd/portflowctl/core.go
@@ -6,17 +6,15 @@
 	"fmt"
 	"io"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
-	"portflow/internal/client"
 	"portflow/internal/control/server"
 )
 
 // coreCommand returns the command that shows and changes the voting members.
-func coreCommand(newClient func(*cli.Command) *client.Client, out io.Writer) *cli.Command {
+func coreCommand(out io.Writer) *cli.Command {
 	newChangeCommand := func(action, usage string, names ...string) *cli.Command {
 		return &cli.Command{Name: action, Usage: usage,
 			Arguments: lo.Map(names, func(name string, _ int) cli.Argument { return &cli.StringArg{Name: name} }),
@@ -50,12 +48,7 @@
 			if err != nil {
 				return err
 			}
-			if c.Bool("json") {
-				return json.NewEncoder(out).Encode(status)
-			}
-			w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-			printCore(w, status)
-			return w.Flush()
+			return printResult(c, out, status, printCore)
 		},
 		Commands: []*cli.Command{
 			newChangeCommand("remove", "remove a voting member or learner, and exclude its disk until it is added again", "who"),
--- a/cmd/portflowctl/main.go
+++ b/cmd/portflowctl/main.go
@@ -9,7 +9,6 @@
 	"io"
 	"os"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/samber/lo"
@@ -55,15 +54,15 @@
 		},
 		Commands: []*cli.Command{
 			configCommand(out),
-			snapshotCommand(newClient, out, oneArgument("file")),
-			restoreCommand(newClient, out, oneArgument("file"), readFile),
+			snapshotCommand(out),
+			restoreCommand(out),
 			quotaCommand(out),
-			{Name: "shares", Usage: "show all quotas: limit, use, and demand and allocation by zone", Action: statusAction(newClient, out, printQuotas)},
+			{Name: "shares", Usage: "show all quotas: limit, use, and demand and allocation by zone", Action: statusAction(out, printQuotas)},
 			evacuateCommand(),
 			beginRolloutCommand(),
 			showRolloutsCommand(out),
-			coreCommand(newClient, out),
-			{Name: "who", Usage: "show control processes, proxies and hosts, and which of them lag behind", Action: statusAction(newClient, out, printMembers)},
+			coreCommand(out),
+			{Name: "who", Usage: "show control processes, proxies and hosts, and which of them lag behind", Action: statusAction(out, printMembers)},
 		}}
 }
 
@@ -80,7 +79,7 @@
 
 // statusAction returns an action that prints the cluster as the first control process that answers sees it: rendered, or with --json the
 // response as received.
-func statusAction(newClient func(*cli.Command) *client.Client, out io.Writer, render func(io.Writer, server.ClusterStatus)) cli.ActionFunc {
+func statusAction(out io.Writer, render func(io.Writer, server.ClusterStatus)) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
 		if c.Bool("json") {
 			raw, err := newClient(c).Call(ctx, "harbour.read", "", nil)
@@ -93,9 +92,7 @@
 		if err != nil {
 			return err
 		}
-		w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-		render(w, s)
-		return w.Flush()
+		return printTable(out, s, render)
 	}
 }
 
--- a/cmd/portflowctl/quota.go
+++ b/cmd/portflowctl/quota.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"text/tabwriter"
 
 	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
@@ -71,13 +70,12 @@
 		return err
 	}
 	throttled := client.SimulateQuota(responses, c.String("service"), c.String("caller"), c.Float("per-s"))
-	if c.Bool("json") {
-		return json.NewEncoder(out).Encode(throttled)
-	}
-	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "CALLER\tREQUESTS\tTHROTTLED\tPEAK MINUTE")
+	return printResult(c, out, throttled, printThrottled)
+}
+
+func printThrottled(w io.Writer, throttled []client.ThrottledCaller) {
+	fmt.Fprintln(w, "CALLER\tREQUESTS\tTHROTTLED\tPEAK MINUTE")
 	for _, caller := range throttled {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\n", client.FormatCaller(caller.Caller), caller.Requests, caller.Throttled, caller.WorstMinute)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", client.FormatCaller(caller.Caller), caller.Requests, caller.Throttled, caller.WorstMinute)
 	}
-	return table.Flush()
 }
--- a/cmd/portflowctl/restore.go
+++ b/cmd/portflowctl/restore.go
@@ -13,8 +13,8 @@
 
 // restoreCommand returns the command that restores a file written by the snapshot command. A snapshot replaces the complete state; a change
 // is converted to one whose items have a higher version than the current ones.
-func restoreCommand(newClient func(*cli.Command) *client.Client, out io.Writer, arguments []cli.Argument, readFile func(*cli.Command) ([]byte, error)) *cli.Command {
-	return &cli.Command{Name: "restore", Usage: "restore the state from a snapshot, or the configuration from a file written by snapshot --change", Arguments: arguments,
+func restoreCommand(out io.Writer) *cli.Command {
+	return &cli.Command{Name: "restore", Usage: "restore the state from a snapshot, or the configuration from a file written by snapshot --change", Arguments: oneArgument("file"),
 		Flags: []cli.Flag{&cli.BoolFlag{Name: "dry", Usage: "validate the file without restoring it; for a change, print what would be sent"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if path := c.StringArg("file"); client.IsSnapshot(path) {
--- a/cmd/portflowctl/rollout.go
+++ b/cmd/portflowctl/rollout.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"text/tabwriter"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -40,11 +39,6 @@
 			if err != nil {
 				return err
 			}
-			if c.Bool("json") {
-				return json.NewEncoder(out).Encode(responses)
-			}
-			table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-			printRollouts(table, responses)
-			return table.Flush()
+			return printResult(c, out, responses, printRollouts)
 		}}
 }
--- a/cmd/portflowctl/snapshot.go
+++ b/cmd/portflowctl/snapshot.go
@@ -14,9 +14,9 @@
 
 // snapshotCommand returns the command that saves a snapshot of the complete state. If control doesn't support snapshots, or with --change,
 // it saves the current configuration as a change.
-func snapshotCommand(newClient func(*cli.Command) *client.Client, out io.Writer, arguments []cli.Argument) *cli.Command {
+func snapshotCommand(out io.Writer) *cli.Command {
 	return &cli.Command{Name: "snapshot", Usage: "save a snapshot of the complete state to a file",
-		Arguments: arguments, Flags: []cli.Flag{&cli.BoolFlag{Name: "change", Usage: "save the current configuration instead, as a JSON change that sets all its items"}},
+		Arguments: oneArgument("file"), Flags: []cli.Flag{&cli.BoolFlag{Name: "change", Usage: "save the current configuration instead, as a JSON change that sets all its items"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			file := c.StringArg("file")
 			if file == "" {
