--- a/internal/cluster/config/item.go
+++ b/internal/cluster/config/item.go
@@ -86,11 +86,6 @@
 	return len(i.History) == MaxHistory && past.Version < i.History[0].Version
 }
 
-// WithoutDepartures returns the items that are not of KindDepartures. It may overwrite the given slice, and the result shares its memory.
-func WithoutDepartures(items []Item) []Item {
-	return slices.DeleteFunc(items, func(i Item) bool { return i.Kind == KindDepartures })
-}
-
 // Key identifies an item in a set.
 type Key struct{ Kind, Name string }
 
--- a/internal/cluster/config/itemmap.go
+++ b/internal/cluster/config/itemmap.go
@@ -47,14 +47,20 @@
 func (m *ItemMap) Len() int { return len(m.live) + m.deleted.len() }
 
 // All returns all items, including deleted ones, in no particular order. The map must not be modified during the iteration.
-func (m *ItemMap) All() iter.Seq[Item] {
+func (m *ItemMap) All() iter.Seq[Item] { return m.withTombstones(m.deleted.each) }
+
+// WithoutDepartures is All without the items of KindDepartures, which it doesn't visit.
+func (m *ItemMap) WithoutDepartures() iter.Seq[Item] { return m.withTombstones(m.deleted.eachDropped) }
+
+// withTombstones returns the live items, then the deleted ones that each yields.
+func (m *ItemMap) withTombstones(each iter.Seq[Item]) iter.Seq[Item] {
 	return func(yield func(Item) bool) {
 		for _, i := range m.live {
 			if !yield(i) {
 				return
 			}
 		}
-		m.deleted.each(yield)
+		each(yield)
 	}
 }
 
--- a/internal/cluster/config/set.go
+++ b/internal/cluster/config/set.go
@@ -131,17 +131,19 @@
 // Tombstones returns the number of tombstones of all kinds.
 func (s *Set) Tombstones() int { return s.items.deleted.len() }
 
-// TombstonesOf returns the number of tombstones of a kind.
-func (s *Set) TombstonesOf(kind string) int { return s.items.deleted.lenOf(kind) }
-
-// Deleted returns the tombstones of a kind, sorted by name.
-func (s *Set) Deleted(kind string) (all []Item) {
-	for _, tree := range s.items.deleted.treesOf(kind) {
-		tree.eachItem(kind, func(i Item) bool {
-			all = append(all, i)
-			return true
-		})
-	}
+// Departures returns the number of recorded departures, which are tombstones.
+func (s *Set) Departures() int { return s.items.deleted.lenOf(KindDepartures) }
+
+// DroppedNames returns the number of tombstones that are not departures.
+func (s *Set) DroppedNames() int { return s.Tombstones() - s.Departures() }
+
+// AllDepartures returns the recorded departures, sorted by name.
+func (s *Set) AllDepartures() []Item {
+	all := make([]Item, 0, s.Departures())
+	s.items.deleted.eachOf(KindDepartures, func(i Item) bool {
+		all = append(all, i)
+		return true
+	})
 	sortItems(all)
 	return all
 }
@@ -153,6 +155,13 @@
 	return all
 }
 
+// WithoutDepartures returns all items except departures, sorted by key. Its cost doesn't depend on the number of departures.
+func (s *Set) WithoutDepartures() []Item {
+	all := slices.AppendSeq(make([]Item, 0, s.Len()-s.Departures()), s.items.WithoutDepartures())
+	sortItems(all)
+	return all
+}
+
 // AllLive returns the items that are not deleted, sorted by key.
 func (s *Set) AllLive() []Item {
 	all := slices.AppendSeq(make([]Item, 0, len(s.items.live)), maps.Values(s.items.live))
--- a/internal/cluster/config/tombstones.go
+++ b/internal/cluster/config/tombstones.go
@@ -98,13 +98,30 @@
 
 // each calls yield for the items until it returns false.
 func (t *tombstones) each(yield func(Item) bool) {
-	for name, kind := range t.kinds {
-		for _, tree := range kind {
-			if !tree.eachItem(name, yield) {
-				return
-			}
+	for kind := range t.kinds {
+		if !t.eachOf(kind, yield) {
+			return
+		}
+	}
+}
+
+// eachDropped is each for the items that are not of KindDepartures.
+func (t *tombstones) eachDropped(yield func(Item) bool) {
+	for kind := range t.kinds {
+		if kind != KindDepartures && !t.eachOf(kind, yield) {
+			return
+		}
+	}
+}
+
+// eachOf calls yield for the items of a kind until it returns false, which eachOf then returns as well.
+func (t *tombstones) eachOf(kind string, yield func(Item) bool) bool {
+	for _, tree := range t.treesOf(kind) {
+		if !tree.eachItem(kind, yield) {
+			return false
 		}
 	}
+	return true
 }
 
 // eachIn is each for the items in the marked partitions.
--- a/internal/control/operation/members.go
+++ b/internal/control/operation/members.go
@@ -45,7 +45,7 @@
 // RestoredItems returns the contents of the set after a value for which ReplacesAll is true. The departures in the set remain: a host does
 // not come back with the configuration of an earlier time.
 func RestoredItems(s *config.Set, value []config.Item) []config.Item {
-	return append(s.Deleted(config.KindDepartures), value[1:]...)
+	return append(s.AllDepartures(), value[1:]...)
 }
 
 // restoreValue returns the value that replaces the set with a snapshot. The members are kept. The new epoch makes proxies accept lower
--- a/internal/control/registry/hosts_test.go
+++ b/internal/control/registry/hosts_test.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -101,5 +103,18 @@
 			c.Check(change.Item == nil || change.Item.Kind != config.KindDepartures, qt.IsTrue)
 		}
 	}
-	c.Check(s.Set.TombstonesOf(config.KindDepartures), qt.Equals, 1)
+	c.Check(s.Set.Departures(), qt.Equals, 1)
+}
+
+// Departures don't count towards the tombstones above which a snapshot has none.
+func TestDroppedNamesInSnapshotWithManyDepartures(t *testing.T) {
+	c := qt.New(t)
+	s := newState(3, true)
+	s.Set.Merge(config.Item{Kind: config.KindRoutes, Name: "dropped", Version: 2, Deleted: true})
+	for n := range maxSnapshotTombstones + 1 {
+		s.recordDeparture(fmt.Sprint("h", n))
+	}
+	c.Check(s.Set.DroppedNames(), qt.Equals, 1)
+	dropped := func(change update.Change) bool { return change.Item != nil && change.Item.Name == "dropped" }
+	c.Check(slices.ContainsFunc(s.ChunkedSnapshot(0), dropped), qt.IsTrue)
 }
--- a/internal/control/registry/updates.go
+++ b/internal/control/registry/updates.go
@@ -121,18 +121,17 @@
 	if forControl {
 		return s.controlSnapshot()
 	}
-	items := config.WithoutDepartures(s.Set.All())
-	return s.proxySnapshot(now, limitTombstones(items, maxSnapshotTombstones))
+	return s.proxySnapshot(now, limitTombstones(s.Set.WithoutDepartures(), maxSnapshotTombstones))
 }
 
 // ChunkedSnapshot is Snapshot for a proxy that accepts chunks, without tombstones if there are more than maxSnapshotTombstones. Such a
 // proxy knows positions and replaces all of its items by the snapshot's, so it depends on no tombstone. The cost is bounded by the
 // configuration in force, however many items were deleted since the cluster was founded.
 func (s *State) ChunkedSnapshot(now int64) (changes []update.Change) {
-	if s.Set.Tombstones() > maxSnapshotTombstones {
+	if s.Set.DroppedNames() > maxSnapshotTombstones {
 		return s.proxySnapshot(now, s.Set.AllLive())
 	}
-	return s.proxySnapshot(now, config.WithoutDepartures(s.Set.All()))
+	return s.proxySnapshot(now, s.Set.WithoutDepartures())
 }
 
 // limitTombstones returns the live items and at most the given number of tombstones, those with the highest versions.
--- a/internal/control/server/snapshots.go
+++ b/internal/control/server/snapshots.go
@@ -46,7 +46,7 @@
 // snapshotItems returns all items except departures, without their history, and the epoch and index that they correspond to. A restore
 // leaves departures as they are. The caller holds mu.
 func (s *Server) snapshotItems() (items []config.Item, epoch, index uint64) {
-	items = config.WithoutDepartures(s.state.Set.All())
+	items = s.state.Set.WithoutDepartures()
 	for i := range items {
 		items[i].History = nil
 	}
--- a/internal/lab/simulation/departure_test.go
+++ b/internal/lab/simulation/departure_test.go
@@ -57,21 +57,28 @@
 func (cl *Cluster) restartEach() {
 	for _, node := range cl.Controls {
 		node.Shutdown()
-		time.Sleep(300 * time.Millisecond)
-		node.mustStart()
+		startAfter(300*time.Millisecond, node)
 		time.Sleep(4 * time.Second)
 	}
 }
 
-// killAllControl kills all control processes that are up at once, and starts all of them again.
+// departureDowntime is the time after which the platform starts a process again.
+const departureDowntime = 500 * time.Millisecond
+
+// startAfter starts control processes that are down, after a time.
+func startAfter(down time.Duration, nodes ...*ControlNode) {
+	time.Sleep(down)
+	for _, node := range nodes {
+		node.mustStart()
+	}
+}
+
+// killAllControl kills all control processes at once and starts them again.
 func (cl *Cluster) killAllControl() {
 	for _, node := range cl.Controls {
 		node.Kill()
 	}
-	time.Sleep(500 * time.Millisecond)
-	for _, node := range cl.Controls {
-		node.mustStart()
-	}
+	startAfter(departureDowntime, cl.Controls...)
 }
 
 // departureFaults are the faults that an acknowledged departure must survive. Each function returns when the fault is over.
@@ -79,24 +86,20 @@
 	"none": func(*Cluster, *ControlNode) {},
 	"killed": func(_ *Cluster, node *ControlNode) {
 		node.Kill()
-		time.Sleep(500 * time.Millisecond)
-		node.mustStart()
+		startAfter(departureDowntime, node)
 	},
 	"killed for 5 min": func(_ *Cluster, node *ControlNode) {
 		node.Kill()
-		time.Sleep(5 * time.Minute)
-		node.mustStart()
+		startAfter(5*time.Minute, node)
 	},
 	"SIGTERM": func(_ *Cluster, node *ControlNode) {
 		node.Shutdown()
-		time.Sleep(500 * time.Millisecond)
-		node.mustStart()
+		startAfter(departureDowntime, node)
 	},
 	"disk lost": func(_ *Cluster, node *ControlNode) {
 		node.Kill()
 		node.Disk.Wipe()
-		time.Sleep(500 * time.Millisecond)
-		node.mustStart()
+		startAfter(departureDowntime, node)
 	},
 	"replaced": func(_ *Cluster, node *ControlNode) {
 		node.Replace()
@@ -110,7 +113,7 @@
 			node.Kill()
 			node.Disk.PowerLoss(i%2 == 0)
 		}
-		cluster.killAllControl() // all are down: only starts them
+		startAfter(departureDowntime, cluster.Controls...)
 	},
 	"all processes killed at once": func(cluster *Cluster, _ *ControlNode) {
 		for _, px := range cluster.Proxies {
