--- a/review/rig-2/cluster.go
+++ b/review/rig-2/cluster.go
@@ -13,7 +13,6 @@
 	"regexp"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -40,7 +39,6 @@
 type machine struct {
 	ip, zone, region string
 	control, proxy   *process
-	still            atomic.Bool // the proxy stands still and reads nothing
 }
 
 func (m *machine) front() string   { return fmt.Sprintf("%s:%d", m.ip, frontPort) }
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -17,8 +17,6 @@
 // cases are the cases by name. Each returns a result and a line that says why.
 var cases = map[string]func(rec *record, trouble bool) (int, string){
 	"stale-evacuation": staleEvacuation,
-	"cold-host":        coldHost,
-	"garbled-answers":  garbledAnswers,
 	"repeated-rollout": repeatedRollout,
 }
 
